base: build, checks, design page and HTTP server wrapper

Cause: the repository is empty. The parts of the system need one build, one set of conventions and one set of interfaces before they can be written side by side.

Ruled out: ulfius_start_framework cannot listen on a port chosen by the kernel, so the wrapper binds the socket itself and passes it to ulfius_start_framework_with_mhd_options. The form post-processor of ulfius would consume form bodies that have to be forwarded, so it is disabled.

Conclusion: the interfaces are ready for the modules behind them.

--- /dev/null
+++ b/src/base/result.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "base/error.h"
+
+#include <boost/outcome/outcome.hpp>
+
+namespace bronzechute {
+
+/**
+ * A value of type T, or an error.
+ *
+ * Converts to true when it holds a value; value() and error() read it. result<void> is returned with success().
+ */
+template<typename T> using result = boost::outcome_v2::unchecked<T, error>;
+
+using boost::outcome_v2::success;
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/config/label_set.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace bronzechute {
+
+/** Labels of an endpoint or a pool, key to value. */
+using label_set = std::map<std::string, std::string>;
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/http/header_list.cpp
@@ -0,0 +1,24 @@
+#include "http/header_list.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace bronzechute {
+
+bool headerNamesEqual(std::string_view left, std::string_view right)
+{
+    return std::ranges::equal(left, right,
+                              [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+}
+
+std::optional<std::string> findHeader(const header_list &headers, std::string_view name)
+{
+    for (const auto &[key, value] : headers) {
+        if (headerNamesEqual(key, name)) {
+            return value;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/http/http_handler.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "http/http_reply.h"
+#include "http/http_request.h"
+
+namespace bronzechute {
+
+/** Answers the requests of an http_server. */
+class http_handler
+{
+public:
+    virtual ~http_handler() = default;
+
+    /** Called from the connection's own thread, which may block; calls run concurrently. */
+    virtual http_reply handle(const http_request &request) = 0;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/http/http_request.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "http/header_list.h"
+
+#include <string>
+
+namespace bronzechute {
+
+/** A request as the HTTP server received it, body included. */
+struct http_request
+{
+    std::string method; ///< Upper case.
+    std::string path; ///< Without the query.
+    std::string query; ///< Without the '?'; empty when there is none.
+    header_list headers;
+    std::string body;
+    bool bodyTooLarge = false; ///< The body exceeded the server's limit; body is empty then.
+    std::string peer; ///< Address and port of the client.
+
+    friend bool operator==(const http_request &, const http_request &) = default;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/http/http_server.cpp
@@ -0,0 +1,205 @@
+#include "http/http_server.h"
+
+#include "base/scope_guard.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <ulfius.h>
+#include <unistd.h>
+#include <vector>
+
+namespace bronzechute {
+
+namespace {
+
+constexpr const char *listenStep = "http.listen";
+constexpr std::size_t streamBlockBytes = 16 * 1024;
+constexpr unsigned int connectionIdleSeconds = 120;
+constexpr int listenBacklog = 1024;
+
+/** Keeps a body source alive for the time of one streamed answer. */
+struct stream_state
+{
+    std::shared_ptr<body_source> source;
+    std::atomic<int> *active;
+};
+
+ssize_t readStream(void *data, std::uint64_t, char *buffer, std::size_t capacity)
+{
+    auto *state = static_cast<stream_state *>(data);
+    const ssize_t count = state->source->read(buffer, capacity);
+    if (count == body_source::endOfBody) {
+        return U_STREAM_END;
+    }
+    if (count == body_source::broken) {
+        return U_STREAM_ERROR;
+    }
+    return count;
+}
+
+void closeStream(void *data)
+{
+    const std::unique_ptr<stream_state> state(static_cast<stream_state *>(data));
+    state->source->onClosed();
+    --*state->active;
+}
+
+header_list copyHeaders(const _u_map *map)
+{
+    header_list headers;
+    const char **keys = u_map_enum_keys(map);
+    for (int index = 0; keys != nullptr && keys[index] != nullptr; ++index) {
+        const char *value = u_map_get(map, keys[index]);
+        headers.emplace_back(keys[index], value == nullptr ? "" : value);
+    }
+    return headers;
+}
+
+std::string peerText(const sockaddr *address)
+{
+    if (address == nullptr || address->sa_family != AF_INET) {
+        return {};
+    }
+    const auto *ipv4 = reinterpret_cast<const sockaddr_in *>(address);
+    char text[INET_ADDRSTRLEN] = {};
+    inet_ntop(AF_INET, &ipv4->sin_addr, text, sizeof text);
+    return std::string(text) + ":" + std::to_string(ntohs(ipv4->sin_port));
+}
+
+http_request readRequest(const _u_request &request, std::size_t bodyLimit)
+{
+    http_request copy;
+    copy.method = request.http_verb;
+    const std::string url = request.http_url;
+    const auto question = url.find('?');
+    copy.path = url.substr(0, question);
+    copy.query = question == std::string::npos ? "" : url.substr(question + 1);
+    copy.headers = copyHeaders(request.map_header);
+    copy.peer = peerText(request.client_address);
+    copy.bodyTooLarge = request.binary_body_length > bodyLimit;
+    if (!copy.bodyTooLarge && request.binary_body != nullptr) {
+        copy.body.assign(static_cast<const char *>(request.binary_body), request.binary_body_length);
+    }
+    return copy;
+}
+
+} // namespace
+
+http_server::http_server(http_handler &handler) : m_handler(handler), m_instance(std::make_unique<_u_instance>())
+{
+}
+
+result<std::unique_ptr<http_server>> http_server::start(const http_server_options &options, http_handler &handler)
+{
+    const std::string peer = options.address + ":" + std::to_string(options.port);
+    std::unique_ptr<http_server> server(new http_server(handler));
+    server->m_bodyLimit = options.bodyLimit;
+    server->m_certificate = options.tlsCertificate;
+    server->m_key = options.tlsKey;
+
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(options.port);
+    if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
+        return error{errc::invalid_argument, listenStep, peer, "not an IPv4 address"};
+    }
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    scope_guard closeSocket([descriptor] { close(descriptor); });
+    const int enabled = 1;
+    setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+    socklen_t length = sizeof address;
+    if (bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0
+        || listen(descriptor, listenBacklog) != 0
+        || getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length) != 0) {
+        return error{errc::unavailable, listenStep, peer, std::strerror(errno)};
+    }
+    server->m_port = ntohs(address.sin_port);
+
+    _u_instance *instance = server->m_instance.get();
+    if (ulfius_init_instance(instance, server->m_port, &address, nullptr) != U_OK) {
+        return error{errc::unavailable, listenStep, peer, "ulfius_init_instance failed"};
+    }
+    scope_guard cleanInstance([instance] { ulfius_clean_instance(instance); });
+    // One byte over the limit is let in, so that a body of exactly the limit differs from a larger one.
+    instance->max_post_body_size = options.bodyLimit + 1;
+    instance->check_utf8 = 0;
+    instance->allowed_post_processor = U_POST_PROCESS_NONE;
+    ulfius_set_default_endpoint(instance, &http_server::dispatch, server.get());
+
+    // MHD takes over a socket that is already bound, so that the kernel can choose the port.
+    unsigned int flags = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL | MHD_USE_ITC;
+    std::vector<MHD_OptionItem> mhdOptions = {
+        {MHD_OPTION_LISTEN_SOCKET, descriptor, nullptr},
+        {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&ulfius_uri_logger), nullptr},
+        {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&mhd_request_completed), nullptr},
+        {MHD_OPTION_CONNECTION_TIMEOUT, connectionIdleSeconds, nullptr},
+    };
+    if (!options.tlsCertificate.empty()) {
+        flags |= MHD_USE_TLS;
+        mhdOptions.push_back({MHD_OPTION_HTTPS_MEM_CERT, 0, server->m_certificate.data()});
+        mhdOptions.push_back({MHD_OPTION_HTTPS_MEM_KEY, 0, server->m_key.data()});
+    }
+    mhdOptions.push_back({MHD_OPTION_END, 0, nullptr});
+    if (ulfius_start_framework_with_mhd_options(instance, flags, mhdOptions.data()) != U_OK) {
+        return error{errc::unavailable, listenStep, peer, "ulfius could not start"};
+    }
+    closeSocket.dismiss();
+    cleanInstance.dismiss();
+    server->m_listenSocket = descriptor;
+    server->m_running = true;
+    return server;
+}
+
+http_server::~http_server()
+{
+    if (m_running) {
+        ulfius_stop_framework(m_instance.get());
+        ulfius_clean_instance(m_instance.get());
+    }
+    if (m_quiesced) {
+        // After quiescing the listening socket belongs to the caller of MHD again.
+        close(m_listenSocket);
+    }
+}
+
+void http_server::quiesce()
+{
+    if (m_quiesced) {
+        return;
+    }
+    MHD_quiesce_daemon(m_instance->mhd_daemon);
+    m_quiesced = true;
+    // New connections are refused at once instead of waiting in the backlog.
+    shutdown(m_listenSocket, SHUT_RDWR);
+}
+
+int http_server::dispatch(const _u_request *request, _u_response *response, void *self)
+{
+    return static_cast<http_server *>(self)->answer(request, response);
+}
+
+int http_server::answer(const _u_request *request, _u_response *response)
+{
+    ++m_active;
+    scope_guard finished([this] { --m_active; });
+    const http_reply reply = m_handler.handle(readRequest(*request, m_bodyLimit));
+    for (const auto &[name, value] : reply.headers) {
+        u_map_put(response->map_header, name.c_str(), value.c_str());
+    }
+    if (reply.stream == nullptr) {
+        ulfius_set_binary_body_response(response, static_cast<unsigned int>(reply.status), reply.body.data(),
+                                        reply.body.size());
+        return U_CALLBACK_COMPLETE;
+    }
+    finished.dismiss(); // closeStream() counts the request as finished.
+    auto state = std::make_unique<stream_state>(stream_state{reply.stream, &m_active});
+    ulfius_set_stream_response(response, static_cast<unsigned int>(reply.status), readStream, closeStream,
+                               U_STREAM_SIZE_UNKNOWN, streamBlockBytes, state.release());
+    return U_CALLBACK_COMPLETE;
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/policy/endpoint_status.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "config/label_set.h"
+#include "policy/serving_state.h"
+
+#include <string>
+#include <vector>
+
+namespace bronzechute {
+
+/** What an endpoint process tells entries with each heartbeat. */
+struct endpoint_status
+{
+    serving_state state = serving_state::starting;
+    std::string dataCentre;
+    label_set labels; ///< Labels of the endpoint's own settings.
+    std::vector<std::string> models; ///< Models that the engine serves; empty for a plain service.
+    int inFlight = 0; ///< Requests that the endpoint process has admitted and not finished, from all entries.
+    int limit = 0; ///< Requests that it admits at the same time now.
+    int queued = 0; ///< Requests waiting in its queue.
+    bool cold = false; ///< Whether the cold-start ceiling applies.
+    std::string engineStartId; ///< Changes when the engine restarts.
+    double meanServiceMs = 0; ///< Smoothed time from admission to end.
+
+    friend bool operator==(const endpoint_status &, const endpoint_status &) = default;
+};
+
+} // namespace bronzechute
