link: nng connections with heartbeat, deadline and redial

Cause: the hop between processes needs reliable, ordered frames for many streams on one connection, and nng does not notice a peer that was forgotten on the way.

Ruled out: nng pair sockets take one peer each or drop messages to a slow peer in polyamorous mode; raw request sockets drop as well. nng byte streams are used instead. Frees of asynchronous operations from their own callbacks block in nng, so a maintenance thread releases closed connections.

Change: frames as msgpack arrays with a length prefix (wire/), nng_link, nng_dialer and link_hub (link/). A heartbeat every 500 ms; a connection without any frame for 2 s is closed and dialed again after 100 ms to 2 s.

--- /dev/null
+++ b/src/link/link_hub.cpp
@@ -0,0 +1,248 @@
+#include "link/link_hub.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <mutex>
+
+namespace bronzechute {
+
+namespace {
+
+constexpr const char *listenStep = "link.listen";
+constexpr std::chrono::milliseconds maintenanceInterval{100};
+
+std::string addressText(const nng_sockaddr &address)
+{
+    if (address.s_family != NNG_AF_INET) {
+        return "unknown";
+    }
+    char text[INET_ADDRSTRLEN] = {};
+    inet_ntop(AF_INET, &address.s_in.sa_addr, text, sizeof text);
+    return std::string(text) + ":" + std::to_string(ntohs(address.s_in.sa_port));
+}
+
+} // namespace
+
+link_hub::link_hub(const link_options &options, link_handler &handler)
+    : m_options(options), m_handler(handler), m_random(std::random_device{}())
+{
+}
+
+result<std::unique_ptr<link_hub>> link_hub::start(const link_options &options, const socket_address &listenAddress,
+                                                  link_handler &handler)
+{
+    const std::string address = listenAddress.toString();
+    std::unique_ptr<link_hub> hub(new link_hub(options, handler));
+    nng_aio_alloc(&hub->m_acceptAio, &link_hub::onAccepted, hub.get());
+    int status = nng_stream_listener_alloc(&hub->m_listener, ("tcp://" + address).c_str());
+    if (status == 0) {
+        status = nng_stream_listener_listen(hub->m_listener);
+    }
+    int port = 0;
+    if (status == 0) {
+        status = nng_stream_listener_get_int(hub->m_listener, NNG_OPT_TCP_BOUND_PORT, &port);
+    }
+    if (status != 0) {
+        return error{errc::unavailable, listenStep, address, nng_strerror(status)};
+    }
+    hub->m_port = static_cast<std::uint16_t>(port);
+    hub->startAccept();
+    hub->m_thread = std::thread([raw = hub.get()] { raw->run(); });
+    return hub;
+}
+
+link_hub::~link_hub()
+{
+    if (m_listener != nullptr) {
+        nng_stream_listener_close(m_listener);
+    }
+    nng_aio_stop(m_acceptAio);
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_stopping = true;
+    }
+    wake();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+    m_outgoing.clear();
+    for (const auto &connection : m_links) {
+        connection->close("process is stopping");
+        connection->release();
+    }
+    if (m_listener != nullptr) {
+        nng_stream_listener_free(m_listener);
+    }
+    nng_aio_free(m_acceptAio);
+}
+
+void link_hub::startAccept()
+{
+    nng_stream_listener_accept(m_listener, m_acceptAio);
+}
+
+void link_hub::onAccepted(void *self)
+{
+    static_cast<link_hub *>(self)->handleAccepted();
+}
+
+void link_hub::handleAccepted()
+{
+    if (nng_aio_result(m_acceptAio) != 0) {
+        // The maintenance thread accepts again, so that a lack of descriptors does not make this loop spin.
+        const std::scoped_lock lock(m_mutex);
+        m_acceptFailed = true;
+        return;
+    }
+    auto *stream = static_cast<nng_stream *>(nng_aio_get_output(m_acceptAio, 0));
+    nng_sockaddr address{};
+    nng_stream_get_addr(stream, NNG_OPT_REMADDR, &address);
+    adopt(stream, addressText(address));
+    startAccept();
+}
+
+std::shared_ptr<nng_link> link_hub::adopt(nng_stream *stream, const std::string &address)
+{
+    auto connection = std::make_shared<nng_link>(stream, address, m_options, m_handler, [this] { wake(); });
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_links.push_back(connection);
+    }
+    connection->start();
+    return connection;
+}
+
+void link_hub::dial(const std::string &name, const std::string &address)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto known = [&name](const outgoing &entry) {
+            return entry.dialer->name() == name;
+        };
+        if (std::ranges::any_of(m_outgoing, known)) {
+            return;
+        }
+        m_outgoing.push_back({std::make_unique<nng_dialer>(name, address, m_options, [this] { wake(); }), nullptr});
+    }
+    wake();
+}
+
+void link_hub::forget(const std::string &name)
+{
+    outgoing removed;
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto known = [&name](const outgoing &entry) {
+            return entry.dialer->name() == name;
+        };
+        const auto position = std::ranges::find_if(m_outgoing, known);
+        if (position == m_outgoing.end()) {
+            return;
+        }
+        removed = std::move(*position);
+        m_outgoing.erase(position);
+    }
+    if (removed.connection != nullptr) {
+        removed.connection->close("peer is no longer used");
+    }
+}
+
+void link_hub::announce()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_announce = true;
+    }
+    wake();
+}
+
+void link_hub::wake()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_woken = true;
+    m_wakeup.notify_all();
+}
+
+void link_hub::run()
+{
+    while (true) {
+        {
+            std::unique_lock lock(m_mutex);
+            m_wakeup.wait_for(lock, maintenanceInterval, [this] { return m_woken || m_stopping; });
+            m_woken = false;
+            if (m_stopping) {
+                return;
+            }
+        }
+        maintain(boot_clock::now());
+    }
+}
+
+void link_hub::maintain(time_point now)
+{
+    std::vector<std::shared_ptr<nng_link>> links;
+    bool announceNow = false;
+    bool acceptAgain = false;
+    {
+        const std::scoped_lock lock(m_mutex);
+        links = m_links;
+        std::swap(announceNow, m_announce);
+        std::swap(acceptAgain, m_acceptFailed);
+    }
+    if (acceptAgain) {
+        startAccept();
+    }
+    for (const auto &connection : links) {
+        connection->maintain(now, announceNow);
+    }
+    releaseDown();
+    maintainOutgoing(now);
+}
+
+void link_hub::releaseDown()
+{
+    std::vector<std::shared_ptr<nng_link>> down;
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto firstDown =
+            std::partition(m_links.begin(), m_links.end(), [](const auto &each) { return !each->isDown(); });
+        down.assign(firstDown, m_links.end());
+        m_links.erase(firstDown, m_links.end());
+    }
+    for (const auto &connection : down) {
+        connection->release();
+    }
+}
+
+void link_hub::maintainOutgoing(time_point now)
+{
+    std::vector<std::pair<std::string, nng_stream *>> connected;
+    {
+        const std::scoped_lock lock(m_mutex);
+        for (outgoing &entry : m_outgoing) {
+            if (entry.connection != nullptr && entry.connection->isDown()) {
+                entry.connection.reset();
+                entry.dialer->connectionLost(now);
+            }
+            if (nng_stream *stream = entry.dialer->takeStream(now, m_random)) {
+                connected.emplace_back(entry.dialer->name(), stream);
+            }
+            entry.dialer->dialWhenDue(now);
+        }
+    }
+    for (const auto &[name, stream] : connected) {
+        nng_sockaddr address{};
+        nng_stream_get_addr(stream, NNG_OPT_REMADDR, &address);
+        const auto connection = adopt(stream, addressText(address));
+        const std::scoped_lock lock(m_mutex);
+        const auto position = std::ranges::find_if(
+            m_outgoing, [&wanted = name](const outgoing &entry) { return entry.dialer->name() == wanted; });
+        if (position == m_outgoing.end()) {
+            connection->close("peer is no longer used");
+        } else {
+            position->connection = connection;
+        }
+    }
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/wire/attempt_id.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "base/request_id.h"
+
+#include <compare>
+#include <cstdint>
+
+#include <msgpack.hpp>
+
+namespace bronzechute {
+
+/** One dispatch of a request to one endpoint. */
+struct attempt_id
+{
+    request_id request;
+    std::uint32_t attempt = 0; ///< From 1, rising with each dispatch of the request.
+
+    friend auto operator<=>(const attempt_id &, const attempt_id &) = default;
+
+    MSGPACK_DEFINE_ARRAY(request.high, request.low, attempt)
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/wire/cancelled_frame.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "wire/attempt_id.h"
+#include "wire/frame_ids.h"
+
+namespace bronzechute {
+
+/** Answer to a cancel. When the attempt had not started, this is proof that it will not. */
+struct cancelled_frame
+{
+    static constexpr frame_type type = frame_type::cancelled;
+
+    attempt_id id;
+    bool started = false;
+
+    friend bool operator==(const cancelled_frame &, const cancelled_frame &) = default;
+
+    MSGPACK_DEFINE_ARRAY(id, started)
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/wire/credit_frame.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "wire/attempt_id.h"
+#include "wire/frame_ids.h"
+
+#include <cstdint>
+
+namespace bronzechute {
+
+/** The entry has passed on all data frames below a sequence number. */
+struct credit_frame
+{
+    static constexpr frame_type type = frame_type::credit;
+
+    attempt_id id;
+    std::uint64_t nextSequence = 0; ///< All data frames below this need not be kept for a resume.
+
+    friend bool operator==(const credit_frame &, const credit_frame &) = default;
+
+    MSGPACK_DEFINE_ARRAY(id, nextSequence)
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/wire/data_frame.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "wire/attempt_id.h"
+#include "wire/frame_ids.h"
+
+#include <cstdint>
+#include <string>
+
+namespace bronzechute {
+
+/** A piece of the answer's body. */
+struct data_frame
+{
+    static constexpr frame_type type = frame_type::data;
+
+    attempt_id id;
+    std::uint64_t sequence = 0; ///< From 0, rising by one.
+    std::string bytes;
+
+    friend bool operator==(const data_frame &, const data_frame &) = default;
+
+    MSGPACK_DEFINE_ARRAY(id, sequence, bytes)
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/wire/frame_ids.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+
+namespace bronzechute {
+
+/** Version of the protocol between processes; processes of different versions do not connect. */
+constexpr std::uint32_t protocolVersion = 1;
+
+/** Largest frame on a connection, in bytes, length prefix not counted. */
+constexpr std::uint32_t maxFrameBytes = 4 * 1024 * 1024;
+
+/** First element of each frame. Values are part of the protocol. */
+enum class frame_type : std::uint8_t {
+    hello = 1,
+    heartbeat = 2,
+    config_push = 3,
+    submit = 4,
+    accepted = 5,
+    refused = 6,
+    response_head = 7,
+    data = 8,
+    end = 9,
+    failed = 10,
+    credit = 11,
+    cancel = 12,
+    cancelled = 13,
+    resume = 14,
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/tests/link/link_hub_test.cpp
@@ -0,0 +1,127 @@
+#include "link/link_hub.h"
+
+#include <gtest/gtest.h>
+
+#include <condition_variable>
+#include <mutex>
+
+namespace bronzechute {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Records what happens on the connections of one hub. */
+class recording_handler : public link_handler
+{
+public:
+    void onUp(const link_ptr &connection) override
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_up.push_back(connection);
+        m_changed.notify_all();
+    }
+
+    void onFrame(const link_ptr &, frame message) override
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (const auto *data = std::get_if<data_frame>(&message)) {
+            m_data.push_back(*data);
+        }
+        m_changed.notify_all();
+    }
+
+    void onDown(const link_ptr &, const std::string &reason) override
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_reasons.push_back(reason);
+        m_changed.notify_all();
+    }
+
+    heartbeat_frame makeHeartbeat() override
+    {
+        return {};
+    }
+
+    template<typename Condition> bool waitFor(Condition condition)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, 30s, [&] { return condition(*this); });
+    }
+
+    std::vector<link_ptr> m_up;
+    std::vector<data_frame> m_data;
+    std::vector<std::string> m_reasons;
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+};
+
+link_options optionsOf(const std::string &node)
+{
+    link_options options;
+    options.self.node = node;
+    return options;
+}
+
+TEST(link_hub, deliversFramesInOrderWithoutLoss)
+{
+    recording_handler serverHandler;
+    recording_handler clientHandler;
+    auto server = link_hub::start(optionsOf("server"), {}, serverHandler);
+    auto client = link_hub::start(optionsOf("client"), {}, clientHandler);
+    ASSERT_TRUE(server) << server.error().toString();
+    ASSERT_TRUE(client);
+    client.value()->dial("server", "127.0.0.1:" + std::to_string(server.value()->port()));
+    ASSERT_TRUE(clientHandler.waitFor([](auto &seen) { return !seen.m_up.empty(); }));
+    EXPECT_EQ(clientHandler.m_up[0]->peer().node, "server");
+
+    constexpr std::uint64_t frames = 20000;
+    for (std::uint64_t sequence = 0; sequence < frames; ++sequence) {
+        ASSERT_TRUE(clientHandler.m_up[0]->send(data_frame{{}, sequence, std::string(sequence % 300, 'x')}));
+    }
+    ASSERT_TRUE(serverHandler.waitFor([](auto &seen) { return seen.m_data.size() == frames; }));
+    for (std::uint64_t sequence = 0; sequence < frames; ++sequence) {
+        ASSERT_EQ(serverHandler.m_data[sequence].sequence, sequence);
+    }
+}
+
+TEST(link_hub, dialsAgainAfterThePeerRestarted)
+{
+    recording_handler clientHandler;
+    auto client = link_hub::start(optionsOf("client"), {}, clientHandler);
+    ASSERT_TRUE(client);
+    socket_address address;
+    {
+        recording_handler serverHandler;
+        auto server = link_hub::start(optionsOf("server"), address, serverHandler);
+        ASSERT_TRUE(server);
+        address.port = server.value()->port();
+        client.value()->dial("server", address.toString());
+        ASSERT_TRUE(clientHandler.waitFor([](auto &seen) { return seen.m_up.size() == 1; }));
+    }
+    ASSERT_TRUE(clientHandler.waitFor([](auto &seen) { return seen.m_reasons.size() == 1; }));
+    EXPECT_FALSE(clientHandler.m_up[0]->send(data_frame{})) << "a dead connection accepted a frame";
+    recording_handler serverHandler;
+    auto server = link_hub::start(optionsOf("server"), address, serverHandler);
+    ASSERT_TRUE(server) << server.error().toString();
+    EXPECT_TRUE(clientHandler.waitFor([](auto &seen) { return seen.m_up.size() == 2; }));
+}
+
+TEST(link_hub, closesAConnectionWhosePeerIsSilent)
+{
+    recording_handler serverHandler;
+    recording_handler clientHandler;
+    link_options mute = optionsOf("server");
+    mute.heartbeatInterval = 1h;
+    auto server = link_hub::start(mute, {}, serverHandler);
+    auto client = link_hub::start(optionsOf("client"), {}, clientHandler);
+    ASSERT_TRUE(server);
+    ASSERT_TRUE(client);
+    client.value()->dial("server", "127.0.0.1:" + std::to_string(server.value()->port()));
+    ASSERT_TRUE(clientHandler.waitFor([](auto &seen) { return !seen.m_reasons.empty(); }));
+    EXPECT_EQ(clientHandler.m_reasons[0], "no frame for 2000 ms");
+}
+
+} // namespace
+} // namespace bronzechute
