--- a/src/base/error_code.h
+++ b/src/base/error_code.h
@@ -31,6 +31,7 @@
 
 } // namespace bronzechute
 
-template<> struct std::is_error_code_enum<bronzechute::errc> : std::true_type
+template<>
+struct std::is_error_code_enum<bronzechute::errc> : std::true_type
 {
 };
--- a/src/base/request_id.h
+++ b/src/base/request_id.h
@@ -36,7 +36,8 @@
 
 } // namespace bronzechute
 
-template<> struct std::hash<bronzechute::request_id>
+template<>
+struct std::hash<bronzechute::request_id>
 {
     std::size_t operator()(const bronzechute::request_id &id) const noexcept
     {
--- a/src/base/result.h
+++ b/src/base/result.h
@@ -11,7 +11,8 @@
  *
  * Converts to true when it holds a value; value() and error() read it. result<void> is returned with success().
  */
-template<typename T> using result = boost::outcome_v2::unchecked<T, error>;
+template<typename T>
+using result = boost::outcome_v2::unchecked<T, error>;
 
 using boost::outcome_v2::success;
 
--- a/src/base/scope_guard.h
+++ b/src/base/scope_guard.h
@@ -7,7 +7,8 @@
 /**
  * Runs a function at the end of the scope unless dismissed.
  */
-template<typename Function> class scope_guard
+template<typename Function>
+class scope_guard
 {
 public:
     explicit scope_guard(Function function) : m_function(std::move(function))
--- a/src/wire/endpoint_status_codec.h
+++ b/src/wire/endpoint_status_codec.h
@@ -13,7 +13,8 @@
 
     constexpr std::uint32_t endpointStatusFields = 10;
 
-    template<> struct pack<bronzechute::endpoint_status>
+    template<>
+    struct pack<bronzechute::endpoint_status>
     {
         template<typename Stream>
         msgpack::packer<Stream> &operator()(msgpack::packer<Stream> &out,
@@ -34,7 +35,8 @@
         }
     };
 
-    template<> struct convert<bronzechute::endpoint_status>
+    template<>
+    struct convert<bronzechute::endpoint_status>
     {
         const msgpack::object &operator()(const msgpack::object &in, bronzechute::endpoint_status &value) const
         {
--- a/src/wire/frame_codec.cpp
+++ b/src/wire/frame_codec.cpp
@@ -43,14 +43,31 @@
     }
 }
 
-template<typename Frame> frame convertFields(const msgpack::object &fields)
+/** @returns the number of fields that a frame of this type has on the wire. */
+template<typename Frame>
+std::uint32_t fieldCount()
 {
+    static const std::uint32_t count = [] {
+        msgpack::zone zone;
+        return msgpack::object(Frame{}, zone).via.array.size;
+    }();
+    return count;
+}
+
+template<typename Frame>
+frame convertFields(const msgpack::object &fields)
+{
+    // msgpack leaves missing fields at their defaults, which would turn a cut frame into a valid one.
+    if (fields.type != msgpack::type::ARRAY || fields.via.array.size != fieldCount<Frame>()) {
+        throw msgpack::type_error();
+    }
     Frame message;
     fields.convert(message);
     return message;
 }
 
-template<std::size_t Index = 0> frame convertByType(frame_type type, const msgpack::object &fields)
+template<std::size_t Index = 0>
+frame convertByType(frame_type type, const msgpack::object &fields)
 {
     if constexpr (Index == std::variant_size_v<frame>) {
         throw msgpack::type_error();
--- a/tests/link/link_hub_test.cpp
+++ b/tests/link/link_hub_test.cpp
@@ -42,7 +42,8 @@
         return {};
     }
 
-    template<typename Condition> bool waitFor(Condition condition)
+    template<typename Condition>
+    bool waitFor(Condition condition)
     {
         std::unique_lock lock(m_mutex);
         return m_changed.wait_for(lock, 30s, [&] { return condition(*this); });
