wire: count fields by packing a default frame

Change: the number of fields of a frame type is read from a packed default frame, which works with adaptors. The formatter keeps the space before a braced list, as the WebKit base of the KDE style does.

Conclusion: a frame with a missing field is refused, as the row asks.

--- a/src/base/boot_clock.cpp
+++ b/src/base/boot_clock.cpp
@@ -6,7 +6,7 @@
 
 time_point boot_clock::now() noexcept
 {
-    timespec reading{};
+    timespec reading {};
     clock_gettime(CLOCK_BOOTTIME, &reading);
     return time_point(std::chrono::seconds(reading.tv_sec) + std::chrono::nanoseconds(reading.tv_nsec));
 }
--- a/src/config/plain_service.h
+++ b/src/config/plain_service.h
@@ -25,7 +25,7 @@
     std::string prefix; ///< Begins with '/', does not end with '/'.
     selector pools; ///< Over the labels of pools.
     std::vector<repeatable_rule> repeatable; ///< Everything else may not be repeated.
-    std::chrono::milliseconds deadline{30000};
+    std::chrono::milliseconds deadline {30000};
     bool readYourWrites = false;
 
     friend bool operator==(const plain_service &, const plain_service &) = default;
--- a/src/config/traffic_class.h
+++ b/src/config/traffic_class.h
@@ -16,8 +16,8 @@
     std::vector<std::string> models; ///< Models that match; empty: any.
     selector pools; ///< Over the labels of pools.
     int priority = 5; ///< 0..9, higher first.
-    std::chrono::milliseconds deadline{60000}; ///< For the whole answer.
-    std::chrono::milliseconds firstTokenTarget{1600};
+    std::chrono::milliseconds deadline {60000}; ///< For the whole answer.
+    std::chrono::milliseconds firstTokenTarget {1600};
     bool resumeElsewhere = false; ///< Whether another engine may continue a broken stream.
 
     friend bool operator==(const traffic_class &, const traffic_class &) = default;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -101,11 +101,11 @@
     server->m_certificate = options.tlsCertificate;
     server->m_key = options.tlsKey;
 
-    sockaddr_in address{};
+    sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(options.port);
     if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
-        return error{errc::invalid_argument, listenStep, peer, "not an IPv4 address"};
+        return error {errc::invalid_argument, listenStep, peer, "not an IPv4 address"};
     }
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     scope_guard closeSocket([descriptor] { close(descriptor); });
@@ -115,13 +115,13 @@
     if (bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0
         || listen(descriptor, listenBacklog) != 0
         || getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length) != 0) {
-        return error{errc::unavailable, listenStep, peer, std::strerror(errno)};
+        return error {errc::unavailable, listenStep, peer, std::strerror(errno)};
     }
     server->m_port = ntohs(address.sin_port);
 
     _u_instance *instance = server->m_instance.get();
     if (ulfius_init_instance(instance, server->m_port, &address, nullptr) != U_OK) {
-        return error{errc::unavailable, listenStep, peer, "ulfius_init_instance failed"};
+        return error {errc::unavailable, listenStep, peer, "ulfius_init_instance failed"};
     }
     scope_guard cleanInstance([instance] { ulfius_clean_instance(instance); });
     // One byte over the limit is let in, so that a body of exactly the limit differs from a larger one.
@@ -145,7 +145,7 @@
     }
     mhdOptions.push_back({MHD_OPTION_END, 0, nullptr});
     if (ulfius_start_framework_with_mhd_options(instance, flags, mhdOptions.data()) != U_OK) {
-        return error{errc::unavailable, listenStep, peer, "ulfius could not start"};
+        return error {errc::unavailable, listenStep, peer, "ulfius could not start"};
     }
     closeSocket.dismiss();
     cleanInstance.dismiss();
@@ -196,7 +196,7 @@
         return U_CALLBACK_COMPLETE;
     }
     finished.dismiss(); // closeStream() counts the request as finished.
-    auto state = std::make_unique<stream_state>(stream_state{reply.stream, &m_active});
+    auto state = std::make_unique<stream_state>(stream_state {reply.stream, &m_active});
     ulfius_set_stream_response(response, static_cast<unsigned int>(reply.status), readStream, closeStream,
                                U_STREAM_SIZE_UNKNOWN, streamBlockBytes, state.release());
     return U_CALLBACK_COMPLETE;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -67,7 +67,7 @@
     int m_listenSocket = -1;
     bool m_running = false;
     bool m_quiesced = false;
-    std::atomic<int> m_active{0};
+    std::atomic<int> m_active {0};
 };
 
 } // namespace bronzechute
--- a/src/link/link_hub.cpp
+++ b/src/link/link_hub.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr const char *listenStep = "link.listen";
-constexpr std::chrono::milliseconds maintenanceInterval{100};
+constexpr std::chrono::milliseconds maintenanceInterval {100};
 
 std::string addressText(const nng_sockaddr &address)
 {
@@ -24,7 +24,7 @@
 } // namespace
 
 link_hub::link_hub(const link_options &options, link_handler &handler)
-    : m_options(options), m_handler(handler), m_random(std::random_device{}())
+    : m_options(options), m_handler(handler), m_random(std::random_device {}())
 {
 }
 
@@ -43,7 +43,7 @@
         status = nng_stream_listener_get_int(hub->m_listener, NNG_OPT_TCP_BOUND_PORT, &port);
     }
     if (status != 0) {
-        return error{errc::unavailable, listenStep, address, nng_strerror(status)};
+        return error {errc::unavailable, listenStep, address, nng_strerror(status)};
     }
     hub->m_port = static_cast<std::uint16_t>(port);
     hub->startAccept();
@@ -95,7 +95,7 @@
         return;
     }
     auto *stream = static_cast<nng_stream *>(nng_aio_get_output(m_acceptAio, 0));
-    nng_sockaddr address{};
+    nng_sockaddr address {};
     nng_stream_get_addr(stream, NNG_OPT_REMADDR, &address);
     adopt(stream, addressText(address));
     startAccept();
@@ -231,7 +231,7 @@
         }
     }
     for (const auto &[name, stream] : connected) {
-        nng_sockaddr address{};
+        nng_sockaddr address {};
         nng_stream_get_addr(stream, NNG_OPT_REMADDR, &address);
         const auto connection = adopt(stream, addressText(address));
         const std::scoped_lock lock(m_mutex);
--- a/src/link/link_hub.h
+++ b/src/link/link_hub.h
@@ -76,7 +76,7 @@
     std::uint16_t m_port = 0;
     std::mt19937_64 m_random;
 
-    mutable ranked_mutex m_mutex{lock_rank::link_table};
+    mutable ranked_mutex m_mutex {lock_rank::link_table};
     std::condition_variable_any m_wakeup;
     std::vector<std::shared_ptr<nng_link>> m_links; ///< All connections that are not released.
     std::vector<outgoing> m_outgoing;
--- a/src/link/nng_dialer.h
+++ b/src/link/nng_dialer.h
@@ -57,7 +57,7 @@
     nng_stream_dialer *m_dialer = nullptr;
     nng_aio *m_aio = nullptr;
     bool m_dialing = false;
-    std::atomic<bool> m_finished{false};
+    std::atomic<bool> m_finished {false};
     std::chrono::milliseconds m_delay;
     time_point m_nextDial;
 };
--- a/src/link/nng_link.cpp
+++ b/src/link/nng_link.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t retainedBytes = std::size_t{1024} * 1024;
+constexpr std::size_t retainedBytes = std::size_t {1024} * 1024;
 
 std::int64_t clockMilliseconds(time_point now)
 {
@@ -78,7 +78,7 @@
         m_inFlightOffset = 0;
     }
     m_sending = true;
-    nng_iov vector{m_inFlight.data() + m_inFlightOffset, m_inFlight.size() - m_inFlightOffset};
+    nng_iov vector {m_inFlight.data() + m_inFlightOffset, m_inFlight.size() - m_inFlightOffset};
     nng_aio_set_iov(m_sendAio, 1, &vector);
     // Completion always runs on a thread of nng, so the lock may be held here. It keeps release() away.
     nng_stream_send(m_stream, m_sendAio);
@@ -111,7 +111,7 @@
 
 void nng_link::startReceive()
 {
-    nng_iov vector{m_receiveBuffer.data(), m_receiveBuffer.size()};
+    nng_iov vector {m_receiveBuffer.data(), m_receiveBuffer.size()};
     nng_aio_set_iov(m_receiveAio, 1, &vector);
     nng_stream_recv(m_stream, m_receiveAio);
 }
--- a/src/link/nng_link.h
+++ b/src/link/nng_link.h
@@ -80,7 +80,7 @@
     bool handleFrame(frame message);
     void notePeerClock(std::int64_t clockMs);
 
-    static constexpr std::size_t receiveBytes = std::size_t{64} * 1024;
+    static constexpr std::size_t receiveBytes = std::size_t {64} * 1024;
 
     const std::string m_address;
     const link_options m_options;
@@ -90,15 +90,15 @@
     nng_stream *m_stream;
     nng_aio *m_sendAio = nullptr;
     nng_aio *m_receiveAio = nullptr;
-    std::array<char, receiveBytes> m_receiveBuffer{};
+    std::array<char, receiveBytes> m_receiveBuffer {};
     frame_decoder m_decoder; ///< Used by the receive callback only.
     hello_frame m_peer; ///< Set before onUp, constant afterwards.
-    std::atomic<bool> m_up{false};
-    std::atomic<bool> m_down{false};
+    std::atomic<bool> m_up {false};
+    std::atomic<bool> m_down {false};
     std::atomic<boot_clock::rep> m_lastReceived;
-    std::atomic<std::int64_t> m_peerClockOffsetMs{0}; ///< Peer's clock minus ours, never too large.
+    std::atomic<std::int64_t> m_peerClockOffsetMs {0}; ///< Peer's clock minus ours, never too large.
 
-    mutable ranked_mutex m_mutex{lock_rank::link};
+    mutable ranked_mutex m_mutex {lock_rank::link};
     std::string m_pending; ///< Guarded by m_mutex.
     bool m_sending = false; ///< Guarded by m_mutex.
     std::string m_closeReason; ///< Guarded by m_mutex.
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -58,7 +58,7 @@
     std::vector<std::string> models; ///< Models that the engine serves.
     int maxConcurrency = 64; ///< Upper bound of the adaptive limit.
     int queueLength = 64; ///< Requests that may wait.
-    std::chrono::milliseconds engineIdleTimeout{10000}; ///< Longest silence of the engine within an answer.
+    std::chrono::milliseconds engineIdleTimeout {10000}; ///< Longest silence of the engine within an answer.
 
     friend bool operator==(const endpoint_settings &, const endpoint_settings &) = default;
 };
@@ -72,12 +72,12 @@
     std::string region;
     listen_settings listen;
     std::vector<std::string> storeEndpoints; ///< URLs of the platform's store; entry only.
-    std::chrono::milliseconds storeTimeout{1500};
+    std::chrono::milliseconds storeTimeout {1500};
     std::vector<peer_settings> endpoints; ///< Endpoint processes known from settings; entry only.
     std::vector<peer_settings> peers; ///< Other entries; entry only.
     endpoint_settings endpoint;
-    std::size_t bodyLimit = std::size_t{1024} * 1024; ///< Bytes of a caller's request body.
-    std::chrono::milliseconds drainTimeout{60000};
+    std::size_t bodyLimit = std::size_t {1024} * 1024; ///< Bytes of a caller's request body.
+    std::chrono::milliseconds drainTimeout {60000};
     std::string logLevel = "info"; ///< trace, debug, info, warn or error.
     std::string logFile; ///< Empty: standard error.
 
--- a/src/wire/frame_codec.cpp
+++ b/src/wire/frame_codec.cpp
@@ -48,8 +48,10 @@
 std::uint32_t fieldCount()
 {
     static const std::uint32_t count = [] {
-        msgpack::zone zone;
-        return msgpack::object(Frame{}, zone).via.array.size;
+        std::string bytes;
+        string_writer writer(bytes);
+        msgpack::pack(writer, Frame {});
+        return msgpack::unpack(bytes.data(), bytes.size()).get().via.array.size;
     }();
     return count;
 }
@@ -118,7 +120,7 @@
         const std::string_view rest = std::string_view(m_buffer).substr(position);
         const std::uint32_t length = readLength(rest);
         if (length > maxFrameBytes) {
-            return error{errc::too_large, decodeStep, {}, "frame of " + std::to_string(length) + " bytes"};
+            return error {errc::too_large, decodeStep, {}, "frame of " + std::to_string(length) + " bytes"};
         }
         if (rest.size() < lengthBytes + length) {
             break;
@@ -126,7 +128,7 @@
         try {
             frames.push_back(decodeFrame(rest.substr(lengthBytes, length)));
         } catch (const std::exception &failure) {
-            return error{errc::protocol_violation, decodeStep, {}, failure.what()};
+            return error {errc::protocol_violation, decodeStep, {}, failure.what()};
         }
         position += lengthBytes + length;
     }
--- a/tests/base/request_id_test.cpp
+++ b/tests/base/request_id_test.cpp
@@ -26,10 +26,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, request_id_parse,
-                         testing::Values(parse_row{"round_trip_lost", "00112233445566778899aabbccddeeff", true},
-                                         parse_row{"short_text_accepted", "0011", false},
-                                         parse_row{"non_hex_accepted", "0011223344556677x899aabbccddeeff", false},
-                                         parse_row{"empty_accepted", "", false}),
+                         testing::Values(parse_row {"round_trip_lost", "00112233445566778899aabbccddeeff", true},
+                                         parse_row {"short_text_accepted", "0011", false},
+                                         parse_row {"non_hex_accepted", "0011223344556677x899aabbccddeeff", false},
+                                         parse_row {"empty_accepted", "", false}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 } // namespace
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -55,7 +55,7 @@
         return {200, {{"X-Query", request.query}}, request.method + " " + request.path + " " + request.body, nullptr};
     }
 
-    std::atomic<int> closed{0};
+    std::atomic<int> closed {0};
 };
 
 struct answer
@@ -124,15 +124,15 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, http_server_answers,
-    testing::Values(server_row{"body_lost", "/a?b=1", "{}", "application/json", CURLE_OK, 200, "POST /a {}"},
-                    server_row{"form_body_swallowed", "/a", "x=1&y=2", "application/x-www-form-urlencoded", CURLE_OK,
-                               200, "POST /a x=1&y=2"},
-                    server_row{"whole_stream_seen_as_cut", "/whole", "", "text/plain", CURLE_OK, 200, "xxx"},
-                    server_row{"cut_stream_seen_as_whole", "/cut", "", "text/plain", CURLE_PARTIAL_FILE, 200, "xxx"},
-                    server_row{"body_at_limit_refused", "/a", std::string(64, 'a'), "text/plain", CURLE_OK, 200,
-                               "POST /a " + std::string(64, 'a')},
-                    server_row{"body_over_limit_accepted", "/a", std::string(65, 'a'), "text/plain", CURLE_OK, 413,
-                               "too large"}),
+    testing::Values(server_row {"body_lost", "/a?b=1", "{}", "application/json", CURLE_OK, 200, "POST /a {}"},
+                    server_row {"form_body_swallowed", "/a", "x=1&y=2", "application/x-www-form-urlencoded", CURLE_OK,
+                                200, "POST /a x=1&y=2"},
+                    server_row {"whole_stream_seen_as_cut", "/whole", "", "text/plain", CURLE_OK, 200, "xxx"},
+                    server_row {"cut_stream_seen_as_whole", "/cut", "", "text/plain", CURLE_PARTIAL_FILE, 200, "xxx"},
+                    server_row {"body_at_limit_refused", "/a", std::string(64, 'a'), "text/plain", CURLE_OK, 200,
+                                "POST /a " + std::string(64, 'a')},
+                    server_row {"body_over_limit_accepted", "/a", std::string(65, 'a'), "text/plain", CURLE_OK, 413,
+                                "too large"}),
     [](const auto &row) { return std::string(row.param.name); });
 
 TEST(http_server, refusesNewConnectionsOnceQuiesced)
--- a/tests/link/link_hub_test.cpp
+++ b/tests/link/link_hub_test.cpp
@@ -79,7 +79,7 @@
 
     constexpr std::uint64_t frames = 20000;
     for (std::uint64_t sequence = 0; sequence < frames; ++sequence) {
-        ASSERT_TRUE(clientHandler.m_up[0]->send(data_frame{{}, sequence, std::string(sequence % 300, 'x')}));
+        ASSERT_TRUE(clientHandler.m_up[0]->send(data_frame {{}, sequence, std::string(sequence % 300, 'x')}));
     }
     ASSERT_TRUE(serverHandler.waitFor([](auto &seen) { return seen.m_data.size() == frames; }));
     for (std::uint64_t sequence = 0; sequence < frames; ++sequence) {
@@ -102,7 +102,7 @@
         ASSERT_TRUE(clientHandler.waitFor([](auto &seen) { return seen.m_up.size() == 1; }));
     }
     ASSERT_TRUE(clientHandler.waitFor([](auto &seen) { return seen.m_reasons.size() == 1; }));
-    EXPECT_FALSE(clientHandler.m_up[0]->send(data_frame{})) << "a dead connection accepted a frame";
+    EXPECT_FALSE(clientHandler.m_up[0]->send(data_frame {})) << "a dead connection accepted a frame";
     recording_handler serverHandler;
     auto server = link_hub::start(optionsOf("server"), address, serverHandler);
     ASSERT_TRUE(server) << server.error().toString();
--- a/tests/standins/unused_port.cpp
+++ b/tests/standins/unused_port.cpp
@@ -10,7 +10,7 @@
 std::uint16_t unusedPort()
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
+    sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof address;
--- a/tests/wire/frame_codec_test.cpp
+++ b/tests/wire/frame_codec_test.cpp
@@ -11,7 +11,7 @@
     frame message;
 };
 
-const attempt_id sampleId{{0x1122334455667788, 0x99AABBCCDDEEFF00}, 3};
+const attempt_id sampleId {{0x1122334455667788, 0x99AABBCCDDEEFF00}, 3};
 
 class frame_codec_round_trip : public testing::TestWithParam<codec_row>
 {
@@ -43,41 +43,41 @@
     EXPECT_EQ(decoded, 2U);
 }
 
-const endpoint_status sampleStatus{
+const endpoint_status sampleStatus {
     serving_state::leaving, "buda", {{"a", "b"}}, {"iroda-nyelv"}, 3, 8, 2, true, "start-1", 12.5};
 
 INSTANTIATE_TEST_SUITE_P(
     rows, frame_codec_round_trip,
-    testing::Values(codec_row{"hello_field_lost", hello_frame{1, "n", 7, "entry", "buda", 5, 9}},
-                    codec_row{"status_lost", heartbeat_frame{1, 2, 3, sampleStatus}},
-                    codec_row{"absent_status_invented", heartbeat_frame{1, 2, 3, std::nullopt}},
-                    codec_row{"configuration_cut", config_push_frame{4, std::string(1000000, 'c')}},
-                    codec_row{"submit_field_lost",
-                              submit_frame{sampleId,
-                                           7,
-                                           "office",
-                                           2,
-                                           9,
-                                           endpoint_kind::service,
-                                           "POST",
-                                           "/orders?x=1",
-                                           {{"A", "b"}},
-                                           std::string("\0binary\xFF", 8),
-                                           true,
-                                           100,
-                                           200,
-                                           300,
-                                           "00-11-22-01"}},
-                    codec_row{"accepted_id_lost", accepted_frame{sampleId}},
-                    codec_row{"refusal_reason_lost", refused_frame{sampleId, refusal_reason::leaving, 1500, "x"}},
-                    codec_row{"headers_lost", response_head_frame{sampleId, 201, {{"X-Version", "4"}}}},
-                    codec_row{"binary_data_changed", data_frame{sampleId, 12, std::string("\0\x01\xFE", 3)}},
-                    codec_row{"digest_truncated", end_frame{sampleId, 4, 5, 0xFFFFFFFFFFFFFFFF}},
-                    codec_row{"outcome_lost", failed_frame{sampleId, request_outcome::not_run, "s", "d"}},
-                    codec_row{"credit_lost", credit_frame{sampleId, 9}},
-                    codec_row{"cancel_id_lost", cancel_frame{sampleId}},
-                    codec_row{"started_flag_lost", cancelled_frame{sampleId, true}},
-                    codec_row{"resume_position_lost", resume_frame{sampleId, 77}}),
+    testing::Values(codec_row {"hello_field_lost", hello_frame {1, "n", 7, "entry", "buda", 5, 9}},
+                    codec_row {"status_lost", heartbeat_frame {1, 2, 3, sampleStatus}},
+                    codec_row {"absent_status_invented", heartbeat_frame {1, 2, 3, std::nullopt}},
+                    codec_row {"configuration_cut", config_push_frame {4, std::string(1000000, 'c')}},
+                    codec_row {"submit_field_lost",
+                               submit_frame {sampleId,
+                                             7,
+                                             "office",
+                                             2,
+                                             9,
+                                             endpoint_kind::service,
+                                             "POST",
+                                             "/orders?x=1",
+                                             {{"A", "b"}},
+                                             std::string("\0binary\xFF", 8),
+                                             true,
+                                             100,
+                                             200,
+                                             300,
+                                             "00-11-22-01"}},
+                    codec_row {"accepted_id_lost", accepted_frame {sampleId}},
+                    codec_row {"refusal_reason_lost", refused_frame {sampleId, refusal_reason::leaving, 1500, "x"}},
+                    codec_row {"headers_lost", response_head_frame {sampleId, 201, {{"X-Version", "4"}}}},
+                    codec_row {"binary_data_changed", data_frame {sampleId, 12, std::string("\0\x01\xFE", 3)}},
+                    codec_row {"digest_truncated", end_frame {sampleId, 4, 5, 0xFFFFFFFFFFFFFFFF}},
+                    codec_row {"outcome_lost", failed_frame {sampleId, request_outcome::not_run, "s", "d"}},
+                    codec_row {"credit_lost", credit_frame {sampleId, 9}},
+                    codec_row {"cancel_id_lost", cancel_frame {sampleId}},
+                    codec_row {"started_flag_lost", cancelled_frame {sampleId, true}},
+                    codec_row {"resume_position_lost", resume_frame {sampleId, 77}}),
     [](const auto &row) { return std::string(row.param.name); });
 
 struct broken_row
@@ -102,10 +102,10 @@
 INSTANTIATE_TEST_SUITE_P(
     rows, frame_codec_broken,
     testing::Values(
-        broken_row{"length_over_limit_buffered", std::string("\xFF\xFF\xFF\xFF", 4), errc::too_large},
-        broken_row{"not_msgpack_accepted", std::string("\x01\0\0\0\xC1", 5), errc::protocol_violation},
-        broken_row{"unknown_type_accepted", std::string("\x03\0\0\0\x92\x63\x90", 7), errc::protocol_violation},
-        broken_row{"missing_field_accepted", std::string("\x03\0\0\0\x92\x09\x90", 7), errc::protocol_violation}),
+        broken_row {"length_over_limit_buffered", std::string("\xFF\xFF\xFF\xFF", 4), errc::too_large},
+        broken_row {"not_msgpack_accepted", std::string("\x01\0\0\0\xC1", 5), errc::protocol_violation},
+        broken_row {"unknown_type_accepted", std::string("\x03\0\0\0\x92\x63\x90", 7), errc::protocol_violation},
+        broken_row {"missing_field_accepted", std::string("\x03\0\0\0\x92\x09\x90", 7), errc::protocol_violation}),
     [](const auto &row) { return std::string(row.param.name); });
 
 } // namespace
