--- /dev/null
+++ b/src/policy/adaptive_limiter.cpp
@@ -0,0 +1,165 @@
+#include "policy/adaptive_limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bronzechute {
+namespace {
+
+double seconds(boot_clock::duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/** @returns seconds for each token after the first, or for the whole call when there are none. */
+double paceOf(const answer_sample &sample)
+{
+    if (sample.tokens > 1) {
+        return seconds(sample.service - sample.firstToken) / (sample.tokens - 1);
+    }
+    return seconds(sample.service);
+}
+
+constexpr double smoothing = 0.05; // Weight of one answer in the warm pace: about the last 20 answers count.
+constexpr double decreaseFactor = 0.9;
+// While cold, a slow answer raises the remembered pace by this factor, so that an engine that has become slower for
+// good is accepted as warm after a few answers instead of staying at the cap for ever.
+constexpr double paceRelaxation = 1.1;
+
+} // namespace
+
+adaptive_limiter::adaptive_limiter(const limiter_settings &settings)
+    : m_settings(settings), m_adaptive(std::clamp(settings.initial, 1, std::max(1, settings.maximum)))
+{
+}
+
+int adaptive_limiter::limit(time_point) const
+{
+    const int warm = std::clamp(static_cast<int>(m_adaptive), 1, std::max(1, m_settings.maximum));
+    return m_cold ? std::min(m_cap, warm) : warm;
+}
+
+bool adaptive_limiter::cold() const
+{
+    return m_cold;
+}
+
+void adaptive_limiter::onStarted(time_point)
+{
+    ++m_inFlight;
+    m_peakInFlight = std::max(m_peakInFlight, m_inFlight);
+}
+
+void adaptive_limiter::onFinished(time_point now, const answer_sample &sample)
+{
+    const bool limitInUse = m_inFlight * 2 >= limit(now);
+    m_inFlight = std::max(0, m_inFlight - 1);
+    if (sample.outcome == answer_outcome::cancelled) {
+        return; // The caller's decision says nothing about the engine.
+    }
+    const double pace = paceOf(sample);
+    if (m_cold) {
+        onCold(now, sample, pace);
+        return;
+    }
+    onWarm(now, sample, pace);
+    if (!m_cold && limitInUse && sample.outcome == answer_outcome::answered && meetsTargets(sample, pace)) {
+        // One more for each limit's worth of answers.
+        m_adaptive = std::min(m_adaptive + 1.0 / m_adaptive, static_cast<double>(std::max(1, m_settings.maximum)));
+    }
+}
+
+bool adaptive_limiter::meetsTargets(const answer_sample &sample, double pace) const
+{
+    if (sample.tokens > 1) {
+        return sample.firstToken <= m_settings.firstTokenTarget && pace <= seconds(m_settings.tokenTarget);
+    }
+    return !m_warmPace || pace <= *m_warmPace * m_settings.serviceFactor;
+}
+
+void adaptive_limiter::onCold(time_point now, const answer_sample &sample, double pace)
+{
+    if (sample.outcome == answer_outcome::failed) {
+        m_cap = std::max(1, m_cap / 2);
+        m_capChangedAt = now;
+        m_peakInFlight = m_inFlight;
+        return;
+    }
+    const bool atWarmSpeed = meetsTargets(sample, pace) && (!m_warmPace || pace <= *m_warmPace * m_settings.warmFactor);
+    if (!atWarmSpeed) {
+        if (m_warmPace) {
+            m_warmPace = std::min(*m_warmPace * paceRelaxation, pace);
+        }
+        return;
+    }
+    const bool startedAtThisCap = now - sample.service >= m_capChangedAt;
+    if (!startedAtThisCap || m_peakInFlight * 2 < m_cap) {
+        return;
+    }
+    m_cap *= 2;
+    m_capChangedAt = now;
+    m_peakInFlight = m_inFlight;
+    if (m_cap >= static_cast<int>(m_adaptive)) {
+        m_cold = false;
+        m_drops = 0;
+        if (!m_warmPace) {
+            m_warmPace = pace;
+        }
+    }
+}
+
+void adaptive_limiter::onWarm(time_point now, const answer_sample &sample, double pace)
+{
+    if (sample.outcome == answer_outcome::failed) {
+        decrease(now);
+        return;
+    }
+    if (m_warmPace && pace > *m_warmPace * m_settings.dropFactor) {
+        if (++m_drops >= m_settings.dropAnswers) {
+            markCold(now);
+        }
+        return;
+    }
+    m_drops = 0;
+    m_warmPace = m_warmPace ? *m_warmPace + smoothing * (pace - *m_warmPace) : pace;
+    if (!meetsTargets(sample, pace)) {
+        decrease(now);
+    }
+}
+
+void adaptive_limiter::decrease(time_point now)
+{
+    if (now - m_decreasedAt >= m_settings.decreaseInterval) {
+        m_adaptive = std::max(1.0, m_adaptive * decreaseFactor);
+        m_decreasedAt = now;
+    }
+}
+
+void adaptive_limiter::onLoadReport(time_point now, const back_end_load &load)
+{
+    if (!load.reachable) {
+        return;
+    }
+    if (!load.startId.empty() && load.startId != m_startId) {
+        const bool known = !m_startId.empty();
+        m_startId = load.startId;
+        if (known) {
+            markCold(now);
+        }
+    }
+    // The engine queues what its batch cannot hold; waiting here instead keeps the order fair and cancellable.
+    if (!m_cold && load.waiting > std::max(1.0, 0.1 * load.running)) {
+        decrease(now);
+    }
+}
+
+void adaptive_limiter::markCold(time_point now)
+{
+    m_cold = true;
+    m_cap = 1;
+    m_drops = 0;
+    m_capChangedAt = now;
+    m_peakInFlight = 0;
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/policy/adaptive_limiter.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "policy/admission_limiter.h"
+#include "policy/limiter_settings.h"
+
+#include <optional>
+#include <string>
+
+namespace bronzechute {
+
+/**
+ * Additive increase while the limit is in use and answers meet the targets, multiplicative decrease otherwise, under a
+ * cold-start cap that begins at 1.
+ *
+ * The cap doubles with a proof: an answer at warm speed that started after the last change of the cap, while at least
+ * half of the cap was in use. The engine becomes cold again with a new start id, after consecutive answers far below
+ * warm speed, and on markCold().
+ */
+class adaptive_limiter : public admission_limiter
+{
+public:
+    explicit adaptive_limiter(const limiter_settings &settings = {});
+
+    int limit(time_point now) const override;
+    bool cold() const override;
+    void onStarted(time_point now) override;
+    void onFinished(time_point now, const answer_sample &sample) override;
+    void onLoadReport(time_point now, const back_end_load &load) override;
+    void markCold(time_point now) override;
+
+    int inFlight() const
+    {
+        return m_inFlight;
+    }
+
+private:
+    bool meetsTargets(const answer_sample &sample, double pace) const;
+    void onCold(time_point now, const answer_sample &sample, double pace);
+    void onWarm(time_point now, const answer_sample &sample, double pace);
+    void decrease(time_point now);
+
+    const limiter_settings m_settings;
+    double m_adaptive; ///< Limit of the warm engine.
+    int m_cap = 1; ///< Cold-start cap; only used while m_cold.
+    bool m_cold = true;
+    int m_inFlight = 0;
+    int m_peakInFlight = 0; ///< Since the last change of the cap.
+    int m_drops = 0; ///< Consecutive answers far below warm speed.
+    std::optional<double> m_warmPace; ///< Smoothed seconds a token (or a call) of the warm engine.
+    time_point m_capChangedAt{};
+    time_point m_decreasedAt{};
+    std::string m_startId;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/policy/admission_limiter.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "backend/back_end.h"
+#include "base/boot_clock.h"
+#include "policy/answer_sample.h"
+
+namespace bronzechute {
+
+/** Decides how many requests an endpoint process passes to its engine at the same time. */
+class admission_limiter
+{
+public:
+    virtual ~admission_limiter() = default;
+
+    /** @returns requests that may run at the same time, at least 1. */
+    virtual int limit(time_point now) const = 0;
+
+    /** @returns whether the cold-start cap applies. */
+    virtual bool cold() const = 0;
+
+    /** A request was passed to the engine. */
+    virtual void onStarted(time_point now) = 0;
+
+    /** A request ended at the engine. */
+    virtual void onFinished(time_point now, const answer_sample &sample) = 0;
+
+    virtual void onLoadReport(time_point now, const back_end_load &load) = 0;
+
+    /** The engine may have lost its warm state, for example because its data centre was out of service. */
+    virtual void markCold(time_point now) = 0;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/policy/listed_vm.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <string>
+
+namespace bronzechute {
+
+/** One VM of the platform's list, or one entry of the static list. */
+struct listed_vm
+{
+    std::string name;
+    std::string address; ///< IP address and port of the endpoint process.
+    bool leaving = false;
+
+    friend bool operator==(const listed_vm &, const listed_vm &) = default;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/policy/load_aware_chooser.cpp
@@ -0,0 +1,107 @@
+#include "policy/load_aware_chooser.h"
+
+#include <algorithm>
+
+namespace bronzechute {
+namespace {
+
+/** Final mixing step of MurmurHash3: spreads every input bit over the result. */
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33;
+    value *= 0xFF51AFD7ED558CCDULL;
+    value ^= value >> 33;
+    value *= 0xC4CEB9FE1A85EC53ULL;
+    return value ^ (value >> 33);
+}
+
+int estimatedLoad(const endpoint_candidate &candidate)
+{
+    const int sentSince = std::max(0, candidate.ownInFlight - candidate.ownInFlightAtStatus);
+    return std::max(candidate.ownInFlight, candidate.inFlight + candidate.queued + sentSince);
+}
+
+} // namespace
+
+load_aware_chooser::load_aware_chooser(const load_aware_settings &settings) : m_settings(settings)
+{
+}
+
+bool load_aware_chooser::mayTake(const endpoint_candidate &candidate, const choice_request &request) const
+{
+    if (candidate.state != serving_state::serving || candidate.statusAge > m_settings.statusLifetime
+        || (candidate.ejected && !candidate.probeAllowed)) {
+        return false;
+    }
+    return std::find(request.tried.begin(), request.tried.end(), candidate.name) == request.tried.end();
+}
+
+std::optional<std::size_t> load_aware_chooser::choose(std::span<const endpoint_candidate> candidates,
+                                                      const choice_request &request, std::mt19937_64 &random)
+{
+    m_options.clear();
+    double sum = 0;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const endpoint_candidate &candidate = candidates[index];
+        if (!mayTake(candidate, request)) {
+            continue;
+        }
+        if (candidate.ejected) {
+            return index; // A probe is due; without a request sent to it the endpoint would never return.
+        }
+        const int load = estimatedLoad(candidate);
+        // A cold engine fails when it gets more than its cap, so a cold endpoint is not used as overflow.
+        if (candidate.cold && load >= candidate.limit) {
+            continue;
+        }
+        const bool remote = candidate.dataCentre != request.localDataCentre;
+        const double utilisation =
+            (load + 1.0) / std::max(1, candidate.limit) + (remote ? m_settings.remotePenalty : 0.0);
+        sum += utilisation;
+        m_options.push_back({static_cast<std::uint32_t>(index), utilisation});
+    }
+    if (m_options.empty()) {
+        return std::nullopt;
+    }
+    if (!request.prefixChain.empty()) {
+        const auto preferred = chooseByPrefix(candidates, request, sum / static_cast<double>(m_options.size()));
+        if (preferred) {
+            return preferred;
+        }
+    }
+    std::uniform_int_distribution<std::size_t> pick(0, m_options.size() - 1);
+    const option *best = &m_options[pick(random)];
+    for (int sample = 1; sample < m_settings.samples; ++sample) {
+        const option &other = m_options[pick(random)];
+        if (other.utilisation < best->utilisation) {
+            best = &other;
+        }
+    }
+    return best->index;
+}
+
+std::optional<std::size_t> load_aware_chooser::chooseByPrefix(std::span<const endpoint_candidate> candidates,
+                                                              const choice_request &request,
+                                                              double meanUtilisation) const
+{
+    const double bound = meanUtilisation * m_settings.affinityBound + m_settings.affinitySlack;
+    const std::uint64_t prefix = request.prefixChain.front();
+    const option *best = nullptr;
+    double bestAffinity = -1;
+    std::uint64_t bestRank = 0;
+    for (const option &each : m_options) {
+        if (each.utilisation > bound) {
+            continue;
+        }
+        const endpoint_candidate &candidate = candidates[each.index];
+        const std::uint64_t rank = mix(prefix ^ candidate.nameHash);
+        if (candidate.affinity > bestAffinity || (candidate.affinity == bestAffinity && rank > bestRank)) {
+            best = &each;
+            bestAffinity = candidate.affinity;
+            bestRank = rank;
+        }
+    }
+    return best ? std::optional<std::size_t>(best->index) : std::nullopt;
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/policy/membership_table.cpp
@@ -0,0 +1,137 @@
+#include "policy/membership_table.h"
+
+namespace bronzechute {
+
+member &membership_table::at(std::string_view name)
+{
+    const auto found = m_members.find(name);
+    if (found != m_members.end()) {
+        return found->second;
+    }
+    member &added = m_members[std::string(name)];
+    added.name = name;
+    return added;
+}
+
+void membership_table::setStaticList(time_point now, std::span<const listed_vm> vms)
+{
+    for (auto &[name, each] : m_members) {
+        each.inStaticList = false;
+    }
+    for (const listed_vm &vm : vms) {
+        member &each = at(vm.name);
+        each.inStaticList = true;
+        each.seenAt = now;
+        if (each.address.empty()) {
+            each.address = vm.address;
+        }
+    }
+}
+
+void membership_table::onVmList(time_point now, std::span<const listed_vm> vms)
+{
+    if (vms.empty()) {
+        return;
+    }
+    for (auto &[name, each] : m_members) {
+        each.inVmList = false;
+    }
+    for (const listed_vm &vm : vms) {
+        member &each = at(vm.name);
+        each.inVmList = true;
+        each.seenAt = now;
+        if (each.address != vm.address) {
+            // A VM that was replaced under its name; the old process's state says nothing about the new one.
+            each.address = vm.address;
+            each.listedLeaving = false;
+        }
+        if (vm.leaving && !each.listedLeaving) {
+            each.leaving = true;
+        }
+        each.listedLeaving = vm.leaving;
+    }
+    for (auto &[name, each] : m_members) {
+        if (!each.inVmList) {
+            each.listedLeaving = false;
+        }
+    }
+}
+
+void membership_table::onHeartbeat(time_point now, std::string_view name, std::string_view address,
+                                   std::uint64_t incarnation, const endpoint_status &status)
+{
+    member &each = at(name);
+    if (each.incarnation != incarnation) {
+        // The first incarnation that is heard does not clear a mark of the list: the list may know better.
+        if (each.incarnation != 0) {
+            each.leaving = false;
+        }
+        each.incarnation = incarnation;
+    }
+    each.leaving = each.leaving || status.state == serving_state::leaving;
+    each.connected = true;
+    each.heardAt = now;
+    each.seenAt = now;
+    each.status = status;
+    if (each.address.empty()) {
+        each.address = address;
+    }
+}
+
+void membership_table::onDisconnected(std::string_view name, std::uint64_t incarnation)
+{
+    const auto found = m_members.find(name);
+    if (found != m_members.end() && found->second.incarnation == incarnation) {
+        found->second.connected = false;
+    }
+}
+
+bool membership_table::usable(time_point now, const member &each) const
+{
+    return each.connected && each.heardAt && now - *each.heardAt < silence && !each.leaving
+        && each.status.state == serving_state::serving;
+}
+
+std::vector<const member *> membership_table::usable(time_point now) const
+{
+    std::vector<const member *> members;
+    for (const auto &[name, each] : m_members) {
+        if (usable(now, each)) {
+            members.push_back(&each);
+        }
+    }
+    return members;
+}
+
+std::vector<const member *> membership_table::known() const
+{
+    std::vector<const member *> members;
+    members.reserve(m_members.size());
+    for (const auto &[name, each] : m_members) {
+        members.push_back(&each);
+    }
+    return members;
+}
+
+const member *membership_table::find(std::string_view name) const
+{
+    const auto found = m_members.find(name);
+    return found == m_members.end() ? nullptr : &found->second;
+}
+
+std::vector<std::string> membership_table::forgetOld(time_point now)
+{
+    std::vector<std::string> names;
+    for (auto each = m_members.begin(); each != m_members.end();) {
+        const bool mentioned = each->second.inStaticList || each->second.inVmList;
+        if (!mentioned && now - each->second.seenAt >= forgetAfter) {
+            names.push_back(each->first);
+            each = m_members.erase(each);
+        } else {
+            ++each;
+        }
+    }
+    return names;
+}
+
+} // namespace bronzechute
