--- /dev/null
+++ b/src/backend/collecting_sink.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "backend/back_end.h"
+#include "base/ranked_mutex.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <optional>
+#include <string>
+
+namespace bronzechute {
+
+/** A whole answer, or how it failed. */
+struct collected_answer
+{
+    int status = 0;
+    header_list headers;
+    std::string body;
+    std::optional<error> failure;
+    bool mayHaveRun = true; ///< As in answer_sink::onError().
+};
+
+/** Collects a short answer for a thread that waits for it. */
+class collecting_sink : public answer_sink
+{
+public:
+    /** @param limit bytes of body; a longer one cancels the transfer */
+    explicit collecting_sink(std::size_t limit) : m_limit(limit)
+    {
+    }
+
+    void onHead(int status, const header_list &headers) override;
+    bool onBytes(std::string_view bytes) override;
+    void onEnd() override;
+    void onError(const error &failure, bool mayHaveRun) override;
+
+    /** @returns whether the transfer has ended. */
+    bool waitFor(std::chrono::milliseconds limit);
+
+    /** @returns what has arrived. */
+    collected_answer answer();
+
+private:
+    const std::size_t m_limit;
+    ranked_mutex m_mutex{lock_rank::leaf};
+    std::condition_variable_any m_changed;
+    collected_answer m_answer;
+    bool m_done = false;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/backend/http_back_end.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "backend/back_end.h"
+#include "backend/http_back_end_options.h"
+#include "backend/transfer_loop.h"
+
+#include <memory>
+
+namespace bronzechute {
+
+/**
+ * An engine or a plain service at a base URL. Bodies, server-sent events among them, pass through as bytes.
+ *
+ * The end of an answer that has neither a length nor chunked coding cannot be told from a cut.
+ */
+class http_back_end : public back_end
+{
+public:
+    http_back_end(http_back_end_options options, std::shared_ptr<transfer_loop> loop);
+
+    std::shared_ptr<transfer> start(const back_end_request &request, std::shared_ptr<answer_sink> sink) override;
+
+    /** Must not be called from a sink. */
+    back_end_load probe() override;
+
+private:
+    std::string bodyWithPriority(const back_end_request &request) const;
+
+    const http_back_end_options m_options;
+    const std::shared_ptr<transfer_loop> m_loop;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/backend/running_transfer.cpp
@@ -0,0 +1,251 @@
+#include "backend/running_transfer.h"
+
+#include "http/hop_by_hop.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace bronzechute {
+
+namespace {
+
+constexpr const char *transferStep = "backend.transfer";
+
+errc errorCodeOf(CURLcode code)
+{
+    switch (code) {
+    case CURLE_OPERATION_TIMEDOUT:
+        return errc::timed_out;
+    case CURLE_URL_MALFORMAT:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+        return errc::invalid_argument;
+    case CURLE_WEIRD_SERVER_REPLY:
+    case CURLE_BAD_CONTENT_ENCODING:
+    case CURLE_HTTP2:
+        return errc::protocol_violation;
+    default:
+        return errc::unavailable;
+    }
+}
+
+bool isSafeToSend(std::string_view text)
+{
+    return text.find_first_of("\r\n") == std::string_view::npos;
+}
+
+} // namespace
+
+running_transfer::running_transfer(transfer_request request, std::shared_ptr<answer_sink> sink,
+                                   std::shared_ptr<transfer_queue> queue)
+    : m_request(std::move(request)), m_sink(std::move(sink)), m_queue(std::move(queue))
+{
+}
+
+void running_transfer::cancel()
+{
+    m_cancelled = true;
+    m_queue->push({transfer_command::kind::cancel, shared_from_this()});
+}
+
+void running_transfer::pause()
+{
+    // onBody() reads the flag. Until bytes arrive there is nothing to hold back.
+    m_paused = true;
+}
+
+void running_transfer::resume()
+{
+    if (m_paused.exchange(false)) {
+        m_queue->push({transfer_command::kind::resume, shared_from_this()});
+    }
+}
+
+CURL *running_transfer::prepare(time_point now)
+{
+    m_lastByte = now;
+    m_deadline = now + m_request.deadline;
+    m_easy.reset(curl_easy_init());
+    CURL *easy = m_easy.get();
+    if (easy == nullptr) {
+        return nullptr;
+    }
+    curl_easy_setopt(easy, CURLOPT_URL, m_request.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(easy, CURLOPT_PROXY, ""); // The environment must not divert requests to a proxy.
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_ERRORBUFFER, m_errorText);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, onHeaderLine);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, onBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, this);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, onBeforeSend);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
+    if (!m_request.mayRepeat) {
+        // libcurl sends a request again, POST included, when a reused connection closes before the first byte of the
+        // answer. The server may have run it by then. libcurl never does so on a connection that it opened itself,
+        // and such a connection cannot have been closed in idleness. One more connection on the loopback interface is
+        // cheap. It is closed after use, since only repeatable requests could take it over.
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    setMethod();
+    setHeaders();
+    return easy;
+}
+
+void running_transfer::setMethod()
+{
+    CURL *easy = m_easy.get();
+    if (m_request.method == "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    if (m_request.method == "POST" || !m_request.body.empty()) {
+        curl_easy_setopt(easy, CURLOPT_POST, 1L);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, m_request.body.data());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(m_request.body.size()));
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, m_request.method.c_str());
+}
+
+void running_transfer::setHeaders()
+{
+    curl_slist *list = nullptr;
+    // libcurl would wait for "100 Continue" before a large body, and would name a content type of its own.
+    list = curl_slist_append(list, "Expect:");
+    if (!findHeader(m_request.headers, "content-type")) {
+        list = curl_slist_append(list, "Content-Type:");
+    }
+    if (!findHeader(m_request.headers, "accept")) {
+        list = curl_slist_append(list, "Accept:");
+    }
+    for (const auto &[name, value] : withoutHopByHop(m_request.headers)) {
+        // libcurl writes these from the URL and the body.
+        const bool ownedByCurl = headerNamesEqual(name, "host") || headerNamesEqual(name, "content-length")
+            || headerNamesEqual(name, "expect");
+        if (ownedByCurl || name.empty() || !isSafeToSend(name) || !isSafeToSend(value)) {
+            continue;
+        }
+        // libcurl takes "Name;" for a field with an empty value; "Name:" would remove the field.
+        std::string line = name;
+        line.append(value.empty() ? ";" : ": ").append(value);
+        list = curl_slist_append(list, line.c_str());
+    }
+    m_headers.reset(list);
+    curl_easy_setopt(m_easy.get(), CURLOPT_HTTPHEADER, list);
+}
+
+CURLcode running_transfer::unpause(time_point now)
+{
+    m_lastByte = now;
+    return curl_easy_pause(m_easy.get(), CURLPAUSE_CONT);
+}
+
+time_point running_transfer::nextTimeout() const
+{
+    return m_paused ? m_deadline : std::min(m_deadline, m_lastByte + m_request.idleTimeout);
+}
+
+std::optional<std::string> running_transfer::overdue(time_point now) const
+{
+    if (now >= m_deadline) {
+        return "no complete answer within " + std::to_string(m_request.deadline.count()) + " ms";
+    }
+    // While paused the silence is this side's own.
+    if (!m_paused && now >= m_lastByte + m_request.idleTimeout) {
+        return "no byte for " + std::to_string(m_request.idleTimeout.count()) + " ms";
+    }
+    return std::nullopt;
+}
+
+void running_transfer::finish(CURLcode code)
+{
+    if (m_cancelled) {
+        fail(errc::cancelled, "");
+    } else if (code != CURLE_OK) {
+        fail(errorCodeOf(code), m_errorText[0] != '\0' ? m_errorText : curl_easy_strerror(code));
+    } else if (!m_headDone) {
+        fail(errc::protocol_violation, "the answer has no HTTP head");
+    } else {
+        m_easy.reset();
+        m_sink->onEnd();
+    }
+}
+
+void running_transfer::fail(errc code, const std::string &detail)
+{
+    m_easy.reset();
+    m_sink->onError(error{code, transferStep, m_request.url, detail}, m_sent);
+}
+
+std::size_t running_transfer::onHeaderLine(char *data, std::size_t size, std::size_t count, void *self)
+{
+    auto *transfer = static_cast<running_transfer *>(self);
+    transfer->m_lastByte = boot_clock::now();
+    transfer->addHeaderLine({data, size * count});
+    return size * count;
+}
+
+void running_transfer::addHeaderLine(std::string_view line)
+{
+    if (m_headDone) {
+        return; // Trailer fields hold for this connection only.
+    }
+    while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) {
+        line.remove_suffix(1);
+    }
+    if (line.starts_with("HTTP/")) {
+        m_answerHeaders.clear();
+        const std::size_t space = std::min(line.find(' '), line.size() - 1);
+        m_status = 0;
+        std::from_chars(line.data() + space + 1, line.data() + line.size(), m_status);
+        return;
+    }
+    if (line.empty()) {
+        constexpr int firstFinalStatus = 200;
+        if (m_status >= firstFinalStatus) {
+            m_headDone = true;
+            m_sink->onHead(m_status, withoutHopByHop(m_answerHeaders));
+        }
+        return;
+    }
+    const std::size_t colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return;
+    }
+    std::string_view value = line.substr(colon + 1);
+    value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+    value = value.substr(0, value.find_last_not_of(" \t") + 1);
+    m_answerHeaders.emplace_back(line.substr(0, colon), value);
+}
+
+std::size_t running_transfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
+{
+    auto *transfer = static_cast<running_transfer *>(self);
+    if (transfer->m_cancelled) {
+        return 0;
+    }
+    if (transfer->m_paused) {
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    transfer->m_lastByte = boot_clock::now();
+    if (!transfer->m_sink->onBytes({data, size * count})) {
+        transfer->m_cancelled = true;
+        return 0;
+    }
+    return size * count;
+}
+
+int running_transfer::onBeforeSend(void *self, char *, char *, int, int)
+{
+    auto *transfer = static_cast<running_transfer *>(self);
+    if (transfer->m_sent && !transfer->m_request.mayRepeat) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    transfer->m_sent = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/tests/standins/raw_server.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "base/ranked_mutex.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace bronzechute::standins {
+
+/** One accepted connection of a raw_server. */
+class raw_connection
+{
+public:
+    explicit raw_connection(int descriptor) : m_descriptor(descriptor)
+    {
+    }
+
+    /** @returns the next HTTP request, head and body of Content-Length bytes; empty when the peer closed. */
+    std::string readRequest();
+
+    /** @returns whether all bytes were sent. */
+    bool send(std::string_view bytes);
+
+    /** Blocks until the peer closes the connection. */
+    void waitForClose();
+
+private:
+    int m_descriptor;
+    std::string m_buffer;
+};
+
+/** A TCP server on the loopback address that runs a function on a thread for each connection, then closes it. */
+class raw_server
+{
+public:
+    using connection_function = std::function<void(raw_connection &connection, int index)>;
+
+    explicit raw_server(connection_function function);
+    ~raw_server();
+    raw_server(const raw_server &) = delete;
+    raw_server &operator=(const raw_server &) = delete;
+
+    std::string url() const;
+
+private:
+    void accept();
+
+    connection_function m_function;
+    int m_listenSocket = -1;
+    std::uint16_t m_port = 0;
+    ranked_mutex m_mutex{lock_rank::leaf};
+    std::vector<int> m_open; ///< Descriptors; shut down at the end, so that no function blocks.
+    std::vector<std::thread> m_threads;
+    std::thread m_acceptor;
+};
+
+} // namespace bronzechute::standins
