config: selectors, strict parser, JSON and YAML forms, envelope and diff

The other modules need the operators' document as a checked value. yaml-cpp's own conversions were ruled out for scalars because they take "010" for 8 and "yes" for true, and nlohmann-json alone was ruled out because it has no line numbers. A strict mapping reader reports each deviation with its line and key path and goes on with a fallback, so that one run lists every problem; references between sections are checked at the end.

--- /dev/null
+++ b/src/config/configuration_diff.cpp
@@ -0,0 +1,130 @@
+#include "config/configuration_diff.h"
+
+#include "config/configuration_parser.h"
+
+#include <algorithm>
+
+namespace bronzechute {
+
+namespace {
+
+using json = nlohmann::json;
+using change_list = std::vector<configuration_change>;
+
+const json *findNamed(const json &items, const json &name)
+{
+    const auto found = std::find_if(items.begin(), items.end(), [&](const json &item) { return item["name"] == name; });
+    return found == items.end() ? nullptr : &*found;
+}
+
+/** Compares values key by key down to lists, texts and numbers. */
+void compareValues(const configuration_change &where, const json &before, const json &after, change_list &changes)
+{
+    if (before == after) {
+        return;
+    }
+    if (!before.is_object() || !after.is_object()) {
+        configuration_change change = where;
+        change.before = before;
+        change.after = after;
+        changes.push_back(change);
+        return;
+    }
+    json keys = before;
+    keys.update(after);
+    for (const auto &[key, unused] : keys.items()) {
+        configuration_change below = where;
+        below.path += "." + key;
+        compareValues(below, before.value(key, json()), after.value(key, json()), changes);
+    }
+}
+
+json namesOf(const json &items)
+{
+    json names = json::array();
+    for (const json &item : items) {
+        names.push_back(item["name"]);
+    }
+    return names;
+}
+
+configuration_change placeOf(const std::string &section, const std::string &name)
+{
+    std::string path = section;
+    path.append("[").append(name).append("]");
+    return {section, name, path, json(), json()};
+}
+
+void compareSections(const std::string &section, const json &before, const json &after, change_list &changes)
+{
+    for (const json &item : before) {
+        const json *other = findNamed(after, item["name"]);
+        compareValues(placeOf(section, item["name"].get<std::string>()), item, other == nullptr ? json() : *other,
+                      changes);
+    }
+    for (const json &item : after) {
+        if (findNamed(before, item["name"]) == nullptr) {
+            compareValues(placeOf(section, item["name"].get<std::string>()), json(), item, changes);
+        }
+    }
+}
+
+void compareOrder(const std::string &section, const json &before, const json &after, change_list &changes)
+{
+    const json namesAfter = namesOf(after);
+    json kept = json::array();
+    for (const json &name : namesOf(before)) {
+        if (std::find(namesAfter.begin(), namesAfter.end(), name) != namesAfter.end()) {
+            kept.push_back(name);
+        }
+    }
+    if (!std::equal(kept.begin(), kept.end(), namesAfter.begin())) {
+        changes.push_back({section, "", section, namesOf(before), namesAfter});
+    }
+}
+
+} // namespace
+
+std::string configuration_change::toString() const
+{
+    if (before.is_null()) {
+        return path + ": added " + after.dump();
+    }
+    if (after.is_null()) {
+        return path + ": removed " + before.dump();
+    }
+    return path + ": " + before.dump() + " -> " + after.dump();
+}
+
+std::vector<configuration_change> diffConfigurations(const configuration &before, const configuration &after)
+{
+    const json left = toJson(before);
+    const json right = toJson(after);
+    change_list changes;
+    for (const char *section : {"pools", "classes", "accounts", "services", "data_centres", "endpoints", "teams"}) {
+        compareSections(section, left[section], right[section], changes);
+    }
+    compareOrder("classes", left["classes"], right["classes"], changes);
+    return changes;
+}
+
+std::vector<std::string> toLines(const std::vector<configuration_change> &changes)
+{
+    std::vector<std::string> lines;
+    lines.reserve(changes.size());
+    for (const configuration_change &change : changes) {
+        lines.push_back(change.toString());
+    }
+    return lines;
+}
+
+nlohmann::json toJson(const std::vector<configuration_change> &changes)
+{
+    json list = json::array();
+    for (const configuration_change &change : changes) {
+        list.push_back({{"path", change.path}, {"old", change.before}, {"new", change.after}});
+    }
+    return list;
+}
+
+} // namespace bronzechute
--- a/src/config/configuration_problem.h
+++ b/src/config/configuration_problem.h
@@ -19,7 +19,8 @@
 
     /**
      * @param document name of the file or document
-     * @returns "document:line: path: found …, expected …"
+     * @returns "document:line: path: found …, expected …"; without a line or a path these parts are left out, and a
+     *          warning has "warning:" before the path
      */
     std::string toString(const std::string &document) const;
 };
--- /dev/null
+++ b/src/config/configuration_reader.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "config/configuration.h"
+#include "config/configuration_problem.h"
+#include "config/yaml_mapping.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bronzechute {
+
+/** Reads an operators' document section by section, then checks what its sections say about each other. */
+class configuration_reader
+{
+public:
+    /** Appends to problems; the content is usable only when none of severity error was added. */
+    configuration read(const std::string &yaml, std::vector<configuration_problem> &problems);
+
+private:
+    /** A reference whose target may stand later in the document. */
+    struct pending_selector
+    {
+        selector pools;
+        endpoint_kind kind = endpoint_kind::model;
+        std::string path;
+        int line = 0;
+    };
+
+    struct pending_name
+    {
+        std::string section;
+        std::string name;
+        std::string path;
+        int line = 0;
+        severity level = severity::error;
+    };
+
+    endpoint_pool readPool(yaml_mapping &node);
+    traffic_class readClass(yaml_mapping &node);
+    client_account readAccount(yaml_mapping &node);
+    plain_service readService(yaml_mapping &node);
+    data_centre readDataCentre(yaml_mapping &node);
+    endpoint_override readEndpoint(yaml_mapping &node);
+    operator_team readTeam(yaml_mapping &node);
+
+    std::string readName(yaml_mapping &node, const std::string &section);
+    std::vector<std::string> readKeyHashes(yaml_mapping &node, const std::string &section);
+    selector readPoolSelector(yaml_mapping &node, endpoint_kind kind);
+    std::vector<std::string> readReferences(yaml_mapping &node, const std::string &key, const std::string &section,
+                                            severity level);
+
+    void checkSelectors(const std::vector<endpoint_pool> &pools, std::vector<configuration_problem> &problems) const;
+    void checkNames(std::vector<configuration_problem> &problems) const;
+
+    std::map<std::string, std::set<std::string>> m_names; ///< Names by section.
+    std::map<std::string, std::set<std::string>> m_hashes; ///< Key hashes by section.
+    std::set<std::string> m_prefixes;
+    std::vector<pending_selector> m_selectors;
+    std::vector<pending_name> m_references;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/config/text_check.cpp
@@ -0,0 +1,60 @@
+#include "config/text_check.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace bronzechute {
+
+namespace {
+
+constexpr std::size_t longestName = 128;
+constexpr std::size_t hashDigits = 64;
+constexpr std::string_view alphanumeric = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789";
+
+bool consistsOf(std::string_view text, std::string_view punctuation)
+{
+    return !text.empty() && text.size() <= longestName && std::all_of(text.begin(), text.end(), [&](char character) {
+        return alphanumeric.find(character) != std::string_view::npos
+            || punctuation.find(character) != std::string_view::npos;
+    });
+}
+
+} // namespace
+
+bool isName(std::string_view text)
+{
+    // "." and ".." would be resolved away in a URL path.
+    return consistsOf(text, "._-") && text != "." && text != "..";
+}
+
+bool isLabelText(std::string_view text)
+{
+    return consistsOf(text, "._-/:");
+}
+
+bool isKeyHash(std::string_view text)
+{
+    return text.size() == hashDigits && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
+bool isUtf8(const std::string &text)
+{
+    try {
+        (void)nlohmann::json(text).dump();
+        return true;
+    } catch (const nlohmann::json::exception &) {
+        return false;
+    }
+}
+
+std::string_view trimmed(std::string_view text)
+{
+    constexpr std::string_view blanks = " \t\r\n";
+    const auto first = text.find_first_not_of(blanks);
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/config/yaml_mapping.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "config/configuration_problem.h"
+#include "config/label_set.h"
+#include "config/selector.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace bronzechute {
+
+/**
+ * Strict reading of one YAML mapping. Every deviation becomes a problem with its line and key path, and the fallback
+ * takes the value's place, so that reading continues and reports the rest.
+ */
+class yaml_mapping
+{
+public:
+    using problem_list = std::vector<configuration_problem>;
+
+    /** Reports a node that is no mapping; an undefined node counts as an empty mapping. */
+    yaml_mapping(const YAML::Node &node, std::string path, problem_list &problems);
+
+    /** Reads a whole document. Reports malformed YAML, more than one document and text that is not UTF-8. */
+    static yaml_mapping load(const std::string &yaml, problem_list &problems);
+
+    /** @returns whether the key is there with a value other than null. */
+    bool has(const std::string &key) const;
+
+    std::string text(const std::string &key, const std::string &fallback = {});
+    std::string requiredText(const std::string &key, const std::string &expected = "a text");
+
+    /** Reads a required text and reports it unless isName() accepts it. */
+    std::string requiredName(const std::string &key);
+
+    /** Reads a text that has to be one of the choices; the first is the fallback. */
+    std::string choice(const std::string &key, const std::vector<std::string> &choices, bool required = false);
+
+    std::int64_t integer(const std::string &key, std::int64_t lowest, std::int64_t highest, std::int64_t fallback,
+                         bool required = false);
+    bool boolean(const std::string &key, bool fallback);
+    std::vector<std::string> texts(const std::string &key);
+    label_set labels(const std::string &key);
+    selector selectorAt(const std::string &key);
+    yaml_mapping mapping(const std::string &key);
+
+    /** Calls back with each element of a list of mappings. */
+    void forEach(const std::string &key, const std::function<void(yaml_mapping &)> &read);
+
+    /** Reports the value of the key; when the key is absent, at the line of the mapping. */
+    void report(const std::string &key, const std::string &expected, severity level = severity::error);
+
+    /** Reports the value of the key with a description of what was found. */
+    void reportFound(const std::string &key, const std::string &found, const std::string &expected,
+                     severity level = severity::error);
+
+    /** Reports each key that was not read. Call it after all keys were read. */
+    void rejectUnknownKeys();
+
+    /** @returns the path of a key, for example "pools[2].members". */
+    std::string pathOf(const std::string &key) const;
+
+    /** @returns the line of the key's value, or of the mapping when the key is absent. */
+    int lineOf(const std::string &key) const;
+
+    /** @returns the number of problems of the whole document so far. */
+    std::size_t problemCount() const
+    {
+        return m_problems->size();
+    }
+
+private:
+    const YAML::Node *find(const std::string &key);
+    const YAML::Node *findScalar(const std::string &key, const std::string &expected, bool required);
+
+    std::string m_path;
+    int m_line = 0;
+    std::map<std::string, YAML::Node> m_entries;
+    std::vector<std::string> m_order; ///< Keys in order of the document.
+    std::set<std::string> m_known; ///< Keys that were asked for.
+    problem_list *m_problems;
+};
+
+} // namespace bronzechute
