--- a/src/backend/collecting_sink.h
+++ b/src/backend/collecting_sink.h
@@ -42,7 +42,7 @@
 
 private:
     const std::size_t m_limit;
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     std::condition_variable_any m_changed;
     collected_answer m_answer;
     bool m_done = false;
--- a/src/backend/http_back_end.cpp
+++ b/src/backend/http_back_end.cpp
@@ -11,7 +11,7 @@
 
 constexpr int statusOk = 200;
 constexpr int highestPriority = 9;
-constexpr std::size_t probeBodyLimit = std::size_t{4} * 1024 * 1024;
+constexpr std::size_t probeBodyLimit = std::size_t {4} * 1024 * 1024;
 
 /** Safe methods are idempotent by definition (RFC 9110, section 9.2.1). */
 bool isSafeMethod(std::string_view method)
--- a/src/backend/http_back_end_options.h
+++ b/src/backend/http_back_end_options.h
@@ -16,7 +16,7 @@
     std::string baseUrl; ///< For example "http://127.0.0.1:8000".
     std::string metricsPath = "/metrics"; ///< Read for an engine.
     std::string healthPath = "/health"; ///< Read for a service.
-    std::chrono::milliseconds probeTimeout{1000};
+    std::chrono::milliseconds probeTimeout {1000};
 
     friend bool operator==(const http_back_end_options &, const http_back_end_options &) = default;
 };
--- a/src/backend/prometheus_page.cpp
+++ b/src/backend/prometheus_page.cpp
@@ -35,7 +35,8 @@
     return line.substr(0, line.find_first_of(" \t\r"));
 }
 
-template<typename Visitor> void visitSamples(std::string_view page, std::string_view metric, Visitor visitor)
+template<typename Visitor>
+void visitSamples(std::string_view page, std::string_view metric, Visitor visitor)
 {
     while (!page.empty()) {
         const std::size_t end = std::min(page.find('\n'), page.size());
--- a/src/backend/running_transfer.cpp
+++ b/src/backend/running_transfer.cpp
@@ -177,7 +177,7 @@
 void running_transfer::fail(errc code, const std::string &detail)
 {
     m_easy.reset();
-    m_sink->onError(error{code, transferStep, m_request.url, detail}, m_sent);
+    m_sink->onError(error {code, transferStep, m_request.url, detail}, m_sent);
 }
 
 std::size_t running_transfer::onHeaderLine(char *data, std::size_t size, std::size_t count, void *self)
--- a/src/backend/running_transfer.h
+++ b/src/backend/running_transfer.h
@@ -80,8 +80,8 @@
     std::unique_ptr<CURL, easy_deleter> m_easy;
     std::unique_ptr<curl_slist, list_deleter> m_headers;
     char m_errorText[CURL_ERROR_SIZE] = {};
-    std::atomic<bool> m_paused{false};
-    std::atomic<bool> m_cancelled{false};
+    std::atomic<bool> m_paused {false};
+    std::atomic<bool> m_cancelled {false};
     bool m_sent = false; ///< A connection was open and libcurl began to send.
     bool m_headDone = false;
     int m_status = 0;
--- a/src/backend/sse_parser.h
+++ b/src/backend/sse_parser.h
@@ -17,7 +17,7 @@
 {
 public:
     /** @param limit bytes of one event; a longer one makes the parser fail, so that its memory stays bounded */
-    explicit sse_parser(std::size_t limit = std::size_t{1024} * 1024) : m_limit(limit)
+    explicit sse_parser(std::size_t limit = std::size_t {1024} * 1024) : m_limit(limit)
     {
     }
 
--- a/src/backend/transfer_loop.cpp
+++ b/src/backend/transfer_loop.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds longestWait{1000};
+constexpr std::chrono::milliseconds longestWait {1000};
 
 CURLM *createMulti()
 {
@@ -123,7 +123,7 @@
         wake = std::min(wake, subject->nextTimeout());
     }
     const auto wait = std::chrono::ceil<std::chrono::milliseconds>(wake - now);
-    return static_cast<int>(std::max(wait.count(), std::chrono::milliseconds::rep{0}));
+    return static_cast<int>(std::max(wait.count(), std::chrono::milliseconds::rep {0}));
 }
 
 std::shared_ptr<running_transfer> transfer_loop::release(CURL *easy)
--- a/src/backend/transfer_queue.h
+++ b/src/backend/transfer_queue.h
@@ -49,7 +49,7 @@
     std::vector<transfer_command> close();
 
 private:
-    ranked_mutex m_mutex{lock_rank::backend};
+    ranked_mutex m_mutex {lock_rank::backend};
     CURLM *m_multi; ///< Null once closed.
     std::vector<transfer_command> m_commands;
     bool m_stop = false;
--- a/src/backend/transfer_request.h
+++ b/src/backend/transfer_request.h
@@ -14,8 +14,8 @@
     std::string url;
     header_list headers;
     std::string body;
-    std::chrono::milliseconds idleTimeout{10000}; ///< Longest wait for the next byte.
-    std::chrono::milliseconds deadline{60000}; ///< Longest time in all.
+    std::chrono::milliseconds idleTimeout {10000}; ///< Longest wait for the next byte.
+    std::chrono::milliseconds deadline {60000}; ///< Longest time in all.
     bool mayRepeat = false; ///< libcurl may send it again when a reused connection turns out to be closed.
 
     friend bool operator==(const transfer_request &, const transfer_request &) = default;
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -11,7 +11,8 @@
     return names.empty() || std::find(names.begin(), names.end(), name) != names.end();
 }
 
-template<typename T> const T *findByName(const std::vector<T> &items, std::string_view name)
+template<typename T>
+const T *findByName(const std::vector<T> &items, std::string_view name)
 {
     const auto found = std::find_if(items.begin(), items.end(), [&](const T &item) { return item.name == name; });
     return found == items.end() ? nullptr : &*found;
--- a/src/config/configuration_json.cpp
+++ b/src/config/configuration_json.cpp
@@ -78,7 +78,8 @@
             {"operator", team.isOperator}};
 }
 
-template<typename T> json listToJson(const std::vector<T> &items)
+template<typename T>
+json listToJson(const std::vector<T> &items)
 {
     json list = json::array();
     for (const T &item : items) {
--- /dev/null
+++ b/src/endpoint/endpoint_gate.cpp
@@ -0,0 +1,348 @@
+#include "endpoint/endpoint_gate.h"
+
+#include "observe/log.h"
+#include "policy/retry_after_estimate.h"
+#include "request/attempt_limits.h"
+
+#include <mutex>
+#include <vector>
+
+namespace bronzechute {
+
+namespace {
+
+constexpr double serviceTimeSmoothing = 0.1;
+
+std::int64_t clockMilliseconds(time_point now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+}
+
+back_end_request makeBackEndRequest(const submit_frame &submit, const endpoint_settings &settings)
+{
+    back_end_request request;
+    request.method = submit.method;
+    request.path = submit.path;
+    request.headers = submit.headers;
+    request.headers.emplace_back("X-Request-Id", submit.id.request.toString());
+    request.headers.emplace_back("traceparent", submit.traceparent);
+    request.body = submit.body;
+    request.priority = submit.priority;
+    request.idleTimeout = settings.engineIdleTimeout;
+    request.deadline = std::chrono::milliseconds(submit.deadlineMs);
+    return request;
+}
+
+} // namespace
+
+endpoint_gate::endpoint_gate(const daemon_settings &settings, std::shared_ptr<back_end> engine,
+                             std::unique_ptr<admission_limiter> limiter, const configuration_holder &configuration,
+                             metrics_registry &metrics)
+    : m_settings(settings)
+    , m_engine(std::move(engine))
+    , m_configuration(configuration)
+    , m_metrics(metrics)
+    , m_limiter(std::move(limiter))
+    , m_register(attemptRetention)
+    , m_queue(queue_settings {static_cast<std::size_t>(settings.endpoint.queueLength)})
+    , m_random(std::random_device {}())
+{
+}
+
+bool endpoint_gate::outOfService() const
+{
+    const configuration_ptr current = m_configuration.current();
+    const endpoint_override *own = current->content.findEndpoint(m_settings.node);
+    return !current->content.inService(m_settings.dataCentre) || (own != nullptr && own->drained);
+}
+
+std::optional<refusal_reason> endpoint_gate::refusalLocked(const submit_frame &submit, time_point now) const
+{
+    if (m_leaving) {
+        return refusal_reason::leaving;
+    }
+    if (outOfService()) {
+        return refusal_reason::out_of_service;
+    }
+    if (!m_load.reachable) {
+        return refusal_reason::not_ready;
+    }
+    if (clockMilliseconds(now) > submit.startBeforeMs) {
+        return refusal_reason::expired;
+    }
+    return std::nullopt;
+}
+
+void endpoint_gate::refuseLocked(const link_ptr &connection, const attempt_id &id, refusal_reason reason,
+                                 time_point now)
+{
+    // The record makes the refusal final: a copy of the submit that arrives later is refused as well.
+    m_register.cancel(id, now);
+    const auto retryAfter =
+        retryAfterEstimate(static_cast<int>(m_queue.size()), m_limiter->limit(now), m_meanServiceMs, m_random);
+    m_metrics
+        .counter("bronzechute_refused_total", "reason=\"" + std::string(toString(reason)) + "\"",
+                 "Requests that this endpoint process refused as not run.")
+        .add();
+    if (connection != nullptr) {
+        connection->send(
+            refused_frame {id, reason, std::chrono::milliseconds(retryAfter).count(), std::string(toString(reason))});
+    }
+}
+
+void endpoint_gate::onSubmit(const link_ptr &connection, const submit_frame &submit, time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    switch (m_register.arrive(submit.id, now)) {
+    case arrival::duplicate:
+        return;
+    case arrival::cancelled:
+        refuseLocked(connection, submit.id, refusal_reason::cancelled, now);
+        return;
+    case arrival::fresh:
+        break;
+    }
+    if (const auto reason = refusalLocked(submit, now)) {
+        refuseLocked(connection, submit.id, *reason, now);
+        return;
+    }
+    const auto budget = std::chrono::milliseconds(submit.startBeforeMs - clockMilliseconds(now));
+    const queue_push_result pushed =
+        m_queue.push({submit.id.request, submit.account, submit.accountShare, submit.priority, now + budget});
+    if (pushed.displaced) {
+        refuseWaitingLocked(pushed.displaced->id, refusal_reason::overloaded, now);
+    }
+    if (!pushed.queued) {
+        refuseLocked(connection, submit.id, refusal_reason::overloaded, now);
+        return;
+    }
+    m_waiting.insert_or_assign(submit.id.request, waiting_attempt {submit, connection});
+    startReadyLocked(now);
+}
+
+void endpoint_gate::refuseWaitingLocked(const request_id &id, refusal_reason reason, time_point now)
+{
+    const auto position = m_waiting.find(id);
+    if (position != m_waiting.end()) {
+        refuseLocked(position->second.connection, position->second.submit.id, reason, now);
+        m_waiting.erase(position);
+    }
+}
+
+void endpoint_gate::startReadyLocked(time_point now)
+{
+    while (m_active < m_limiter->limit(now)) {
+        const queue_pop_result popped = m_queue.pop(now);
+        for (const queued_request &late : popped.expired) {
+            refuseWaitingLocked(late.id, refusal_reason::expired, now);
+        }
+        if (!popped.next) {
+            return;
+        }
+        const auto position = m_waiting.find(popped.next->id);
+        if (position == m_waiting.end()) {
+            continue;
+        }
+        waiting_attempt attempt = std::move(position->second);
+        m_waiting.erase(position);
+        startLocked(std::move(attempt), now);
+    }
+}
+
+void endpoint_gate::startLocked(waiting_attempt attempt, time_point now)
+{
+    if (!m_register.start(attempt.submit.id)) {
+        return;
+    }
+    auto request = std::make_shared<running_request>(attempt.submit, attempt.connection, *this);
+    m_running.emplace(attempt.submit.id, request);
+    ++m_active;
+    m_limiter->onStarted(now);
+    attempt.connection->send(accepted_frame {attempt.submit.id});
+    request->attach(m_engine->start(makeBackEndRequest(attempt.submit, m_settings.endpoint), request));
+}
+
+void endpoint_gate::onRequestEnded(const attempt_id &id, const answer_sample &sample)
+{
+    const std::scoped_lock lock(m_mutex);
+    const time_point now = boot_clock::now();
+    --m_active;
+    m_limiter->onFinished(now, sample);
+    m_register.finish(id, now);
+    const double serviceMs = std::chrono::duration<double, std::milli>(sample.service).count();
+    if (sample.outcome == answer_outcome::answered) {
+        m_meanServiceMs += (serviceMs - m_meanServiceMs) * (m_meanServiceMs == 0 ? 1 : serviceTimeSmoothing);
+    }
+    startReadyLocked(now);
+}
+
+void endpoint_gate::onCancel(const link_ptr &connection, const cancel_frame &cancel, time_point now)
+{
+    std::shared_ptr<running_request> running;
+    {
+        const std::scoped_lock lock(m_mutex);
+        const bool started = m_register.cancel(cancel.id, now);
+        const auto waiting = m_waiting.find(cancel.id.request);
+        if (!started && waiting != m_waiting.end() && waiting->second.submit.id == cancel.id) {
+            m_queue.cancel(cancel.id.request);
+            m_waiting.erase(waiting);
+        }
+        const auto position = m_running.find(cancel.id);
+        if (position != m_running.end()) {
+            running = position->second;
+        }
+        connection->send(cancelled_frame {cancel.id, started});
+    }
+    // A call of a plain service is left to finish: cutting it would not undo what it did.
+    if (running != nullptr && running->submit().kind == endpoint_kind::model) {
+        running->cancel();
+    }
+}
+
+void endpoint_gate::onResume(const link_ptr &connection, const resume_frame &resume, time_point now)
+{
+    std::shared_ptr<running_request> running;
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto position = m_running.find(resume.id);
+        if (position == m_running.end()) {
+            // Either the submit never arrived, and the record keeps it from running later, or the answer is gone.
+            const bool started = m_register.cancel(resume.id, now);
+            connection->send(cancelled_frame {resume.id, started});
+            return;
+        }
+        running = position->second;
+    }
+    running->resumeOn(connection, resume.nextSequence);
+}
+
+void endpoint_gate::onCredit(const credit_frame &credit)
+{
+    std::shared_ptr<running_request> running;
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto position = m_running.find(credit.id);
+        if (position == m_running.end()) {
+            return;
+        }
+        running = position->second;
+    }
+    running->credit(credit.nextSequence);
+    if (running->delivered()) {
+        const std::scoped_lock lock(m_mutex);
+        m_running.erase(credit.id);
+    }
+}
+
+void endpoint_gate::onDisconnected(const link_ptr &connection, time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    for (auto position = m_waiting.begin(); position != m_waiting.end();) {
+        if (position->second.connection == connection) {
+            m_register.cancel(position->second.submit.id, now);
+            m_queue.cancel(position->first);
+            position = m_waiting.erase(position);
+        } else {
+            ++position;
+        }
+    }
+    for (const auto &[id, running] : m_running) {
+        running->detach(connection, now);
+    }
+}
+
+void endpoint_gate::maintain(time_point now)
+{
+    std::vector<std::shared_ptr<running_request>> abandoned;
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_register.expire(now);
+        for (const queued_request &late : m_queue.takeExpired(now)) {
+            refuseWaitingLocked(late.id, refusal_reason::expired, now);
+        }
+        for (auto position = m_running.begin(); position != m_running.end();) {
+            const auto endedAt = position->second->endedAt();
+            const auto detached = position->second->detachedSince();
+            if (endedAt && (position->second->delivered() || now - *endedAt > deliveryGrace)) {
+                position = m_running.erase(position);
+                continue;
+            }
+            if (!endedAt && detached && now - *detached > resumeGrace
+                && position->second->submit().kind == endpoint_kind::model) {
+                abandoned.push_back(position->second);
+            }
+            ++position;
+        }
+        startReadyLocked(now);
+    }
+    for (const auto &running : abandoned) {
+        running->cancel();
+    }
+}
+
+void endpoint_gate::onLoadReport(const back_end_load &load, time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (load.reachable != m_load.reachable) {
+        logLine(log_level::info, "endpoint", load.reachable ? "engine answers" : "engine does not answer",
+                {{"peer", m_settings.endpoint.engineUrl}, {"step", "endpoint.probe"}});
+    }
+    m_load = load;
+    m_limiter->onLoadReport(now, load);
+}
+
+void endpoint_gate::onConfiguration(time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    const bool out = outOfService();
+    if (m_wasOutOfService && !out) {
+        m_limiter->markCold(now);
+    }
+    m_wasOutOfService = out;
+    if (out) {
+        refuseAllWaitingLocked(refusal_reason::out_of_service, now);
+    }
+}
+
+void endpoint_gate::leave(time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_leaving = true;
+    refuseAllWaitingLocked(refusal_reason::leaving, now);
+}
+
+void endpoint_gate::refuseAllWaitingLocked(refusal_reason reason, time_point now)
+{
+    while (!m_waiting.empty()) {
+        const request_id id = m_waiting.begin()->first;
+        m_queue.cancel(id);
+        refuseWaitingLocked(id, reason, now);
+    }
+}
+
+endpoint_status endpoint_gate::status(time_point now) const
+{
+    const std::scoped_lock lock(m_mutex);
+    endpoint_status current;
+    current.state = m_leaving ? serving_state::leaving
+        : m_load.reachable    ? serving_state::serving
+                              : serving_state::starting;
+    current.dataCentre = m_settings.dataCentre;
+    current.labels = m_settings.endpoint.labels;
+    current.models = m_settings.endpoint.models;
+    current.inFlight = m_active;
+    current.limit = m_limiter->limit(now);
+    current.queued = static_cast<int>(m_queue.size());
+    current.cold = m_limiter->cold();
+    current.engineStartId = m_load.startId;
+    current.meanServiceMs = m_meanServiceMs;
+    return current;
+}
+
+std::size_t endpoint_gate::unfinished() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_running.size() + m_waiting.size();
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/endpoint/running_request.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "backend/back_end.h"
+#include "base/boot_clock.h"
+#include "base/ranked_mutex.h"
+#include "endpoint/request_observer.h"
+#include "link/link.h"
+#include "link/link_handler.h"
+#include "request/send_window.h"
+#include "wire/frame.h"
+
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace bronzechute {
+
+/**
+ * One attempt that an endpoint process has passed to its engine. Sends the answer to the entry as frames within the
+ * window, and keeps what is not credited so that the entry can resume over a fresh connection.
+ */
+class running_request final : public answer_sink
+{
+public:
+    running_request(const submit_frame &submit, link_ptr connection, request_observer &observer);
+
+    /** The back end has the request. */
+    void attach(std::shared_ptr<transfer> handle);
+
+    void onHead(int status, const header_list &headers) override;
+    bool onBytes(std::string_view bytes) override;
+    void onEnd() override;
+    void onError(const error &failure, bool mayHaveRun) override;
+
+    /** The entry has passed on all frames below the sequence number. */
+    void credit(std::uint64_t nextSequence);
+
+    /** Goes on over a fresh connection, from the first frame that the entry does not have. */
+    void resumeOn(const link_ptr &connection, std::uint64_t nextSequence);
+
+    /** Stops the engine's work. */
+    void cancel();
+
+    /** The connection is down. @returns whether this request used it. */
+    bool detach(const link_ptr &connection, time_point now);
+
+    /** @returns since when no connection has been attached, or nothing. */
+    std::optional<time_point> detachedSince() const;
+
+    /** @returns whether the answer has ended and the entry has all of it. */
+    bool delivered() const;
+
+    /** @returns when the answer ended, or nothing while it runs. */
+    std::optional<time_point> endedAt() const;
+
+    const submit_frame &submit() const
+    {
+        return m_submit;
+    }
+
+private:
+    using terminal_frame = std::variant<end_frame, failed_frame, refused_frame>;
+
+    void sendLocked(const frame &message);
+    void sendTerminalLocked();
+    void finish(terminal_frame terminal, answer_outcome outcome);
+
+    const submit_frame m_submit;
+    request_observer &m_observer;
+    const time_point m_startedAt;
+
+    mutable ranked_mutex m_mutex {lock_rank::request};
+    link_ptr m_connection;
+    std::shared_ptr<transfer> m_transfer;
+    send_window m_window;
+    std::optional<response_head_frame> m_head;
+    std::optional<terminal_frame> m_terminal;
+    std::optional<time_point> m_firstByteAt;
+    std::optional<time_point> m_detachedSince;
+    std::optional<time_point> m_endedAt;
+    int m_events = 0; ///< Ends of server-sent events seen.
+    bool m_paused = false;
+    bool m_cancelled = false;
+    bool m_terminalCredited = false;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/entry/caller_request.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "config/endpoint_pool.h"
+#include "config/selector.h"
+#include "http/header_list.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace bronzechute {
+
+/** A caller's request after authentication and classification. */
+struct caller_request
+{
+    std::string account;
+    int accountShare = 1;
+    std::string className; ///< Traffic class or service, for logs and metrics.
+    endpoint_kind kind = endpoint_kind::model;
+    std::string model; ///< Only for kind model.
+    selector pools; ///< Over the labels of pools.
+    std::string method;
+    std::string path; ///< Path and query for the back end.
+    header_list headers; ///< For the back end.
+    std::string body;
+    std::string prompt; ///< Text whose prefix an engine may have cached; only for kind model.
+    bool streaming = false; ///< Pass the answer on as it comes.
+    bool mayRepeat = false;
+    int priority = 5;
+    std::chrono::milliseconds deadline {60000};
+    std::chrono::milliseconds startBudget {10000}; ///< Longest wait in an endpoint's queue.
+    bool resumeElsewhere = false;
+    bool readYourWrites = false;
+    std::string service; ///< Only for kind service.
+    std::optional<std::string> idempotencyKey;
+
+    friend bool operator==(const caller_request &, const caller_request &) = default;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/entry/dispatcher.cpp
@@ -0,0 +1,258 @@
+#include "entry/dispatcher.h"
+
+#include "entry/relay_stream.h"
+#include "observe/log.h"
+#include "request/window_size.h"
+
+#include <algorithm>
+#include <mutex>
+
+namespace bronzechute {
+
+namespace {
+
+constexpr std::chrono::milliseconds waitInterval {100};
+constexpr std::chrono::milliseconds cancelPatience {1000};
+constexpr std::size_t collectLimit = std::size_t {4} * 1024 * 1024;
+constexpr std::size_t readBytes = std::size_t {16} * 1024;
+constexpr std::size_t maxAttempts = 4;
+
+api_error unknownOutcome(int status, const std::string &code, const std::string &message)
+{
+    return {status, code, message, {}, request_outcome::unknown, {}};
+}
+
+api_error notRun(const std::string &code, const std::string &message, std::chrono::milliseconds retryAfter)
+{
+    return {503, code, message, {}, request_outcome::not_run, retryAfter};
+}
+
+std::chrono::milliseconds remaining(const request_context &context)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(context.deadline - boot_clock::now());
+}
+
+} // namespace
+
+dispatcher::dispatcher(endpoint_directory &directory, pending_table &table, const configuration_holder &configuration,
+                       entry_metrics &metrics)
+    : m_directory(directory), m_table(table), m_configuration(configuration), m_metrics(metrics)
+{
+}
+
+http_reply dispatcher::run(request_context context)
+{
+    m_table.add(context.pending);
+    {
+        const std::scoped_lock lock(m_budgetMutex);
+        m_budget.onRequest(boot_clock::now());
+    }
+    api_error failure = notRun("no_endpoint", "no endpoint can take the request now",
+                               m_directory.retryAfter(context.request, boot_clock::now()));
+    bool mayHaveRun = false;
+    while (context.tried.size() < maxAttempts) {
+        if (!context.tried.empty() && !mayRetry(context)) {
+            break;
+        }
+        const link_ptr connection = m_directory.choose(context.request, context.tried, boot_clock::now());
+        if (connection == nullptr) {
+            break;
+        }
+        const attempt_result result = tryEndpoint(context, connection);
+        if (result.end == attempt_end::answered) {
+            return relay(std::move(context));
+        }
+        // An attempt that may have run stays in the final outcome, whatever a later endpoint says of its own attempt.
+        mayHaveRun = mayHaveRun || result.failure.outcome == request_outcome::unknown;
+        failure = result.failure;
+        if (mayHaveRun) {
+            failure.outcome = request_outcome::unknown;
+        }
+        if (result.end == attempt_end::settled) {
+            break;
+        }
+    }
+    return reportFailure(context, failure);
+}
+
+bool dispatcher::mayRetry(const request_context &context)
+{
+    if (remaining(context) <= std::chrono::milliseconds(0) || context.clientLeft()) {
+        return false;
+    }
+    const std::scoped_lock lock(m_budgetMutex);
+    if (!m_budget.tryTake(boot_clock::now())) {
+        return false;
+    }
+    m_metrics.retries.add();
+    return true;
+}
+
+submit_frame dispatcher::makeSubmit(const request_context &context, const link_ptr &connection) const
+{
+    const caller_request &request = context.request;
+    submit_frame submit;
+    submit.revision = m_configuration.current()->revision;
+    submit.account = request.account;
+    submit.accountShare = request.accountShare;
+    submit.priority = request.priority;
+    submit.kind = request.kind;
+    submit.method = request.method;
+    submit.path = request.path;
+    submit.headers = request.headers;
+    submit.body = request.body;
+    submit.mayRepeat = request.mayRepeat;
+    submit.deadlineMs = remaining(context).count();
+    submit.startBeforeMs = connection->peerClockMs() + std::min(remaining(context), request.startBudget).count();
+    submit.windowBytes = answerWindowBytes;
+    submit.traceparent = context.trace.toTraceparent();
+    return submit;
+}
+
+dispatcher::attempt_result dispatcher::tryEndpoint(request_context &context, const link_ptr &connection)
+{
+    const std::string endpoint = connection->peer().node;
+    context.tried.push_back(endpoint);
+    if (!context.pending->beginAttempt(makeSubmit(context, connection), connection)) {
+        m_directory.onFailed(endpoint, boot_clock::now());
+        return {attempt_end::tryNext,
+                notRun("endpoint_unreachable", "the connection to the endpoint is down", std::chrono::seconds(1))};
+    }
+    return awaitHead(context);
+}
+
+dispatcher::attempt_result dispatcher::awaitHead(request_context &context)
+{
+    while (true) {
+        switch (context.pending->wait(waitInterval)) {
+        case attempt_progress::head:
+            return {attempt_end::answered, {}};
+        case attempt_progress::refused:
+            return settleRefused(context);
+        case attempt_progress::failed:
+            return settleFailed(context);
+        case attempt_progress::lost:
+            return settleLost(context);
+        case attempt_progress::waiting:
+            break;
+        }
+        if (remaining(context) <= std::chrono::milliseconds(0)) {
+            return settleCancelled(context, 504, "deadline_exceeded", "no answer within the deadline");
+        }
+        if (context.clientLeft()) {
+            return settleCancelled(context, 499, "client_left", "the client closed the connection");
+        }
+    }
+}
+
+dispatcher::attempt_result dispatcher::settleRefused(request_context &context)
+{
+    const refused_frame refusal = context.pending->refusal();
+    m_directory.onNeutral(context.pending->endpoint());
+    std::chrono::milliseconds retryAfter(refusal.retryAfterMs);
+    return {attempt_end::tryNext,
+            notRun(std::string(toString(refusal.reason)), "the endpoint refused the request: " + refusal.detail,
+                   retryAfter)};
+}
+
+dispatcher::attempt_result dispatcher::settleFailed(request_context &context)
+{
+    const failed_frame failure = context.pending->failure();
+    m_directory.onFailed(context.pending->endpoint(), boot_clock::now());
+    const bool repeat = failure.outcome == request_outcome::not_run || context.request.mayRepeat;
+    return {repeat ? attempt_end::tryNext : attempt_end::settled,
+            unknownOutcome(502, "endpoint_failed", failure.step + ": " + failure.detail)};
+}
+
+dispatcher::attempt_result dispatcher::settleLost(request_context &context)
+{
+    m_directory.onFailed(context.pending->endpoint(), boot_clock::now());
+    return {context.request.mayRepeat ? attempt_end::tryNext : attempt_end::settled,
+            unknownOutcome(502, "endpoint_lost", "the endpoint process is out of reach")};
+}
+
+dispatcher::attempt_result dispatcher::settleCancelled(request_context &context, int status, const std::string &code,
+                                                       const std::string &message)
+{
+    context.pending->cancel();
+    const bool proved = context.pending->waitNotStarted(cancelPatience);
+    m_directory.onNeutral(context.pending->endpoint());
+    api_error failure = unknownOutcome(status, code, message);
+    failure.outcome = proved ? request_outcome::not_run : request_outcome::unknown;
+    return {attempt_end::settled, failure};
+}
+
+http_reply dispatcher::relay(request_context context)
+{
+    const response_head_frame head = context.pending->head();
+    m_metrics.firstByte.observe(boot_clock::now() - context.arrivedAt);
+    http_reply reply;
+    reply.status = head.status;
+    reply.headers = head.headers;
+    reply.headers.emplace_back("X-Request-Id", context.pending->id().toString());
+    const auto onFinished = [this](request_context &finished, bool whole) {
+        if (!whole) {
+            m_metrics.cutStreams.add();
+        }
+        finish(finished, whole ? request_outcome::answered : request_outcome::unknown, finished.pending->endpoint());
+    };
+    std::string body;
+    if (!context.request.streaming) {
+        std::string buffer(readBytes, '\0');
+        while (!context.pending->complete() && body.size() < collectLimit) {
+            body.append(buffer, 0, context.pending->read(buffer.data(), buffer.size(), waitInterval));
+            const bool overdue = remaining(context) <= std::chrono::milliseconds(0);
+            if (context.pending->broken() || context.clientLeft() || overdue) {
+                context.pending->cancel();
+                const std::string endpoint = context.pending->endpoint();
+                m_directory.onFailed(endpoint, boot_clock::now());
+                api_error failure = unknownOutcome(overdue ? 504 : 502, "incomplete_answer",
+                                                   "the answer ended early: " + context.pending->failure().detail);
+                finish(context, request_outcome::unknown, {});
+                return failure.toReply(context.pending->id().toString());
+            }
+        }
+        if (context.pending->complete()) {
+            reply.headers.emplace_back("X-Bronzechute-Outcome", std::string(toString(request_outcome::answered)));
+            reply.body = std::move(body);
+            finish(context, request_outcome::answered, context.pending->endpoint());
+            return reply;
+        }
+    }
+    reply.stream = std::make_shared<relay_stream>(std::move(context), std::move(body), onFinished);
+    return reply;
+}
+
+void dispatcher::finish(request_context &context, request_outcome outcome, const std::string &endpoint)
+{
+    const time_point now = boot_clock::now();
+    if (!endpoint.empty()) {
+        if (outcome == request_outcome::answered) {
+            m_directory.onAnswered(endpoint, context.request, now - context.arrivedAt, now);
+        } else if (context.pending->broken()) {
+            m_directory.onFailed(endpoint, now);
+        } else {
+            m_directory.onNeutral(endpoint);
+        }
+    }
+    m_table.remove(context.pending->id());
+    m_metrics.count(outcome);
+    m_metrics.duration.observe(now - context.arrivedAt);
+    logLine(log_level::info, "request", "request ended",
+            {{"request_id", context.pending->id().toString()},
+             {"trace_id", context.trace.traceId()},
+             {"account", context.request.account},
+             {"class", context.request.className},
+             {"outcome", toString(outcome)},
+             {"endpoint", context.pending->endpoint()},
+             {"attempts", context.tried.size()},
+             {"duration_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - context.arrivedAt).count()}});
+}
+
+http_reply dispatcher::reportFailure(request_context &context, const api_error &failure)
+{
+    finish(context, failure.outcome, {});
+    return failure.toReply(context.pending->id().toString());
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/entry/dispatcher.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "entry/api_error.h"
+#include "entry/endpoint_directory.h"
+#include "entry/entry_metrics.h"
+#include "entry/pending_table.h"
+#include "entry/request_context.h"
+#include "http/http_reply.h"
+#include "policy/retry_budget.h"
+#include "store/configuration_holder.h"
+
+#include <variant>
+
+namespace bronzechute {
+
+/**
+ * Sends a request to endpoints until one answers or its outcome is settled. Runs on the caller's own thread.
+ */
+class dispatcher
+{
+public:
+    dispatcher(endpoint_directory &directory, pending_table &table, const configuration_holder &configuration,
+               entry_metrics &metrics);
+
+    http_reply run(request_context context);
+
+private:
+    enum class attempt_end { answered, tryNext, settled };
+
+    struct attempt_result
+    {
+        attempt_end end = attempt_end::settled;
+        api_error failure; ///< For tryNext, what to say when no other endpoint can be tried.
+    };
+
+    attempt_result tryEndpoint(request_context &context, const link_ptr &connection);
+    attempt_result awaitHead(request_context &context);
+    attempt_result settleRefused(request_context &context);
+    attempt_result settleFailed(request_context &context);
+    attempt_result settleLost(request_context &context);
+    attempt_result settleCancelled(request_context &context, int status, const std::string &code,
+                                   const std::string &message);
+    submit_frame makeSubmit(const request_context &context, const link_ptr &connection) const;
+    bool mayRetry(const request_context &context);
+    http_reply relay(request_context context);
+    http_reply reportFailure(request_context &context, const api_error &failure);
+    void finish(request_context &context, request_outcome outcome, const std::string &endpoint);
+
+    endpoint_directory &m_directory;
+    pending_table &m_table;
+    const configuration_holder &m_configuration;
+    entry_metrics &m_metrics;
+    ranked_mutex m_budgetMutex {lock_rank::policy};
+    retry_budget m_budget;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/entry/entry_metrics.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "observe/metrics.h"
+#include "request/request_outcome.h"
+
+#include <array>
+
+namespace bronzechute {
+
+/** Metrics of an entry that change with each request. */
+struct entry_metrics
+{
+    explicit entry_metrics(metrics_registry &registry);
+
+    metric_counter &answered;
+    metric_counter &notRun;
+    metric_counter &unknown;
+    metric_counter &rejected; ///< Answered with an error before any endpoint was chosen.
+    metric_counter &retries;
+    metric_counter &cutStreams;
+    metric_histogram &firstByte;
+    metric_histogram &duration;
+
+    void count(request_outcome outcome);
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/entry/entry_role.cpp
@@ -0,0 +1,224 @@
+#include "entry/entry_role.h"
+
+#include "observe/log.h"
+
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace bronzechute {
+
+namespace {
+
+constexpr std::chrono::milliseconds drainInterval {20};
+
+} // namespace
+
+entry_role::entry_role(const daemon_settings &settings)
+    : m_settings(settings)
+    , m_entryMetrics(m_metrics)
+    , m_directory(settings, m_configuration)
+    , m_dispatcher(m_directory, m_pending, m_configuration, m_entryMetrics)
+    , m_exchange(m_configuration, [this] { m_hub->announce(); })
+    , m_health(m_metrics,
+               [this] {
+                   const std::size_t usable = m_directory.usableCount(boot_clock::now());
+                   const std::int64_t revision = m_configuration.current()->revision;
+                   const bool ready = !m_draining && usable > 0 && revision > 0;
+                   return std::pair(ready,
+                                    nlohmann::json {{"role", "entry"},
+                                                    {"node", m_settings.node},
+                                                    {"data_centre", m_settings.dataCentre},
+                                                    {"ready", ready},
+                                                    {"draining", m_draining.load()},
+                                                    {"usable_endpoints", usable},
+                                                    {"pending", m_pending.size()},
+                                                    {"revision", revision}});
+               })
+    , m_random(std::random_device {}())
+{
+    m_metrics.gauge("bronzechute_pending", "", "Callers' requests under way.",
+                    [this] { return static_cast<double>(m_pending.size()); });
+    m_metrics.gauge("bronzechute_usable_endpoints", "", "Endpoints that take work now.",
+                    [this] { return static_cast<double>(m_directory.usableCount(boot_clock::now())); });
+    m_metrics.gauge("bronzechute_configuration_revision", "", "Revision of the configuration in force.",
+                    [this] { return static_cast<double>(m_configuration.current()->revision); });
+}
+
+result<std::unique_ptr<entry_role>> entry_role::start(const daemon_settings &settings, const hello_frame &self)
+{
+    std::unique_ptr<entry_role> role(new entry_role(settings));
+    link_options options;
+    options.self = self;
+    auto hub = link_hub::create(options, settings.listen.peers, *role);
+    if (!hub) {
+        return hub.error();
+    }
+    role->m_hub = std::move(hub.value());
+    http_server_options serverOptions;
+    serverOptions.address = settings.listen.http.host;
+    serverOptions.port = settings.listen.http.port;
+    serverOptions.bodyLimit = settings.bodyLimit;
+    auto server = http_server::start(serverOptions, *role);
+    if (!server) {
+        return server.error();
+    }
+    role->m_server = std::move(server.value());
+    role->m_hub->open();
+    for (const listed_vm &endpoint : role->m_directory.known()) {
+        role->m_hub->dial(endpoint.name, endpoint.address);
+    }
+    for (const peer_settings &peer : settings.peers) {
+        role->m_hub->dial(peer.name, peer.address.toString());
+    }
+    return role;
+}
+
+entry_role::~entry_role()
+{
+    m_server.reset();
+    m_hub.reset();
+}
+
+std::string entry_role::addresses() const
+{
+    return "http=" + m_settings.listen.http.host + ":" + std::to_string(m_server->port())
+        + " peers=" + m_settings.listen.peers.host + ":" + std::to_string(m_hub->port());
+}
+
+bool entry_role::drain()
+{
+    m_draining = true;
+    m_server->quiesce();
+    const time_point deadline = boot_clock::now() + m_settings.drainTimeout;
+    while (m_server->activeRequests() > 0 && boot_clock::now() < deadline) {
+        std::this_thread::sleep_for(drainInterval);
+    }
+    return m_server->activeRequests() == 0;
+}
+
+void entry_role::onUp(const link_ptr &connection)
+{
+    logLine(log_level::info, "link", "connection is up",
+            {{"peer", connection->peer().node}, {"address", connection->address()}});
+    m_exchange.onUp(connection);
+    if (connection->peer().role != "endpoint") {
+        return;
+    }
+    m_directory.onUp(connection);
+    for (const auto &pending : m_pending.all()) {
+        pending->onUp(connection);
+    }
+}
+
+void entry_role::onDown(const link_ptr &connection, const std::string &reason)
+{
+    logLine(log_level::warn, "link", "connection is down",
+            {{"peer", connection->peer().node}, {"address", connection->address()}, {"reason", reason}});
+    m_exchange.onDown(connection);
+    m_directory.onDown(connection);
+    for (const auto &pending : m_pending.all()) {
+        pending->onDown(connection, boot_clock::now());
+    }
+}
+
+void entry_role::onFrame(const link_ptr &connection, frame message)
+{
+    if (const auto *heartbeat = std::get_if<heartbeat_frame>(&message)) {
+        m_exchange.onPeerRevision(connection, heartbeat->revision);
+        if (heartbeat->status) {
+            m_directory.onHeartbeat(connection, *heartbeat->status, boot_clock::now());
+        }
+        return;
+    }
+    if (const auto *push = std::get_if<config_push_frame>(&message)) {
+        m_exchange.onPush(connection, *push);
+        return;
+    }
+    onAnswerFrame(connection, message);
+}
+
+void entry_role::onAnswerFrame(const link_ptr &connection, const frame &message)
+{
+    const auto idOf = [](const auto &each) -> std::optional<request_id> {
+        if constexpr (requires { each.id.request; }) {
+            return each.id.request;
+        }
+        return std::nullopt;
+    };
+    const std::optional<request_id> id = std::visit(idOf, message);
+    if (!id) {
+        return;
+    }
+    if (const auto pending = m_pending.find(*id)) {
+        pending->onFrame(connection, message);
+    }
+}
+
+heartbeat_frame entry_role::makeHeartbeat()
+{
+    heartbeat_frame heartbeat;
+    heartbeat.revision = m_configuration.current()->revision;
+    return heartbeat;
+}
+
+request_id entry_role::newRequestId(const http_request &)
+{
+    const std::scoped_lock lock(m_randomMutex);
+    return request_id::generate(m_random);
+}
+
+trace_context entry_role::traceOf(const http_request &request)
+{
+    const auto incoming = trace_context::parse(findHeader(request.headers, "traceparent").value_or(""));
+    const std::scoped_lock lock(m_randomMutex);
+    return incoming ? incoming->child(m_random) : trace_context::generate(m_random);
+}
+
+http_reply entry_role::handle(const http_request &request)
+{
+    if (auto health = m_health.tryHandle(request)) {
+        return *health;
+    }
+    if (request.path == "/v1/models") {
+        return listModels(request);
+    }
+    const request_id id = newRequestId(request);
+    const configuration_ptr current = m_configuration.current();
+    auto classified = m_classifier.classify(request, current->content);
+    if (const auto *failure = std::get_if<api_error>(&classified)) {
+        m_entryMetrics.rejected.add();
+        return failure->toReply(id.toString());
+    }
+    request_context context;
+    context.request = std::move(std::get<caller_request>(classified));
+    context.pending = std::make_shared<pending_request>(id);
+    context.client = request.connection;
+    context.arrivedAt = boot_clock::now();
+    context.deadline = context.arrivedAt + context.request.deadline;
+    context.trace = traceOf(request);
+    return m_dispatcher.run(std::move(context));
+}
+
+http_reply entry_role::listModels(const http_request &request)
+{
+    const configuration_ptr current = m_configuration.current();
+    const auto authenticated = m_classifier.authenticate(request, current->content);
+    if (const auto *failure = std::get_if<api_error>(&authenticated)) {
+        return failure->toReply(newRequestId(request).toString());
+    }
+    std::set<std::string> names;
+    for (const endpoint_pool &pool : current->content.pools) {
+        if (pool.kind == endpoint_kind::model) {
+            names.insert(pool.model);
+        }
+    }
+    nlohmann::json models = nlohmann::json::array();
+    for (const std::string &name : names) {
+        models.push_back({{"id", name}, {"object", "model"}, {"owned_by", "bronzechute"}});
+    }
+    const nlohmann::json body {{"object", "list"}, {"data", models}};
+    return {200, {{"Content-Type", "application/json"}}, body.dump() + "\n", nullptr};
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/entry/entry_role.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "base/result.h"
+#include "entry/dispatcher.h"
+#include "entry/endpoint_directory.h"
+#include "entry/entry_metrics.h"
+#include "entry/pending_table.h"
+#include "entry/request_classifier.h"
+#include "http/http_server.h"
+#include "link/link_hub.h"
+#include "node/configuration_exchange.h"
+#include "node/health_handler.h"
+#include "node/node_role.h"
+#include "observe/metrics.h"
+#include "settings/daemon_settings.h"
+
+#include <atomic>
+#include <memory>
+#include <random>
+
+namespace bronzechute {
+
+/** The role that accepts callers' requests and relays them to endpoints. */
+class entry_role final : public node_role, public link_handler, public http_handler
+{
+public:
+    static result<std::unique_ptr<entry_role>> start(const daemon_settings &settings, const hello_frame &self);
+    ~entry_role() override;
+
+    std::string addresses() const override;
+    bool drain() override;
+
+    void onUp(const link_ptr &connection) override;
+    void onFrame(const link_ptr &connection, frame message) override;
+    void onDown(const link_ptr &connection, const std::string &reason) override;
+    heartbeat_frame makeHeartbeat() override;
+
+    http_reply handle(const http_request &request) override;
+
+private:
+    explicit entry_role(const daemon_settings &settings);
+
+    void onAnswerFrame(const link_ptr &connection, const frame &message);
+    http_reply listModels(const http_request &request);
+    request_id newRequestId(const http_request &request);
+    trace_context traceOf(const http_request &request);
+
+    const daemon_settings m_settings;
+    metrics_registry m_metrics;
+    entry_metrics m_entryMetrics;
+    configuration_holder m_configuration;
+    endpoint_directory m_directory;
+    pending_table m_pending;
+    dispatcher m_dispatcher;
+    request_classifier m_classifier;
+    configuration_exchange m_exchange;
+    health_handler m_health;
+    std::unique_ptr<link_hub> m_hub;
+    std::unique_ptr<http_server> m_server;
+    std::atomic<bool> m_draining {false};
+    ranked_mutex m_randomMutex {lock_rank::leaf};
+    std::mt19937_64 m_random;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/entry/request_classifier.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "config/configuration_envelope.h"
+#include "entry/api_error.h"
+#include "entry/caller_request.h"
+#include "http/http_request.h"
+
+#include <string>
+#include <variant>
+
+namespace bronzechute {
+
+/**
+ * Authenticates, checks and classifies a request by the configuration. Nothing that fails here reaches an endpoint.
+ */
+class request_classifier
+{
+public:
+    std::variant<caller_request, api_error> classify(const http_request &request, const configuration &content) const;
+
+    /** @returns the account of the request's API key, or the error to answer with. */
+    std::variant<const client_account *, api_error> authenticate(const http_request &request,
+                                                                 const configuration &content) const;
+
+private:
+    std::variant<caller_request, api_error>
+    classifyCompletion(const http_request &request, const configuration &content, const client_account &account) const;
+    std::variant<caller_request, api_error> classifyService(const http_request &request, const plain_service &service,
+                                                            const client_account &account) const;
+};
+
+/** @returns the SHA-256 of the text as 64 lower-case hexadecimal digits. */
+std::string sha256Hex(const std::string &text);
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/http/connection_table.cpp
@@ -0,0 +1,97 @@
+#include "http/connection_table.h"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <mutex>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+namespace bronzechute {
+
+/** Socket of one connection, until the server closes it. */
+class connection_table::watched_socket final : public client_connection
+{
+public:
+    explicit watched_socket(int descriptor) : m_descriptor(descriptor)
+    {
+    }
+
+    bool closedByClient() const override
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_descriptor < 0) {
+            return true;
+        }
+        pollfd state {m_descriptor, POLLRDHUP, 0};
+        return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    }
+
+    /** The descriptor may be reused by another connection from now on. */
+    void release()
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_descriptor = -1;
+    }
+
+private:
+    mutable ranked_mutex m_mutex {lock_rank::leaf};
+    int m_descriptor;
+};
+
+void connection_table::notify(void *self, MHD_Connection *connection, void **, MHD_ConnectionNotificationCode code)
+{
+    auto *table = static_cast<connection_table *>(self);
+    const auto *address = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    const auto *descriptor = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (address == nullptr || descriptor == nullptr) {
+        return;
+    }
+    const std::string text = addressText(address->client_addr);
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        table->opened(text, descriptor->connect_fd);
+    } else {
+        table->closed(text);
+    }
+}
+
+std::string connection_table::addressText(const sockaddr *address)
+{
+    if (address == nullptr || address->sa_family != AF_INET) {
+        return {};
+    }
+    const auto *ipv4 = reinterpret_cast<const sockaddr_in *>(address);
+    char text[INET_ADDRSTRLEN] = {};
+    inet_ntop(AF_INET, &ipv4->sin_addr, text, sizeof text);
+    return std::string(text) + ":" + std::to_string(ntohs(ipv4->sin_port));
+}
+
+void connection_table::opened(const std::string &address, int descriptor)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_sockets.insert_or_assign(address, std::make_shared<watched_socket>(descriptor));
+}
+
+void connection_table::closed(const std::string &address)
+{
+    std::shared_ptr<watched_socket> socket;
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto position = m_sockets.find(address);
+        if (position == m_sockets.end()) {
+            return;
+        }
+        socket = position->second;
+        m_sockets.erase(position);
+    }
+    socket->release();
+}
+
+std::shared_ptr<const client_connection> connection_table::find(const std::string &address) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto position = m_sockets.find(address);
+    return position == m_sockets.end() ? nullptr : position->second;
+}
+
+} // namespace bronzechute
--- a/src/http/http_request.h
+++ b/src/http/http_request.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "http/client_connection.h"
 #include "http/header_list.h"
 
+#include <memory>
 #include <string>
 
 namespace bronzechute {
@@ -16,6 +18,7 @@
     std::string body;
     bool bodyTooLarge = false; ///< The body exceeded the server's limit; body is empty then.
     std::string peer; ///< Address and port of the client.
+    std::shared_ptr<const client_connection> connection; ///< May be null.
 
     friend bool operator==(const http_request &, const http_request &) = default;
 };
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -59,17 +59,6 @@
     return headers;
 }
 
-std::string peerText(const sockaddr *address)
-{
-    if (address == nullptr || address->sa_family != AF_INET) {
-        return {};
-    }
-    const auto *ipv4 = reinterpret_cast<const sockaddr_in *>(address);
-    char text[INET_ADDRSTRLEN] = {};
-    inet_ntop(AF_INET, &ipv4->sin_addr, text, sizeof text);
-    return std::string(text) + ":" + std::to_string(ntohs(ipv4->sin_port));
-}
-
 http_request readRequest(const _u_request &request, std::size_t bodyLimit)
 {
     http_request copy;
@@ -79,7 +68,7 @@
     copy.path = url.substr(0, question);
     copy.query = question == std::string::npos ? "" : url.substr(question + 1);
     copy.headers = copyHeaders(request.map_header);
-    copy.peer = peerText(request.client_address);
+    copy.peer = connection_table::addressText(request.client_address);
     copy.bodyTooLarge = request.binary_body_length > bodyLimit;
     if (!copy.bodyTooLarge && request.binary_body != nullptr) {
         copy.body.assign(static_cast<const char *>(request.binary_body), request.binary_body_length);
@@ -137,6 +126,7 @@
         {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(&ulfius_uri_logger), nullptr},
         {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(&mhd_request_completed), nullptr},
         {MHD_OPTION_CONNECTION_TIMEOUT, connectionIdleSeconds, nullptr},
+        {MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<intptr_t>(&connection_table::notify), &server->m_connections},
     };
     if (!options.tlsCertificate.empty()) {
         flags |= MHD_USE_TLS;
@@ -186,7 +176,9 @@
 {
     ++m_active;
     scope_guard finished([this] { --m_active; });
-    const http_reply reply = m_handler.handle(readRequest(*request, m_bodyLimit));
+    http_request received = readRequest(*request, m_bodyLimit);
+    received.connection = m_connections.find(received.peer);
+    const http_reply reply = m_handler.handle(received);
     for (const auto &[name, value] : reply.headers) {
         u_map_put(response->map_header, name.c_str(), value.c_str());
     }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/result.h"
+#include "http/connection_table.h"
 #include "http/http_handler.h"
 
 #include <atomic>
@@ -59,6 +60,7 @@
     int answer(const _u_request *request, _u_response *response);
 
     http_handler &m_handler;
+    connection_table m_connections;
     std::unique_ptr<_u_instance> m_instance;
     std::size_t m_bodyLimit = 0;
     std::string m_certificate;
--- a/src/link/link_hub.cpp
+++ b/src/link/link_hub.cpp
@@ -28,8 +28,8 @@
 {
 }
 
-result<std::unique_ptr<link_hub>> link_hub::start(const link_options &options, const socket_address &listenAddress,
-                                                  link_handler &handler)
+result<std::unique_ptr<link_hub>> link_hub::create(const link_options &options, const socket_address &listenAddress,
+                                                   link_handler &handler)
 {
     const std::string address = listenAddress.toString();
     std::unique_ptr<link_hub> hub(new link_hub(options, handler));
@@ -46,11 +46,15 @@
         return error {errc::unavailable, listenStep, address, nng_strerror(status)};
     }
     hub->m_port = static_cast<std::uint16_t>(port);
-    hub->startAccept();
-    hub->m_thread = std::thread([raw = hub.get()] { raw->run(); });
     return hub;
 }
 
+void link_hub::open()
+{
+    startAccept();
+    m_thread = std::thread([this] { run(); });
+}
+
 link_hub::~link_hub()
 {
     if (m_listener != nullptr) {
--- a/src/link/link_hub.h
+++ b/src/link/link_hub.h
@@ -27,15 +27,18 @@
 class link_hub
 {
 public:
-    /** Listens at once. @returns errc::unavailable when the address cannot be bound. */
-    static result<std::unique_ptr<link_hub>> start(const link_options &options, const socket_address &listenAddress,
-                                                   link_handler &handler);
+    /** Binds the address. @returns errc::unavailable when it cannot be bound. */
+    static result<std::unique_ptr<link_hub>> create(const link_options &options, const socket_address &listenAddress,
+                                                    link_handler &handler);
 
     /** Closes all connections; the handler gets onDown for each that was up. */
     ~link_hub();
     link_hub(const link_hub &) = delete;
     link_hub &operator=(const link_hub &) = delete;
 
+    /** Begins to accept and to dial. The handler is called from now on. */
+    void open();
+
     std::uint16_t port() const
     {
         return m_port;
--- /dev/null
+++ b/src/node/node_role.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+
+namespace bronzechute {
+
+/** A running role of the daemon. */
+class node_role
+{
+public:
+    virtual ~node_role() = default;
+
+    /** @returns where the process listens, as "http=HOST:PORT …". */
+    virtual std::string addresses() const = 0;
+
+    /**
+     * Takes no new work, finishes what is in flight within the drain timeout and returns.
+     * @returns whether everything in flight was finished
+     */
+    virtual bool drain() = 0;
+};
+
+} // namespace bronzechute
--- a/src/policy/adaptive_limiter.h
+++ b/src/policy/adaptive_limiter.h
@@ -47,8 +47,8 @@
     int m_peakInFlight = 0; ///< Since the last change of the cap.
     int m_drops = 0; ///< Consecutive answers far below warm speed.
     std::optional<double> m_warmPace; ///< Smoothed seconds a token (or a call) of the warm engine.
-    time_point m_capChangedAt{};
-    time_point m_decreasedAt{};
+    time_point m_capChangedAt {};
+    time_point m_decreasedAt {};
     std::string m_startId;
 };
 
--- a/src/policy/answer_sample.h
+++ b/src/policy/answer_sample.h
@@ -11,8 +11,8 @@
 struct answer_sample
 {
     answer_outcome outcome = answer_outcome::answered;
-    boot_clock::duration firstToken{}; ///< From start at the engine to the first byte of the answer.
-    boot_clock::duration service{}; ///< From start at the engine to the end.
+    boot_clock::duration firstToken {}; ///< From start at the engine to the first byte of the answer.
+    boot_clock::duration service {}; ///< From start at the engine to the end.
     int tokens = 0; ///< Tokens or stream events of the answer; 0 or 1 for a plain service.
 };
 
--- a/src/policy/circuit_breaker.h
+++ b/src/policy/circuit_breaker.h
@@ -49,8 +49,8 @@
         int ejections = 0; ///< In a row.
         bool ejected = false;
         bool probing = false;
-        time_point until{}; ///< End of the ejection.
-        time_point probeSentAt{};
+        time_point until {}; ///< End of the ejection.
+        time_point probeSentAt {};
     };
 
     record &at(std::string_view endpoint);
--- a/src/policy/endpoint_candidate.h
+++ b/src/policy/endpoint_candidate.h
@@ -27,7 +27,7 @@
     int ownInFlight = 0; ///< Requests that this entry has there now, sent and not finished.
     int ownInFlightAtStatus = 0; ///< ownInFlight when the last status arrived.
     double meanServiceMs = 0; ///< From the last status.
-    boot_clock::duration statusAge{}; ///< Time since the last status arrived.
+    boot_clock::duration statusAge {}; ///< Time since the last status arrived.
     double affinity = 0; ///< Share of the prompt's blocks that the endpoint has probably cached, 0..1.
 };
 
--- a/src/policy/limiter_settings.h
+++ b/src/policy/limiter_settings.h
@@ -9,13 +9,13 @@
 {
     int maximum = 64; ///< Configured maximum of concurrent requests.
     int initial = 16; ///< Limit after the first cold start, while nothing is known about the engine.
-    std::chrono::milliseconds firstTokenTarget{1600}; ///< The limit falls while first tokens take longer.
-    std::chrono::milliseconds tokenTarget{66}; ///< The limit falls while later tokens take longer.
+    std::chrono::milliseconds firstTokenTarget {1600}; ///< The limit falls while first tokens take longer.
+    std::chrono::milliseconds tokenTarget {66}; ///< The limit falls while later tokens take longer.
     double dropFactor = 3; ///< An answer this many times slower than warm speed counts as a drop.
     int dropAnswers = 3; ///< Consecutive drops that make the engine cold; one may be a long prompt.
     double warmFactor = 1.5; ///< An answer up to this many times slower than warm speed is at warm speed.
     double serviceFactor = 2; ///< A plain service slower than this multiple of its warm speed is overloaded.
-    std::chrono::milliseconds decreaseInterval{1000}; ///< At most one decrease in this time: effects take that long.
+    std::chrono::milliseconds decreaseInterval {1000}; ///< At most one decrease in this time: effects take that long.
 };
 
 } // namespace bronzechute
--- a/src/policy/member.h
+++ b/src/policy/member.h
@@ -21,7 +21,7 @@
     bool connected = false; ///< The connection of the last heartbeat is open.
     std::uint64_t incarnation = 0; ///< Of the process that was last heard; 0: never heard.
     std::optional<time_point> heardAt; ///< Last heartbeat.
-    time_point seenAt{}; ///< Last mention by any source.
+    time_point seenAt {}; ///< Last mention by any source.
     endpoint_status status; ///< From the last heartbeat.
 };
 
--- a/src/policy/membership_table.h
+++ b/src/policy/membership_table.h
@@ -28,8 +28,8 @@
 class membership_table
 {
 public:
-    static constexpr std::chrono::seconds silence{2};
-    static constexpr std::chrono::minutes forgetAfter{10};
+    static constexpr std::chrono::seconds silence {2};
+    static constexpr std::chrono::minutes forgetAfter {10};
 
     void setStaticList(time_point now, std::span<const listed_vm> vms);
     void onVmList(time_point now, std::span<const listed_vm> vms);
--- a/src/policy/queued_request.h
+++ b/src/policy/queued_request.h
@@ -14,7 +14,7 @@
     std::string account;
     int weight = 1; ///< Share of the account, at least 1.
     int priority = 5; ///< 0..9, higher first.
-    time_point deadline{}; ///< Latest start.
+    time_point deadline {}; ///< Latest start.
 
     friend bool operator==(const queued_request &, const queued_request &) = default;
 };
--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -30,7 +30,7 @@
     const double m_floorPerSecond;
     double m_tokens = 1;
     double m_floorTokens = 1;
-    time_point m_refilledAt{};
+    time_point m_refilledAt {};
 };
 
 } // namespace bronzechute
--- a/tests/backend/repeated_send_test.cpp
+++ b/tests/backend/repeated_send_test.cpp
@@ -9,7 +9,7 @@
 namespace bronzechute {
 namespace {
 
-constexpr std::chrono::seconds patience{20};
+constexpr std::chrono::seconds patience {20};
 constexpr std::size_t bodyLimit = 1024;
 
 collected_answer exchange(back_end &engine, const std::string &method)
@@ -41,7 +41,7 @@
 TEST_P(closed_reused_connection, leadsToThisManySends)
 {
     const repeat_row &row = GetParam();
-    std::atomic<int> received{0};
+    std::atomic<int> received {0};
     standins::raw_server server([&](standins::raw_connection &connection, int index) {
         connection.readRequest();
         received += index == 0 ? 0 : 1;
@@ -61,9 +61,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, closed_reused_connection,
-                         testing::Values(repeat_row{"post_sent_twice", "POST", 1, false},
-                                         repeat_row{"delete_sent_twice", "DELETE", 1, false},
-                                         repeat_row{"get_not_sent_again", "GET", 2, true}),
+                         testing::Values(repeat_row {"post_sent_twice", "POST", 1, false},
+                                         repeat_row {"delete_sent_twice", "DELETE", 1, false},
+                                         repeat_row {"get_not_sent_again", "GET", 2, true}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 } // namespace
--- a/tests/backend/sse_parser_test.cpp
+++ b/tests/backend/sse_parser_test.cpp
@@ -37,19 +37,19 @@
 INSTANTIATE_TEST_SUITE_P(
     rows, sse_parser_reads,
     testing::Values(
-        sse_row{"event_without_end_delivered", "data: a\n", {}},
-        sse_row{"line_feed_not_a_line_end", "data: a\n\ndata: b\n\n", {{"", "a", ""}, {"", "b", ""}}},
-        sse_row{"return_not_a_line_end", "data: a\r\rdata: b\r\r", {{"", "a", ""}, {"", "b", ""}}},
-        sse_row{"return_and_feed_taken_for_two", "data: a\r\ndata: b\r\n\r\n", {{"", "a\nb", ""}}},
-        sse_row{"second_space_removed", "data:  a\n\n", {{"", " a", ""}}},
-        sse_row{"comment_delivered", ": ping\n\ndata: a\n\n", {{"", "a", ""}}},
-        sse_row{"empty_data_dropped", "data\n\n", {{"", "", ""}}},
-        sse_row{"type_kept_for_next_event", "event: x\ndata: a\n\ndata: b\n\n", {{"x", "a", ""}, {"", "b", ""}}},
-        sse_row{"id_lost_for_next_event", "id: 7\ndata: a\n\ndata: b\n\n", {{"", "a", "7"}, {"", "b", "7"}}},
-        sse_row{"byte_order_mark_in_field_name",
-                "\xEF\xBB\xBF"
-                "data: a\n\n",
-                {{"", "a", ""}}}),
+        sse_row {"event_without_end_delivered", "data: a\n", {}},
+        sse_row {"line_feed_not_a_line_end", "data: a\n\ndata: b\n\n", {{"", "a", ""}, {"", "b", ""}}},
+        sse_row {"return_not_a_line_end", "data: a\r\rdata: b\r\r", {{"", "a", ""}, {"", "b", ""}}},
+        sse_row {"return_and_feed_taken_for_two", "data: a\r\ndata: b\r\n\r\n", {{"", "a\nb", ""}}},
+        sse_row {"second_space_removed", "data:  a\n\n", {{"", " a", ""}}},
+        sse_row {"comment_delivered", ": ping\n\ndata: a\n\n", {{"", "a", ""}}},
+        sse_row {"empty_data_dropped", "data\n\n", {{"", "", ""}}},
+        sse_row {"type_kept_for_next_event", "event: x\ndata: a\n\ndata: b\n\n", {{"x", "a", ""}, {"", "b", ""}}},
+        sse_row {"id_lost_for_next_event", "id: 7\ndata: a\n\ndata: b\n\n", {{"", "a", "7"}, {"", "b", "7"}}},
+        sse_row {"byte_order_mark_in_field_name",
+                 "\xEF\xBB\xBF"
+                 "data: a\n\n",
+                 {{"", "a", ""}}}),
     [](const auto &row) { return std::string(row.param.name); });
 
 TEST(sse_parser, memoryIsBounded)
--- a/tests/config/plain_service_test.cpp
+++ b/tests/config/plain_service_test.cpp
@@ -26,17 +26,17 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, plain_service_repeat,
-    testing::Values(repeat_row{"rule_ignored", "GET", "/stock", true},
-                    repeat_row{"path_below_the_rule_missed", "GET", "/stock/4", true},
-                    repeat_row{"other_method_repeated", "POST", "/stock", false},
-                    repeat_row{"prefix_matched_within_a_segment", "GET", "/stocktaking", false},
-                    repeat_row{"unlisted_path_repeated", "GET", "/orders", false},
-                    repeat_row{"empty_path_repeated", "GET", "", false},
-                    repeat_row{"dot_segments_reach_another_path", "GET", "/stock/../orders", false},
-                    repeat_row{"encoded_dots_reach_another_path", "GET", "/stock/%2e%2e/orders", false},
-                    repeat_row{"empty_segment_reaches_another_path", "GET", "/stock//x", false},
-                    repeat_row{"rule_with_final_slash_missed", "PUT", "/drafts/1", true},
-                    repeat_row{"rule_with_final_slash_matched_its_parent", "PUT", "/drafts", false}),
+    testing::Values(repeat_row {"rule_ignored", "GET", "/stock", true},
+                    repeat_row {"path_below_the_rule_missed", "GET", "/stock/4", true},
+                    repeat_row {"other_method_repeated", "POST", "/stock", false},
+                    repeat_row {"prefix_matched_within_a_segment", "GET", "/stocktaking", false},
+                    repeat_row {"unlisted_path_repeated", "GET", "/orders", false},
+                    repeat_row {"empty_path_repeated", "GET", "", false},
+                    repeat_row {"dot_segments_reach_another_path", "GET", "/stock/../orders", false},
+                    repeat_row {"encoded_dots_reach_another_path", "GET", "/stock/%2e%2e/orders", false},
+                    repeat_row {"empty_segment_reaches_another_path", "GET", "/stock//x", false},
+                    repeat_row {"rule_with_final_slash_missed", "PUT", "/drafts/1", true},
+                    repeat_row {"rule_with_final_slash_matched_its_parent", "PUT", "/drafts", false}),
     [](const auto &row) { return std::string(row.param.name); });
 
 } // namespace
--- a/tests/link/link_hub_test.cpp
+++ b/tests/link/link_hub_test.cpp
@@ -65,12 +65,22 @@
     return options;
 }
 
+result<std::unique_ptr<link_hub>> openHub(const link_options &options, const socket_address &address,
+                                          link_handler &handler)
+{
+    auto hub = link_hub::create(options, address, handler);
+    if (hub) {
+        hub.value()->open();
+    }
+    return hub;
+}
+
 TEST(link_hub, deliversFramesInOrderWithoutLoss)
 {
     recording_handler serverHandler;
     recording_handler clientHandler;
-    auto server = link_hub::start(optionsOf("server"), {}, serverHandler);
-    auto client = link_hub::start(optionsOf("client"), {}, clientHandler);
+    auto server = openHub(optionsOf("server"), {}, serverHandler);
+    auto client = openHub(optionsOf("client"), {}, clientHandler);
     ASSERT_TRUE(server) << server.error().toString();
     ASSERT_TRUE(client);
     client.value()->dial("server", "127.0.0.1:" + std::to_string(server.value()->port()));
@@ -90,12 +100,12 @@
 TEST(link_hub, dialsAgainAfterThePeerRestarted)
 {
     recording_handler clientHandler;
-    auto client = link_hub::start(optionsOf("client"), {}, clientHandler);
+    auto client = openHub(optionsOf("client"), {}, clientHandler);
     ASSERT_TRUE(client);
     socket_address address;
     {
         recording_handler serverHandler;
-        auto server = link_hub::start(optionsOf("server"), address, serverHandler);
+        auto server = openHub(optionsOf("server"), address, serverHandler);
         ASSERT_TRUE(server);
         address.port = server.value()->port();
         client.value()->dial("server", address.toString());
@@ -104,7 +114,7 @@
     ASSERT_TRUE(clientHandler.waitFor([](auto &seen) { return seen.m_reasons.size() == 1; }));
     EXPECT_FALSE(clientHandler.m_up[0]->send(data_frame {})) << "a dead connection accepted a frame";
     recording_handler serverHandler;
-    auto server = link_hub::start(optionsOf("server"), address, serverHandler);
+    auto server = openHub(optionsOf("server"), address, serverHandler);
     ASSERT_TRUE(server) << server.error().toString();
     EXPECT_TRUE(clientHandler.waitFor([](auto &seen) { return seen.m_up.size() == 2; }));
 }
@@ -115,8 +125,8 @@
     recording_handler clientHandler;
     link_options mute = optionsOf("server");
     mute.heartbeatInterval = 1h;
-    auto server = link_hub::start(mute, {}, serverHandler);
-    auto client = link_hub::start(optionsOf("client"), {}, clientHandler);
+    auto server = openHub(mute, {}, serverHandler);
+    auto client = openHub(optionsOf("client"), {}, clientHandler);
     ASSERT_TRUE(server);
     ASSERT_TRUE(client);
     client.value()->dial("server", "127.0.0.1:" + std::to_string(server.value()->port()));
--- a/tests/standins/raw_server.cpp
+++ b/tests/standins/raw_server.cpp
@@ -67,7 +67,7 @@
 raw_server::raw_server(connection_function function) : m_function(std::move(function))
 {
     m_listenSocket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
+    sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t length = sizeof address;
--- a/tests/standins/raw_server.h
+++ b/tests/standins/raw_server.h
@@ -53,7 +53,7 @@
     connection_function m_function;
     int m_listenSocket = -1;
     std::uint16_t m_port = 0;
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     std::vector<int> m_open; ///< Descriptors; shut down at the end, so that no function blocks.
     std::vector<std::thread> m_threads;
     std::thread m_acceptor;
