settings: parse and check the daemon's YAML settings

A daemon that starts with a misread setting fails later and elsewhere. The settings reader uses the strict mapping reader of src/config, so that every error of a file appears at once with line, key path, what was found and what was expected; sections of the other role are errors. Throwing at the first error was ruled out because operators would fix a file in as many runs as it has errors. A null value has no line of its own in yaml-cpp, so diagnostics now use the line of the key; the row for a list of teams expects that line.

--- a/src/config/configuration_reader.cpp
+++ b/src/config/configuration_reader.cpp
@@ -173,11 +173,11 @@
 {
     std::vector<std::string> hashes = node.texts("key_hashes");
     for (std::size_t index = 0; index < hashes.size(); ++index) {
-        const std::string key = "key_hashes[" + std::to_string(index) + "]";
         if (!isKeyHash(hashes[index])) {
-            node.reportFound(key, "\"" + hashes[index] + "\"", hashExpectation);
+            node.reportItem("key_hashes", index, "\"" + hashes[index] + "\"", hashExpectation);
         } else if (!m_hashes[section].insert(hashes[index]).second) {
-            node.reportFound(key, "a hash that another of " + section + " has", "a key of its own for each");
+            node.reportItem("key_hashes", index, "a hash that another of " + section + " has",
+                            "a key of its own for each");
         }
     }
     return hashes;
--- a/src/config/yaml_mapping.cpp
+++ b/src/config/yaml_mapping.cpp
@@ -27,6 +27,7 @@
                 {severity::error, pathOf(key), lineNumber(entry.first), "the key a second time", "each key once"});
         } else {
             m_order.push_back(key);
+            m_lines.emplace(key, lineNumber(entry.first));
         }
     }
 }
@@ -144,12 +145,10 @@
     }
     for (std::size_t index = 0; index < node->size(); ++index) {
         const YAML::Node item = (*node)[index];
-        const std::string itemPath = pathOf(key) + "[" + std::to_string(index) + "]";
         if (!item.IsScalar() || item.Scalar().empty()) {
-            m_problems->push_back({severity::error, itemPath, lineNumber(item), describe(item), "a text"});
+            reportItem(key, index, describe(item), "a text");
         } else if (std::find(values.begin(), values.end(), item.Scalar()) != values.end()) {
-            m_problems->push_back(
-                {severity::error, itemPath, lineNumber(item), describe(item) + " a second time", "each text once"});
+            reportItem(key, index, describe(item) + " a second time", "each text once");
         } else {
             values.push_back(item.Scalar());
         }
@@ -188,7 +187,11 @@
 yaml_mapping yaml_mapping::mapping(const std::string &key)
 {
     const YAML::Node *node = find(key);
-    return {node == nullptr ? YAML::Node(YAML::NodeType::Undefined) : *node, pathOf(key), *m_problems};
+    yaml_mapping below(node == nullptr ? YAML::Node(YAML::NodeType::Undefined) : *node, pathOf(key), *m_problems);
+    if (node == nullptr) {
+        below.m_line = lineOf(key);
+    }
+    return below;
 }
 
 void yaml_mapping::forEach(const std::string &key, const std::function<void(yaml_mapping &)> &read)
@@ -203,7 +206,7 @@
     }
     for (std::size_t index = 0; index < node->size(); ++index) {
         const YAML::Node item = (*node)[index];
-        yaml_mapping element(item, pathOf(key) + "[" + std::to_string(index) + "]", *m_problems);
+        yaml_mapping element(item, pathOf(key, index), *m_problems);
         if (item.IsMap()) {
             read(element);
             element.rejectUnknownKeys();
@@ -223,6 +226,12 @@
     m_problems->push_back({level, pathOf(key), lineOf(key), found, expected});
 }
 
+void yaml_mapping::reportItem(const std::string &key, std::size_t index, const std::string &found,
+                              const std::string &expected)
+{
+    m_problems->push_back({severity::error, pathOf(key, index), lineOf(key, index), found, expected});
+}
+
 void yaml_mapping::rejectUnknownKeys()
 {
     for (const std::string &key : m_order) {
@@ -239,9 +248,21 @@
 }
 
 int yaml_mapping::lineOf(const std::string &key) const
+{
+    const auto line = m_lines.find(key);
+    return line == m_lines.end() ? m_line : line->second;
+}
+
+std::string yaml_mapping::pathOf(const std::string &key, std::size_t index) const
+{
+    return pathOf(key) + "[" + std::to_string(index) + "]";
+}
+
+int yaml_mapping::lineOf(const std::string &key, std::size_t index) const
 {
     const auto entry = m_entries.find(key);
-    return entry == m_entries.end() ? m_line : lineNumber(entry->second);
+    const bool inside = entry != m_entries.end() && entry->second.IsSequence() && index < entry->second.size();
+    return inside ? lineNumber(entry->second[index]) : lineOf(key);
 }
 
 const YAML::Node *yaml_mapping::find(const std::string &key)
--- a/src/config/yaml_mapping.h
+++ b/src/config/yaml_mapping.h
@@ -60,15 +60,24 @@
     void reportFound(const std::string &key, const std::string &found, const std::string &expected,
                      severity level = severity::error);
 
+    /** Reports one element of a list. */
+    void reportItem(const std::string &key, std::size_t index, const std::string &found, const std::string &expected);
+
     /** Reports each key that was not read. Call it after all keys were read. */
     void rejectUnknownKeys();
 
     /** @returns the path of a key, for example "pools[2].members". */
     std::string pathOf(const std::string &key) const;
 
-    /** @returns the line of the key's value, or of the mapping when the key is absent. */
+    /** @returns the line of the key, or of the mapping when the key is absent. */
     int lineOf(const std::string &key) const;
 
+    /** @returns the path of an element of a list, for example "accounts[0].key_hashes[1]". */
+    std::string pathOf(const std::string &key, std::size_t index) const;
+
+    /** @returns the line of an element of a list. */
+    int lineOf(const std::string &key, std::size_t index) const;
+
     /** @returns the number of problems of the whole document so far. */
     std::size_t problemCount() const
     {
@@ -82,6 +91,7 @@
     std::string m_path;
     int m_line = 0;
     std::map<std::string, YAML::Node> m_entries;
+    std::map<std::string, int> m_lines; ///< Lines of the keys; a null value has no line of its own.
     std::vector<std::string> m_order; ///< Keys in order of the document.
     std::set<std::string> m_known; ///< Keys that were asked for.
     problem_list *m_problems;
--- /dev/null
+++ b/src/settings/settings_reader.cpp
@@ -0,0 +1,222 @@
+#include "settings/settings_reader.h"
+
+#include "config/text_check.h"
+
+#include <arpa/inet.h>
+#include <charconv>
+#include <set>
+#include <string_view>
+
+namespace bronzechute {
+
+namespace {
+
+constexpr int highestPort = 65535;
+constexpr std::int64_t longestTimeoutMs = 60LL * 60 * 1000;
+constexpr std::int64_t largestConcurrency = 100000;
+
+// A request travels in one frame of at most 4 MiB; 64 KiB of it are left for headers and other fields.
+constexpr std::int64_t largestBody = 4LL * 1024 * 1024 - 64LL * 1024;
+
+std::optional<std::uint16_t> parsePort(std::string_view text)
+{
+    int port = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, port);
+    if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end || port < 0 || port > highestPort) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint16_t>(port);
+}
+
+std::optional<socket_address> parseAddress(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    const auto port = parsePort(std::string_view(text).substr(colon + 1));
+    in_addr address{};
+    if (!port || inet_pton(AF_INET, text.substr(0, colon).c_str(), &address) != 1) {
+        return std::nullopt;
+    }
+    return socket_address{text.substr(0, colon), *port};
+}
+
+/** @returns whether the text is SCHEME://HOST:PORT with a scheme of those listed. */
+bool isBaseUrl(std::string_view text, const std::vector<std::string_view> &schemes)
+{
+    for (const std::string_view scheme : schemes) {
+        if (!text.starts_with(scheme)) {
+            continue;
+        }
+        const std::string_view rest = text.substr(scheme.size());
+        const auto colon = rest.find(':');
+        if (colon == std::string_view::npos || !isName(rest.substr(0, colon))) {
+            return false;
+        }
+        return parsePort(rest.substr(colon + 1)).value_or(0) != 0;
+    }
+    return false;
+}
+
+} // namespace
+
+daemon_settings settings_reader::read(const std::string &yaml)
+{
+    const std::size_t before = m_problems.size();
+    yaml_mapping document = yaml_mapping::load(yaml, m_problems);
+    if (m_problems.size() != before) {
+        return m_settings;
+    }
+    m_settings.role =
+        document.choice("role", {"entry", "endpoint"}, true) == "entry" ? daemon_role::entry : daemon_role::endpoint;
+    m_settings.node = document.requiredName("node");
+    m_settings.dataCentre = document.requiredName("data_centre");
+    m_settings.region = document.text("region");
+    if (!m_settings.region.empty() && !isName(m_settings.region)) {
+        document.report("region", nameExpectation);
+    }
+    m_settings.listen = readListen(document.mapping("listen"));
+    if (belongsTo(daemon_role::entry, document, "store")) {
+        readStore(document.mapping("store"));
+    }
+    if (belongsTo(daemon_role::entry, document, "entry")) {
+        readEntry(document.mapping("entry"));
+    }
+    if (belongsTo(daemon_role::endpoint, document, "endpoint")) {
+        m_settings.endpoint = readEndpoint(document.mapping("endpoint"));
+    }
+    yaml_mapping limits = document.mapping("limits");
+    m_settings.bodyLimit = static_cast<std::size_t>(
+        limits.integer("body_bytes", 1, largestBody, static_cast<std::int64_t>(m_settings.bodyLimit)));
+    limits.rejectUnknownKeys();
+    m_settings.drainTimeout = std::chrono::milliseconds(
+        document.integer("drain_timeout_ms", 0, longestTimeoutMs, m_settings.drainTimeout.count()));
+    yaml_mapping log = document.mapping("log");
+    m_settings.logLevel = log.choice("level", {"info", "trace", "debug", "warn", "error"});
+    m_settings.logFile = log.text("file");
+    log.rejectUnknownKeys();
+    document.rejectUnknownKeys();
+    return m_settings;
+}
+
+listen_settings settings_reader::readListen(yaml_mapping node)
+{
+    listen_settings listen;
+    listen.http = readAddress(node, "http", true, 0).value_or(listen.http);
+    listen.peers = readAddress(node, "peers", true, 0).value_or(listen.peers);
+    if (belongsTo(daemon_role::entry, node, "admin")) {
+        listen.admin = readAddress(node, "admin", false, 0);
+    }
+    yaml_mapping tls = node.mapping("tls");
+    if (node.has("tls")) {
+        listen.tlsCertificate = tls.requiredText("certificate", "a PEM file");
+        listen.tlsKey = tls.requiredText("key", "a PEM file");
+    }
+    tls.rejectUnknownKeys();
+    node.rejectUnknownKeys();
+    return listen;
+}
+
+void settings_reader::readStore(yaml_mapping node)
+{
+    constexpr const char *expected = "http://HOST:PORT or https://HOST:PORT";
+    m_settings.storeEndpoints = node.texts("endpoints");
+    if (!node.has("endpoints") || m_settings.storeEndpoints.empty()) {
+        node.report("endpoints", "a list of at least one " + std::string(expected));
+    }
+    for (std::size_t index = 0; index < m_settings.storeEndpoints.size(); ++index) {
+        const std::string &url = m_settings.storeEndpoints[index];
+        if (!isBaseUrl(url, {"http://", "https://"})) {
+            node.reportItem("endpoints", index, "\"" + url + "\"", expected);
+        }
+    }
+    m_settings.storeTimeout =
+        std::chrono::milliseconds(node.integer("timeout_ms", 1, longestTimeoutMs, m_settings.storeTimeout.count()));
+    node.rejectUnknownKeys();
+}
+
+void settings_reader::readEntry(yaml_mapping node)
+{
+    m_settings.endpoints = readPeers(node, "endpoints");
+    m_settings.peers = readPeers(node, "peers");
+    node.rejectUnknownKeys();
+}
+
+endpoint_settings settings_reader::readEndpoint(yaml_mapping node)
+{
+    constexpr const char *urlExpectation = "http://HOST:PORT";
+    endpoint_settings endpoint;
+    endpoint.labels = node.labels("labels");
+    yaml_mapping engine = node.mapping("engine");
+    endpoint.kind =
+        engine.choice("kind", {"model", "service"}, true) == "model" ? endpoint_kind::model : endpoint_kind::service;
+    endpoint.engineUrl = engine.requiredText("url", urlExpectation);
+    if (!endpoint.engineUrl.empty() && !isBaseUrl(endpoint.engineUrl, {"http://"})) {
+        engine.report("url", urlExpectation);
+    }
+    endpoint.models = engine.texts("models");
+    if (endpoint.kind == endpoint_kind::model && endpoint.models.empty()) {
+        engine.report("models", "a list of at least one model, because the kind is model");
+    } else if (endpoint.kind == endpoint_kind::service && engine.has("models")) {
+        engine.report("models", "no models, because the kind is service");
+    }
+    endpoint.engineIdleTimeout = std::chrono::milliseconds(
+        engine.integer("idle_timeout_ms", 1, longestTimeoutMs, endpoint.engineIdleTimeout.count()));
+    engine.rejectUnknownKeys();
+    endpoint.maxConcurrency =
+        static_cast<int>(node.integer("max_concurrency", 1, largestConcurrency, endpoint.maxConcurrency));
+    endpoint.queueLength = static_cast<int>(node.integer("queue_length", 0, largestConcurrency, endpoint.queueLength));
+    node.rejectUnknownKeys();
+    return endpoint;
+}
+
+std::optional<socket_address> settings_reader::readAddress(yaml_mapping &node, const std::string &key, bool required,
+                                                           int lowestPort)
+{
+    const std::string expected = lowestPort == 0 ? "an IPv4 address and port such as 127.0.0.1:8080"
+                                                 : "an IPv4 address and port such as 127.0.0.1:8080, port not 0";
+    const std::string text = required ? node.requiredText(key, expected) : node.text(key);
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    auto address = parseAddress(text);
+    if (!address || address->port < lowestPort) {
+        node.report(key, expected);
+        return std::nullopt;
+    }
+    return address;
+}
+
+std::vector<peer_settings> settings_reader::readPeers(yaml_mapping &node, const std::string &key)
+{
+    std::vector<peer_settings> peers;
+    std::set<std::string> names;
+    node.forEach(key, [&](yaml_mapping &item) {
+        peer_settings peer;
+        peer.name = item.requiredName("name");
+        if (!peer.name.empty() && !names.insert(peer.name).second) {
+            item.reportFound("name", "\"" + peer.name + "\" a second time", "a name of its own for each process");
+        }
+        peer.address = readAddress(item, "address", true, 1).value_or(peer.address);
+        peers.push_back(peer);
+    });
+    return peers;
+}
+
+bool settings_reader::belongsTo(daemon_role role, yaml_mapping &node, const std::string &key)
+{
+    if (m_settings.role == role) {
+        return true;
+    }
+    if (node.has(key)) {
+        node.reportFound(key, "the key",
+                         std::string("no such key, because the role is ")
+                             + (m_settings.role == daemon_role::entry ? "entry" : "endpoint"));
+    }
+    node.mapping(key); // Counts as known, so that it is reported once only.
+    return false;
+}
+
+} // namespace bronzechute
--- a/tests/config/configuration_parser_test.cpp
+++ b/tests/config/configuration_parser_test.cpp
@@ -158,9 +158,9 @@
                     "schema: 1\npools:\n  - {name: p, kind: model}\n",
                     {"f:3: pools[0].model: found nothing, expected the name of a model, because the kind is model"}},
         problem_row{
-            "short_hash_accepted",
-            "schema: 1\naccounts:\n  - {name: a, key_hashes: [abc]}\n",
-            {"f:3: accounts[0].key_hashes[0]: found \"abc\", expected 64 lower-case hexadecimal digits (SHA-256 "
+            "short_hash_accepted_or_its_line_lost",
+            "schema: 1\naccounts:\n  - name: a\n    key_hashes:\n      - abc\n",
+            {"f:5: accounts[0].key_hashes[0]: found \"abc\", expected 64 lower-case hexadecimal digits (SHA-256 "
              "of the key)"}},
         problem_row{"prefix_with_final_slash_accepted",
                     "schema: 1\npools:\n  - {name: p, kind: service}\nservices:\n  - {name: s, prefix: /s/}\n",
@@ -171,7 +171,7 @@
                     {"f:3: data_centres[0].state: found \"off\", expected in_service or out"}},
         problem_row{"teams_lock_everybody_out",
                     "schema: 1\nteams:\n  - {name: t}\n",
-                    {"f:3: teams: found no team with operator: true and a key, expected at least one"}},
+                    {"f:2: teams: found no team with operator: true and a key, expected at least one"}},
         problem_row{"name_unfit_for_a_path",
                     "schema: 1\nendpoints:\n  - {name: a/b}\n",
                     {"f:3: endpoints[0].name: found \"a/b\", expected 1 to 128 letters, digits, '.', '_' or '-'"}}),
