--- /dev/null
+++ b/src/http/curl_http_client.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "base/ranked_mutex.h"
+#include "http/curl_handle.h"
+#include "http/http_client.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace bronzechute {
+
+/**
+ * http_client on libcurl easy handles, which keep their connections open between calls.
+ *
+ * libcurl is used directly because the ulfius client opens a connection for each request and its timeout is in whole
+ * seconds.
+ */
+class curl_http_client : public http_client
+{
+public:
+    /**
+     * @param idleHandles handles, and so connections to each server, that are kept between calls
+     * @param answerLimit bytes of an answer's body
+     */
+    explicit curl_http_client(std::size_t idleHandles = 16, std::size_t answerLimit = std::size_t{16} * 1024 * 1024);
+
+    result<http_answer> perform(const http_call &call) override;
+
+private:
+    curl_easy_ptr takeHandle();
+    void returnHandle(curl_easy_ptr handle);
+
+    const std::size_t m_idleLimit;
+    const std::size_t m_answerLimit;
+    ranked_mutex m_mutex{lock_rank::leaf};
+    std::vector<curl_easy_ptr> m_idle;
+};
+
+} // namespace bronzechute
