--- a/src/store/platform_store.h
+++ b/src/store/platform_store.h
@@ -3,6 +3,7 @@
 #include "base/result.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -33,6 +34,17 @@
 
 using lease_id = std::int64_t; ///< 0 means no lease.
 
+/** One write that takes effect only if its key has the expected version. */
+struct store_write
+{
+    std::string key;
+    std::int64_t expectedModRevision = 0; ///< 0: the key must be absent.
+    std::string value;
+    lease_id lease = 0;
+
+    friend bool operator==(const store_write &, const store_write &) = default;
+};
+
 /**
  * A running watch. Destroying it ends the watch; no callback runs after the destructor returns.
  */
@@ -51,6 +63,8 @@
 class platform_store
 {
 public:
+    static constexpr std::size_t maxGroup = 100; ///< Below etcd's default limit of 128 operations in a transaction.
+
     virtual ~platform_store() = default;
 
     /** @returns the entry, or nothing when the key is absent. */
@@ -66,6 +80,20 @@
     virtual result<std::int64_t> compareAndSwap(const std::string &key, std::int64_t expectedModRevision,
                                                 const std::string &value, lease_id lease = 0) = 0;
 
+    /**
+     * Makes all writes in one transaction if every key has its expected version, or none.
+     * @param writes with distinct keys, at most maxGroup
+     * @returns the new modRevision, which all keys share; errc::conflict when a key has another version.
+     */
+    virtual result<std::int64_t> compareAndSwapAll(const std::vector<store_write> &writes) = 0;
+
+    /**
+     * Makes each write whose key has its expected version, in one call to the store.
+     * @param writes with distinct keys, at most maxGroup
+     * @returns for each write, what compareAndSwap would return.
+     */
+    virtual std::vector<result<std::int64_t>> compareAndSwapEach(const std::vector<store_write> &writes) = 0;
+
     /** Deletes the key if its modRevision equals the expected one. */
     virtual result<void> compareAndDelete(const std::string &key, std::int64_t expectedModRevision) = 0;
 
@@ -80,7 +108,8 @@
     /**
      * Calls back for each change of keys with the prefix, from one thread at a time. The watch reconnects by itself
      * and, after each (re)connection, first lists the prefix and reports every present entry, so that no change is
-     * missed; a caller has to tolerate repeated and older events.
+     * missed; a caller has to tolerate repeated and older events. Keys that vanished in between are
+     * reported as deleted. The watch must not be destroyed from its own callback.
      */
     virtual std::unique_ptr<store_watch> watch(const std::string &prefix,
                                                std::function<void(const store_event &)> onEvent) = 0;
