--- /dev/null
+++ b/tests/standins/forward_direction.cpp
@@ -0,0 +1,76 @@
+#include "standins/forward_direction.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace bronzechute::standins {
+
+namespace {
+
+constexpr std::size_t bufferLimit = std::size_t{256} * 1024;
+constexpr std::size_t blockBytes = std::size_t{16} * 1024;
+
+bool wouldBlock()
+{
+    return errno == EAGAIN || errno == EINTR;
+}
+
+} // namespace
+
+bool forward_direction::wantsRead() const
+{
+    return !m_endRead && m_buffered < bufferLimit;
+}
+
+bool forward_direction::wantsWrite(time_point now) const
+{
+    return !m_chunks.empty() && m_chunks.front().due <= now;
+}
+
+time_point forward_direction::nextDue() const
+{
+    return m_chunks.empty() ? time_point::max() : m_chunks.front().due;
+}
+
+bool forward_direction::read(time_point due)
+{
+    char block[blockBytes];
+    const ssize_t count = recv(m_from, block, sizeof block, 0);
+    if (count < 0) {
+        return wouldBlock();
+    }
+    m_endRead = count == 0;
+    m_buffered += static_cast<std::size_t>(count);
+    m_chunks.push_back({due, std::string(block, static_cast<std::size_t>(count))});
+    return true;
+}
+
+bool forward_direction::write(time_point now, std::uint64_t &allowance)
+{
+    while (wantsWrite(now) && allowance > 0) {
+        std::string &bytes = m_chunks.front().bytes;
+        if (bytes.empty()) {
+            shutdown(m_to, SHUT_WR);
+            m_endSent = true;
+            m_chunks.pop_front();
+            return true;
+        }
+        const std::size_t length = std::min<std::uint64_t>(bytes.size(), allowance);
+        const ssize_t count = send(m_to, bytes.data(), length, MSG_NOSIGNAL);
+        if (count < 0) {
+            return wouldBlock();
+        }
+        const auto written = static_cast<std::size_t>(count);
+        m_forwarded += written;
+        m_buffered -= written;
+        allowance -= written;
+        bytes.erase(0, written);
+        if (bytes.empty()) {
+            m_chunks.pop_front();
+        }
+    }
+    return true;
+}
+
+} // namespace bronzechute::standins
