policy: table and property tests of the decision library

Cause: the decision library had no tests, and its faults would show only in the processes, where they depend on timing.

Ruled out: tests through the processes for these rules, since a table of values shows the same fault without waiting for it.

--- /dev/null
+++ b/tests/policy/fair_queue_test.cpp
@@ -0,0 +1,220 @@
+#include "policy/fair_queue.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <functional>
+#include <numeric>
+
+namespace bronzechute {
+namespace {
+
+const time_point start{std::chrono::hours(1)};
+
+queued_request make(std::uint64_t id, const char *account, int priority = 5, int weight = 1,
+                    std::chrono::seconds patience = std::chrono::seconds(60))
+{
+    return {.id = {0, id}, .account = account, .weight = weight, .priority = priority, .deadline = start + patience};
+}
+
+/** @returns ids in the order in which they come out. */
+std::vector<std::uint64_t> drain(fair_queue &queue, time_point now = start)
+{
+    std::vector<std::uint64_t> ids;
+    while (const auto next = queue.pop(now).next) {
+        ids.push_back(next->id.low);
+    }
+    return ids;
+}
+
+struct order_row
+{
+    const char *name; ///< The failure that the row guards against.
+    std::function<void(fair_queue &)> fill; ///< The queue holds at most 6.
+    std::vector<std::uint64_t> expected;
+};
+
+class queue_order : public testing::TestWithParam<order_row>
+{
+};
+
+TEST_P(queue_order, popsInOrder)
+{
+    fair_queue queue({.capacity = 6, .lowerShare = 3});
+    GetParam().fill(queue);
+    EXPECT_EQ(drain(queue), GetParam().expected);
+    EXPECT_EQ(queue.size(), 0U);
+    EXPECT_FALSE(queue.nextDeadline());
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, queue_order,
+                         testing::Values(order_row{"account_order_not_kept",
+                                                   [](fair_queue &q) {
+                                                       q.push(make(1, "a"));
+                                                       q.push(make(2, "a"));
+                                                       q.push(make(3, "a"));
+                                                   },
+                                                   {1, 2, 3}},
+                                         order_row{"small_account_waits_behind_large",
+                                                   [](fair_queue &q) {
+                                                       q.push(make(1, "a"));
+                                                       q.push(make(2, "a"));
+                                                       q.push(make(3, "a"));
+                                                       q.push(make(4, "b"));
+                                                   },
+                                                   {1, 4, 2, 3}},
+                                         order_row{"weight_ignored",
+                                                   [](fair_queue &q) {
+                                                       for (std::uint64_t id = 1; id <= 4; ++id) {
+                                                           q.push(make(id, "a", 5, 3));
+                                                       }
+                                                       q.push(make(5, "b"));
+                                                       q.push(make(6, "b"));
+                                                   },
+                                                   {1, 5, 2, 3, 4, 6}},
+                                         order_row{"higher_priority_waits",
+                                                   [](fair_queue &q) {
+                                                       q.push(make(1, "a", 1));
+                                                       q.push(make(2, "a", 9));
+                                                   },
+                                                   {2, 1}},
+                                         order_row{"lower_priority_starves",
+                                                   [](fair_queue &q) {
+                                                       for (std::uint64_t id = 1; id <= 5; ++id) {
+                                                           q.push(make(id, "a", 9));
+                                                       }
+                                                       q.push(make(6, "b", 1));
+                                                   },
+                                                   {1, 2, 6, 3, 4, 5}},
+                                         order_row{"cancelled_runs",
+                                                   [](fair_queue &q) {
+                                                       q.push(make(1, "a"));
+                                                       q.push(make(2, "a"));
+                                                       EXPECT_TRUE(q.cancel({0, 1}));
+                                                       EXPECT_FALSE(q.cancel({0, 1}));
+                                                   },
+                                                   {2}},
+                                         order_row{"same_id_queued_twice",
+                                                   [](fair_queue &q) {
+                                                       q.push(make(1, "a"));
+                                                       EXPECT_FALSE(q.push(make(1, "a")).queued);
+                                                   },
+                                                   {1}},
+                                         order_row{"flood_displaces_others",
+                                                   [](fair_queue &q) {
+                                                       q.push(make(1, "b"));
+                                                       for (std::uint64_t id = 2; id <= 6; ++id) {
+                                                           q.push(make(id, "a"));
+                                                       }
+                                                       const auto result = q.push(make(7, "a"));
+                                                       EXPECT_FALSE(result.queued);
+                                                       EXPECT_FALSE(result.displaced);
+                                                   },
+                                                   {1, 2, 3, 4, 5, 6}},
+                                         order_row{"flood_keeps_others_out",
+                                                   [](fair_queue &q) {
+                                                       for (std::uint64_t id = 1; id <= 6; ++id) {
+                                                           q.push(make(id, "a"));
+                                                       }
+                                                       const auto result = q.push(make(7, "b"));
+                                                       EXPECT_TRUE(result.queued);
+                                                       ASSERT_TRUE(result.displaced);
+                                                       EXPECT_EQ(result.displaced->id.low, 6U);
+                                                   },
+                                                   {1, 7, 2, 3, 4, 5}},
+                                         order_row{"idle_account_saves_up_a_claim",
+                                                   [](fair_queue &q) {
+                                                       q.push(make(1, "b"));
+                                                       drain(q);
+                                                       for (std::uint64_t id = 2; id <= 6; ++id) {
+                                                           q.push(make(id, "a"));
+                                                       }
+                                                       EXPECT_EQ(q.pop(start).next->id.low, 2U);
+                                                       EXPECT_EQ(q.pop(start).next->id.low, 3U);
+                                                       q.push(make(7, "b"));
+                                                       q.push(make(8, "b"));
+                                                   },
+                                                   {7, 4, 8, 5, 6}}),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+// Guards against an expired request that runs, and one that is never answered.
+TEST(queue_deadline, expiredComeOutAndDoNotRun)
+{
+    fair_queue queue;
+    queue.push(make(1, "a", 5, 1, std::chrono::seconds(1)));
+    queue.push(make(2, "a", 5, 1, std::chrono::seconds(3)));
+    EXPECT_EQ(queue.nextDeadline(), start + std::chrono::seconds(1));
+    const auto result = queue.pop(start + std::chrono::seconds(1));
+    ASSERT_EQ(result.expired.size(), 1U);
+    EXPECT_EQ(result.expired[0].id.low, 1U);
+    ASSERT_TRUE(result.next);
+    EXPECT_EQ(result.next->id.low, 2U);
+}
+
+// Guards against accounts that always have requests waiting and get less than their weight.
+RC_GTEST_PROP(queue_property, backloggedAccountsGetTheirWeight, ())
+{
+    const auto weights = *rc::gen::container<std::vector<int>>(*rc::gen::inRange(2, 6), rc::gen::inRange(1, 6));
+    const int total = std::accumulate(weights.begin(), weights.end(), 0);
+    fair_queue queue({.capacity = 1000});
+    std::uint64_t id = 0;
+    const auto refill = [&](std::size_t account) {
+        const std::string name = "account-" + std::to_string(account);
+        queue.push({{0, ++id}, name, weights[account], 5, start + std::chrono::seconds(60)});
+    };
+    for (std::size_t account = 0; account < weights.size(); ++account) {
+        refill(account);
+        refill(account);
+    }
+    std::vector<int> served(weights.size());
+    const int rounds = 20;
+    for (int pop = 0; pop < rounds * total; ++pop) {
+        const std::size_t account = std::stoul(queue.pop(start).next->account.substr(8));
+        ++served[account];
+        refill(account);
+    }
+    for (std::size_t account = 0; account < weights.size(); ++account) {
+        RC_ASSERT(std::abs(served[account] - rounds * weights[account]) <= 2);
+    }
+}
+
+// Guards against requests that are lost or come out twice, whatever the order of events.
+RC_GTEST_PROP(queue_property, everyRequestComesOutOnce, ())
+{
+    fair_queue queue({.capacity = 8, .lowerShare = 3});
+    const auto events = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100000));
+    std::set<std::uint64_t> inside;
+    const auto leave = [&](const queued_request &request) {
+        RC_ASSERT(inside.erase(request.id.low) == 1U);
+    };
+    time_point now = start;
+    std::uint64_t id = 0;
+    for (const int event : events) {
+        now += std::chrono::milliseconds(event % 300);
+        if (event % 5 < 3) {
+            const std::string account(1, static_cast<char>('a' + event % 4));
+            const auto pushed = queue.push(
+                {{0, ++id}, account, 1 + event % 3, event % 10, now + std::chrono::milliseconds(event % 2000)});
+            if (pushed.displaced) {
+                leave(*pushed.displaced);
+            }
+            if (pushed.queued) {
+                inside.insert(id);
+            }
+        } else if (event % 5 == 3) {
+            const auto popped = queue.pop(now);
+            std::for_each(popped.expired.begin(), popped.expired.end(), leave);
+            if (popped.next) {
+                RC_ASSERT(popped.next->deadline > now);
+                leave(*popped.next);
+            }
+        } else if (const auto cancelled = queue.cancel({0, id})) {
+            leave(*cancelled);
+        }
+        RC_ASSERT(queue.size() == inside.size());
+        RC_ASSERT(queue.size() <= 8U);
+    }
+}
+
+} // namespace
+} // namespace bronzechute
