--- /dev/null
+++ b/bench/policy_scenario.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace bronzechute::policy_model {
+
+constexpr int endpointCount = 16;
+constexpr int entryCount = 4;
+constexpr int accountCount = 10;
+constexpr int prefixCount = 64;
+constexpr double measureFrom = 25; ///< Seconds; before it the policies learn.
+constexpr double measureTo = 85;
+constexpr double arrivalsEnd = 90;
+constexpr double deadlineSeconds = 10;
+constexpr double firstArrival = 0.6; ///< By then each entry has heard every endpoint.
+
+/** One course of events. */
+struct scenario
+{
+    std::string name;
+    double load = 0.8; ///< Offered load over capacity, without the flood.
+    double hotShare = 0; ///< Share of the requests with the same prefix.
+    double floodLoad = 0; ///< Load over capacity that account 0 adds.
+    double slowness = 1; ///< Of endpoint 0, from second 20.
+    int restarts = 0; ///< Engines that restart at second 30, from endpoint 0 on; they are away for 10 s.
+    int vanish = 0; ///< VMs that fall silent at second 30, from endpoint 0 on, and return cold at second 50.
+};
+
+struct arrival
+{
+    double at = 0;
+    int account = 0;
+    int prefix = 0;
+    int tokens = 0;
+    int entry = 0;
+};
+
+/** @returns Poisson arrivals, equal for every policy. */
+inline std::vector<arrival> makeArrivals(const scenario &course, double capacity, std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    std::vector<arrival> arrivals;
+    const double base = course.load * capacity;
+    const double flood = course.floodLoad * capacity;
+    std::exponential_distribution<double> gap(base + flood);
+    std::uniform_real_distribution<double> part(0, 1);
+    std::geometric_distribution<int> tokens(1.0 / 50);
+    for (double at = firstArrival + gap(random); at < arrivalsEnd; at += gap(random)) {
+        arrival each;
+        each.at = at;
+        const bool flooding = part(random) * (base + flood) < flood;
+        each.account = flooding ? 0 : 1 + static_cast<int>(random() % (accountCount - 1));
+        each.prefix = part(random) < course.hotShare ? 0 : static_cast<int>(random() % prefixCount);
+        each.tokens = 10 + std::min(140, tokens(random));
+        each.entry = static_cast<int>(random() % entryCount);
+        arrivals.push_back(each);
+    }
+    return arrivals;
+}
+
+} // namespace bronzechute::policy_model
--- a/src/policy/adaptive_limiter.cpp
+++ b/src/policy/adaptive_limiter.cpp
@@ -63,7 +63,7 @@
         return;
     }
     onWarm(now, sample, pace);
-    if (!m_cold && limitInUse && sample.outcome == answer_outcome::answered && meetsTargets(sample, pace)) {
+    if (!m_cold && limitInUse && sample.outcome == answer_outcome::answered && m_missShare < m_settings.missShare / 2) {
         // One more for each limit's worth of answers.
         m_adaptive = std::min(m_adaptive + 1.0 / m_adaptive, static_cast<double>(std::max(1, m_settings.maximum)));
     }
@@ -80,9 +80,7 @@
 void adaptive_limiter::onCold(time_point now, const answer_sample &sample, double pace)
 {
     if (sample.outcome == answer_outcome::failed) {
-        m_cap = std::max(1, m_cap / 2);
-        m_capChangedAt = now;
-        m_peakInFlight = m_inFlight;
+        changeCap(now, std::max(1, m_cap / 2));
         return;
     }
     const bool atWarmSpeed = meetsTargets(sample, pace) && (!m_warmPace || pace <= *m_warmPace * m_settings.warmFactor);
@@ -96,9 +94,10 @@
     if (!startedAtThisCap || m_peakInFlight * 2 < m_cap) {
         return;
     }
-    m_cap *= 2;
-    m_capChangedAt = now;
-    m_peakInFlight = m_inFlight;
+    if (++m_proofs < m_cap * m_settings.proofShare) {
+        return;
+    }
+    changeCap(now, m_cap * 2);
     if (m_cap >= static_cast<int>(m_adaptive)) {
         m_cold = false;
         m_drops = 0;
@@ -122,11 +121,20 @@
     }
     m_drops = 0;
     m_warmPace = m_warmPace ? *m_warmPace + smoothing * (pace - *m_warmPace) : pace;
-    if (!meetsTargets(sample, pace)) {
+    m_missShare += smoothing * ((meetsTargets(sample, pace) ? 0.0 : 1.0) - m_missShare);
+    if (m_missShare > m_settings.missShare) {
         decrease(now);
     }
 }
 
+void adaptive_limiter::changeCap(time_point now, int cap)
+{
+    m_cap = cap;
+    m_proofs = 0;
+    m_capChangedAt = now;
+    m_peakInFlight = m_inFlight;
+}
+
 void adaptive_limiter::decrease(time_point now)
 {
     if (now - m_decreasedAt >= m_settings.decreaseInterval) {
@@ -156,10 +164,8 @@
 void adaptive_limiter::markCold(time_point now)
 {
     m_cold = true;
-    m_cap = 1;
     m_drops = 0;
-    m_capChangedAt = now;
-    m_peakInFlight = 0;
+    changeCap(now, 1);
 }
 
 } // namespace bronzechute
--- a/src/policy/adaptive_limiter.h
+++ b/src/policy/adaptive_limiter.h
@@ -12,9 +12,9 @@
  * Additive increase while the limit is in use and answers meet the targets, multiplicative decrease otherwise, under a
  * cold-start cap that begins at 1.
  *
- * The cap doubles with a proof: an answer at warm speed that started after the last change of the cap, while at least
- * half of the cap was in use. The engine becomes cold again with a new start id, after consecutive answers far below
- * warm speed, and on markCold().
+ * The cap doubles with a proof: answers at warm speed for half of the cap, all started after the last change of the
+ * cap, while at least half of the cap was in use. The engine becomes cold again with a new start id, after consecutive
+ * answers far below warm speed, and on markCold().
  */
 class adaptive_limiter : public admission_limiter
 {
@@ -38,6 +38,7 @@
     void onCold(time_point now, const answer_sample &sample, double pace);
     void onWarm(time_point now, const answer_sample &sample, double pace);
     void decrease(time_point now);
+    void changeCap(time_point now, int cap);
 
     const limiter_settings m_settings;
     double m_adaptive; ///< Limit of the warm engine.
@@ -45,6 +46,8 @@
     bool m_cold = true;
     int m_inFlight = 0;
     int m_peakInFlight = 0; ///< Since the last change of the cap.
+    int m_proofs = 0; ///< Answers at warm speed that started at the present cap.
+    double m_missShare = 0; ///< Smoothed share of answers that miss a target.
     int m_drops = 0; ///< Consecutive answers far below warm speed.
     std::optional<double> m_warmPace; ///< Smoothed seconds a token (or a call) of the warm engine.
     time_point m_capChangedAt{};
--- a/src/policy/load_aware_chooser.cpp
+++ b/src/policy/load_aware_chooser.cpp
@@ -15,10 +15,10 @@
     return value ^ (value >> 33);
 }
 
-int estimatedLoad(const endpoint_candidate &candidate)
+int estimatedLoad(const endpoint_candidate &candidate, int entries)
 {
-    const int sentSince = std::max(0, candidate.ownInFlight - candidate.ownInFlightAtStatus);
-    return std::max(candidate.ownInFlight, candidate.inFlight + candidate.queued + sentSince);
+    const int change = (candidate.ownInFlight - candidate.ownInFlightAtStatus) * entries;
+    return std::max(candidate.ownInFlight, candidate.inFlight + candidate.queued + change);
 }
 
 } // namespace
@@ -49,7 +49,7 @@
         if (candidate.ejected) {
             return index; // A probe is due; without a request sent to it the endpoint would never return.
         }
-        const int load = estimatedLoad(candidate);
+        const int load = estimatedLoad(candidate, m_settings.entries);
         // A cold engine fails when it gets more than its cap, so a cold endpoint is not used as overflow.
         if (candidate.cold && load >= candidate.limit) {
             continue;
--- a/src/policy/load_aware_chooser.h
+++ b/src/policy/load_aware_chooser.h
@@ -11,11 +11,12 @@
 /**
  * Selects by estimated utilisation, with prefix affinity that is bounded by load.
  *
- * Utilisation is (reported in flight and queued, plus what this entry has sent since that report) over the reported
- * limit. A request with a prefix goes to the endpoint of the highest affinity or, for equal affinity, of the highest
- * rendezvous hash of prefix and name, among those under the bound; so entries that share no state agree. Otherwise the
- * least utilised of a few random candidates is taken, which keeps entries with the same lagging view from all selecting
- * the same endpoint.
+ * Utilisation is the estimated load over the reported limit. The estimate is the reported load (in flight and queued)
+ * and the change of this entry's own requests since the report, times the number of entries: the others are taken to
+ * behave alike, because all see the same lagging reports. A request with a prefix goes to the endpoint of the highest
+ * affinity or, for equal affinity, of the highest rendezvous hash of prefix and name, among those under the bound; so
+ * entries that share no state agree. Otherwise the least utilised of a few random candidates is taken, which keeps
+ * entries with the same lagging view from all selecting the same endpoint.
  */
 class load_aware_chooser : public endpoint_chooser
 {
