--- a/bench/choice_bench.cpp
+++ b/bench/choice_bench.cpp
@@ -30,9 +30,9 @@
         candidate.meanServiceMs = 900 + static_cast<double>(random() % 200);
         candidates.push_back(candidate);
     }
-    const std::vector<std::uint64_t> chain{42, 43};
-    const std::vector<std::string_view> tried{names.front()};
-    choice_request request{.localDataCentre = "se-south-a", .prefixChain = {}, .priority = 5, .tried = tried};
+    const std::vector<std::uint64_t> chain {42, 43};
+    const std::vector<std::string_view> tried {names.front()};
+    choice_request request {.localDataCentre = "se-south-a", .prefixChain = {}, .priority = 5, .tried = tried};
     if (state.range(1) == 1) {
         request.prefixChain = chain;
     }
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -28,7 +28,7 @@
     std::optional<baseline> selection; ///< Absent: load_aware_chooser with breaker and prefix index.
     bool adaptive =
         false; ///< adaptive_limiter and fair_queue, instead of a fixed limit and a first-in first-out queue.
-    load_aware_settings chooser{.entries = entryCount};
+    load_aware_settings chooser {.entries = entryCount};
 };
 
 struct outcome_counts
@@ -145,7 +145,7 @@
     {
         std::unique_ptr<endpoint_chooser> chooser;
         circuit_breaker breaker;
-        prefix_index prefixes{4096};
+        prefix_index prefixes {4096};
         retry_budget budget;
         std::array<view, endpointCount> views;
     };
--- a/bench/policy_model_entry.h
+++ b/bench/policy_model_entry.h
@@ -53,7 +53,7 @@
     entry_state &entry = entryOf(request);
     request_state &state = m_requests[request];
     const auto chain = chainOf(request);
-    const choice_request wanted{.localDataCentre = "a", .prefixChain = chain, .priority = 5, .tried = state.tried};
+    const choice_request wanted {.localDataCentre = "a", .prefixChain = chain, .priority = 5, .tried = state.tried};
     const auto chosen = entry.chooser->choose(candidates(entry, request), wanted, m_random);
     if (!chosen) {
         state.done = true;
--- a/src/base/lock_rank.h
+++ b/src/base/lock_rank.h
@@ -7,6 +7,7 @@
  */
 enum class lock_rank : int {
     role = 10, ///< Start and stop of a role.
+    configuration = 20, ///< Putting a configuration in force.
     membership = 30, ///< Which endpoints and peers are known.
     request_table = 40, ///< Requests by id.
     request = 50, ///< One request's state.
@@ -15,7 +16,6 @@
     link_table = 80, ///< Connections by peer.
     link = 90, ///< One connection's send queue.
     backend = 100, ///< Transfers to the local engine or service.
-    configuration = 105, ///< The configuration in force.
     store = 110, ///< The store adapter's connections.
     metrics = 120, ///< Metric families.
     leaf = 130, ///< Locks under which nothing else is called.
--- a/src/http/curl_http_client.cpp
+++ b/src/http/curl_http_client.cpp
@@ -126,7 +126,7 @@
     const curl_list_ptr headers = toCurlList(call.headers);
     curl_easy_ptr handle = takeHandle();
     if (handle == nullptr) {
-        return error{errc::unavailable, callStep, call.url, "no memory for a transfer"};
+        return error {errc::unavailable, callStep, call.url, "no memory for a transfer"};
     }
     configure(handle.get(), call, headers.get(), state);
     const CURLcode code = curl_easy_perform(handle.get());
@@ -144,11 +144,11 @@
         discarded.swap(m_idle);
     }
     if (state.tooLarge) {
-        return error{errc::too_large, callStep, call.url,
-                     "the answer exceeds " + std::to_string(m_answerLimit) + " bytes"};
+        return error {errc::too_large, callStep, call.url,
+                      "the answer exceeds " + std::to_string(m_answerLimit) + " bytes"};
     }
-    return error{state.sends > 0 ? errc::outcome_unknown : errc::unavailable, callStep, call.url,
-                 curl_easy_strerror(code)};
+    return error {state.sends > 0 ? errc::outcome_unknown : errc::unavailable, callStep, call.url,
+                  curl_easy_strerror(code)};
 }
 
 } // namespace bronzechute
--- a/src/http/curl_http_client.h
+++ b/src/http/curl_http_client.h
@@ -22,7 +22,7 @@
      * @param idleHandles handles, and so connections to each server, that are kept between calls
      * @param answerLimit bytes of an answer's body
      */
-    explicit curl_http_client(std::size_t idleHandles = 16, std::size_t answerLimit = std::size_t{16} * 1024 * 1024);
+    explicit curl_http_client(std::size_t idleHandles = 16, std::size_t answerLimit = std::size_t {16} * 1024 * 1024);
 
     result<http_answer> perform(const http_call &call) override;
 
@@ -32,7 +32,7 @@
 
     const std::size_t m_idleLimit;
     const std::size_t m_answerLimit;
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     std::vector<curl_easy_ptr> m_idle;
 };
 
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -15,8 +15,8 @@
     std::string url;
     header_list headers;
     std::string body; ///< Sent with methods other than GET.
-    std::chrono::milliseconds timeout{1500}; ///< For the whole call, connecting included.
-    std::chrono::milliseconds connectTimeout{500}; ///< For the connection alone.
+    std::chrono::milliseconds timeout {1500}; ///< For the whole call, connecting included.
+    std::chrono::milliseconds connectTimeout {500}; ///< For the connection alone.
     bool mayRepeat = false; ///< Whether the client may send the call again over a new connection.
 
     friend bool operator==(const http_call &, const http_call &) = default;
--- a/src/http/http_stream_reader.cpp
+++ b/src/http/http_stream_reader.cpp
@@ -48,7 +48,7 @@
 struct http_stream_reader::state
 {
     std::unique_ptr<CURLM, multi_deleter> multi;
-    std::atomic<bool> stopped{false};
+    std::atomic<bool> stopped {false};
 };
 
 http_stream_reader::http_stream_reader() : m_state(std::make_unique<state>())
@@ -70,7 +70,7 @@
 {
     const curl_easy_ptr handle(curl_easy_init());
     const curl_list_ptr headers = toCurlList(call.headers);
-    stream_transfer transfer{handle.get(), &onData, boot_clock::now(), false};
+    stream_transfer transfer {handle.get(), &onData, boot_clock::now(), false};
     curl_easy_setopt(handle.get(), CURLOPT_URL, call.url.c_str());
     curl_easy_setopt(handle.get(), CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(handle.get(), CURLOPT_PROXY, "");
@@ -94,33 +94,34 @@
     int running = 1;
     while (running > 0) {
         if (m_state->stopped) {
-            return error{errc::cancelled, streamStep, call.url, {}};
+            return error {errc::cancelled, streamStep, call.url, {}};
         }
         const CURLMcode code = curl_multi_perform(multi, &running);
         if (code != CURLM_OK) {
-            return error{errc::unavailable, streamStep, call.url, curl_multi_strerror(code)};
+            return error {errc::unavailable, streamStep, call.url, curl_multi_strerror(code)};
         }
         const auto quiet = std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - transfer.lastData);
         if (running > 0 && quiet >= silence) {
-            return error{errc::timed_out, streamStep, call.url, "no data for " + std::to_string(quiet.count()) + " ms"};
+            return error {errc::timed_out, streamStep, call.url,
+                          "no data for " + std::to_string(quiet.count()) + " ms"};
         }
         if (running > 0) {
             curl_multi_poll(multi, nullptr, 0, static_cast<int>(std::max<long>(1, (silence - quiet).count())), nullptr);
         }
     }
     if (transfer.refused) {
-        return error{errc::cancelled, streamStep, call.url, {}};
+        return error {errc::cancelled, streamStep, call.url, {}};
     }
     int remaining = 0;
     const CURLMsg *message = curl_multi_info_read(multi, &remaining);
     if (message == nullptr || message->data.result != CURLE_OK) {
-        return error{errc::unavailable, streamStep, call.url,
-                     message == nullptr ? "transfer ended" : curl_easy_strerror(message->data.result)};
+        return error {errc::unavailable, streamStep, call.url,
+                      message == nullptr ? "transfer ended" : curl_easy_strerror(message->data.result)};
     }
     long status = 0;
     curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
     if (status != 200) {
-        return error{errc::unavailable, streamStep, call.url, "HTTP status " + std::to_string(status)};
+        return error {errc::unavailable, streamStep, call.url, "HTTP status " + std::to_string(status)};
     }
     return success();
 }
--- a/src/policy/limiter_settings.h
+++ b/src/policy/limiter_settings.h
@@ -15,7 +15,7 @@
     int dropAnswers = 3; ///< Consecutive drops that make the engine cold; one may be a long prompt.
     double warmFactor = 1.5; ///< An answer up to this many times slower than warm speed is at warm speed.
     double serviceFactor = 2; ///< A plain service slower than this multiple of its warm speed is overloaded.
-    std::chrono::milliseconds decreaseInterval{1000}; ///< At most one decrease in this time: effects take that long.
+    std::chrono::milliseconds decreaseInterval {1000}; ///< At most one decrease in this time: effects take that long.
     double missShare = 0.2; ///< The limit falls while more than this share of the answers miss a target.
     double proofShare = 0.5; ///< Answers at warm speed that double the cap, as a share of the cap.
 };
--- a/src/policy/load_aware_settings.h
+++ b/src/policy/load_aware_settings.h
@@ -7,7 +7,7 @@
 /** Parameters of load_aware_chooser. */
 struct load_aware_settings
 {
-    std::chrono::milliseconds statusLifetime{2000}; ///< An endpoint with an older status gets nothing.
+    std::chrono::milliseconds statusLifetime {2000}; ///< An endpoint with an older status gets nothing.
     int entries = 1; ///< Entries that send to the same endpoints, this one included.
     int samples = 3; ///< Candidates compared for a request without affinity.
     double affinityBound = 1.25; ///< An endpoint keeps a prefix up to this multiple of the mean utilisation...
--- a/src/settings/daemon_settings.cpp
+++ b/src/settings/daemon_settings.cpp
@@ -42,11 +42,11 @@
     // Opening a directory succeeds, reading it fails without a reason.
     std::error_code ignored;
     if (std::filesystem::is_directory(path, ignored)) {
-        return error{errc::not_found, readStep, path, std::strerror(EISDIR)};
+        return error {errc::not_found, readStep, path, std::strerror(EISDIR)};
     }
     std::ifstream file(path, std::ios::binary);
     if (!file) {
-        return error{errc::not_found, readStep, path, std::strerror(errno)};
+        return error {errc::not_found, readStep, path, std::strerror(errno)};
     }
     return std::string(std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
 }
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -36,11 +36,11 @@
         return std::nullopt;
     }
     const auto port = parsePort(std::string_view(text).substr(colon + 1));
-    in_addr address{};
+    in_addr address {};
     if (!port || inet_pton(AF_INET, text.substr(0, colon).c_str(), &address) != 1) {
         return std::nullopt;
     }
-    return socket_address{text.substr(0, colon), *port};
+    return socket_address {text.substr(0, colon), *port};
 }
 
 /** @returns whether the text is SCHEME://HOST:PORT with a scheme of those listed. */
--- a/src/store/etcd_connection.cpp
+++ b/src/store/etcd_connection.cpp
@@ -70,15 +70,15 @@
     if (!answer) {
         // An answer over the client's limit comes from a call that the store has handled.
         const bool tooLarge = answer.error().code == errc::too_large && kind == effect::write;
-        return tooLarge ? error{errc::outcome_unknown, "store.call", url, answer.error().detail} : answer.error();
+        return tooLarge ? error {errc::outcome_unknown, "store.call", url, answer.error().detail} : answer.error();
     }
     if (answer.value().status > lastSuccessStatus) {
         return refusalOf(answer.value(), url);
     }
     json parsed = json::parse(answer.value().body, nullptr, false);
     if (!parsed.is_object()) {
-        return error{kind == effect::write ? errc::outcome_unknown : errc::protocol_violation, "store.call", url,
-                     "the answer is not a JSON object"};
+        return error {kind == effect::write ? errc::outcome_unknown : errc::protocol_violation, "store.call", url,
+                      "the answer is not a JSON object"};
     }
     return parsed;
 }
@@ -89,7 +89,7 @@
     const time_point end = boot_clock::now() + m_options.callTimeout;
     const std::size_t count = m_options.endpoints.size();
     const std::size_t first = m_preferred.load();
-    error last{errc::unavailable, "store.call", {}, "no endpoint is configured"};
+    error last {errc::unavailable, "store.call", {}, "no endpoint is configured"};
     for (std::size_t attempt = 0; attempt < count; ++attempt) {
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(end - boot_clock::now());
         if (left.count() <= 0) {
--- a/src/store/etcd_connection.h
+++ b/src/store/etcd_connection.h
@@ -17,10 +17,10 @@
 struct etcd_store_options
 {
     std::vector<std::string> endpoints; ///< "http://host:port" of each member, tried in order.
-    std::chrono::milliseconds callTimeout{1500}; ///< For a whole call, all endpoints included.
-    std::chrono::milliseconds connectTimeout{400};
-    std::chrono::milliseconds watchSilence{3000}; ///< A watch that received nothing for so long is reopened.
-    std::chrono::milliseconds reconnectDelay{200}; ///< Between attempts to reopen a watch; doubles up to 2 s.
+    std::chrono::milliseconds callTimeout {1500}; ///< For a whole call, all endpoints included.
+    std::chrono::milliseconds connectTimeout {400};
+    std::chrono::milliseconds watchSilence {3000}; ///< A watch that received nothing for so long is reopened.
+    std::chrono::milliseconds reconnectDelay {200}; ///< Between attempts to reopen a watch; doubles up to 2 s.
 };
 
 /** Sends single calls to the first member of an etcd cluster that answers. Safe to call from any thread. */
@@ -61,7 +61,7 @@
 
     const etcd_store_options m_options;
     const std::unique_ptr<http_client> m_client;
-    std::atomic<std::size_t> m_preferred{0};
+    std::atomic<std::size_t> m_preferred {0};
 };
 
 } // namespace bronzechute
--- a/src/store/etcd_messages.cpp
+++ b/src/store/etcd_messages.cpp
@@ -131,9 +131,9 @@
     const auto keyBytes = decodeBase64(key == nullptr ? "" : *key);
     const auto valueBytes = decodeBase64(value == nullptr ? "" : *value);
     if (!keyBytes || keyBytes->empty() || !valueBytes) {
-        return error{errc::protocol_violation, parseStep, {}, "key or value is not base64"};
+        return error {errc::protocol_violation, parseStep, {}, "key or value is not base64"};
     }
-    return store_entry{*keyBytes, *valueBytes, int64Field(keyValue, "mod_revision")};
+    return store_entry {*keyBytes, *valueBytes, int64Field(keyValue, "mod_revision")};
 }
 
 result<std::vector<store_entry>> parseEntries(const json &answer)
--- a/src/store/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -84,7 +84,7 @@
     const json &responses = etcd::field(answer.value(), "responses");
     if (!responses.is_array() || responses.size() != writes.size()) {
         return std::vector<result<std::int64_t>>(
-            writes.size(), error{errc::outcome_unknown, "store.write", {}, "the answer does not cover every write"});
+            writes.size(), error {errc::outcome_unknown, "store.write", {}, "the answer does not cover every write"});
     }
     std::vector<result<std::int64_t>> results;
     for (std::size_t index = 0; index < writes.size(); ++index) {
@@ -120,7 +120,7 @@
     }
     const lease_id lease = etcd::int64Field(answer.value(), "ID");
     if (lease == 0) {
-        return error{errc::protocol_violation, "store.grant_lease", {}, "the answer has no lease id"};
+        return error {errc::protocol_violation, "store.grant_lease", {}, "the answer has no lease id"};
     }
     return lease;
 }
@@ -133,7 +133,7 @@
         return answer.error();
     }
     if (etcd::int64Field(etcd::field(answer.value(), "result"), "TTL") <= 0) {
-        return error{errc::not_found, "store.keep_alive", {}, "the lease has lapsed"};
+        return error {errc::not_found, "store.keep_alive", {}, "the lease has lapsed"};
     }
     return success();
 }
--- a/src/store/etcd_watch.cpp
+++ b/src/store/etcd_watch.cpp
@@ -13,10 +13,10 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr milliseconds longestDelay{2000};
+constexpr milliseconds longestDelay {2000};
 
 // Far above a transaction of values of a megabyte each, in base64.
-constexpr std::size_t messageLimit = std::size_t{256} * 1024 * 1024;
+constexpr std::size_t messageLimit = std::size_t {256} * 1024 * 1024;
 
 } // namespace
 
--- a/src/store/etcd_watch.h
+++ b/src/store/etcd_watch.h
@@ -38,7 +38,7 @@
     http_stream_reader m_reader;
     std::set<std::string> m_known; ///< Keys that were reported as present.
     std::string m_buffer; ///< The beginning of a message that has not arrived whole.
-    ranked_mutex m_mutex{lock_rank::store};
+    ranked_mutex m_mutex {lock_rank::store};
     std::condition_variable_any m_stopChanged;
     bool m_stopping = false;
     std::thread m_thread;
--- a/tests/config/configuration_parser_test.cpp
+++ b/tests/config/configuration_parser_test.cpp
@@ -53,8 +53,8 @@
     const configuration content = parseComplete();
     EXPECT_EQ(parseConfiguration(toYaml(content)).content, content) << toYaml(content);
     EXPECT_EQ(parseConfiguration(toJson(content).dump()).content, content);
-    const configuration_envelope envelope{7, "00112233445566778899aabbccddeeff", "root", "2026-12-04T02:00:00Z",
-                                          content};
+    const configuration_envelope envelope {7, "00112233445566778899aabbccddeeff", "root", "2026-12-04T02:00:00Z",
+                                           content};
     EXPECT_EQ(parseEnvelope(serializeEnvelope(envelope)).value(), envelope);
     const configuration_envelope none;
     EXPECT_EQ(parseEnvelope(serializeEnvelope(none)).value(), none);
@@ -73,7 +73,7 @@
     EXPECT_FALSE(content.inService("buda"));
     EXPECT_TRUE(content.inService("pest"));
     EXPECT_EQ(content.effectiveLabels("buda-1", {{"zone", "a"}, {"gpu", "x"}}),
-              (label_set{{"zone", "b"}, {"gpu", "x"}}));
+              (label_set {{"zone", "b"}, {"gpu", "x"}}));
 }
 
 struct problem_row
@@ -106,75 +106,76 @@
 INSTANTIATE_TEST_SUITE_P(
     rows, configuration_problems,
     testing::Values(
-        problem_row{"empty_document_accepted", "", {"f: found 0 YAML documents, expected one YAML document"}},
-        problem_row{"second_document_ignored",
-                    "schema: 1\n---\nschema: 1\n",
-                    {"f: found 2 YAML documents, expected one YAML document"}},
-        problem_row{"malformed_yaml_without_line",
-                    "schema: 1\npools: [a\n",
-                    {"f:3: found malformed YAML (end of sequence flow not found), expected valid YAML"}},
-        problem_row{"invalid_utf8_reaches_json",
-                    "schema: 1 # \xff",
-                    {"f: found bytes that are not UTF-8, expected a YAML document in UTF-8"}},
-        problem_row{"schema_missing", "pools: []\n", {"f:1: schema: found nothing, expected 1"}},
-        problem_row{"other_schema_accepted", "schema: 2\n", {"f:1: schema: found \"2\", expected 1"}},
-        problem_row{"only_first_problem_reported",
-                    "schema: 1\nfoo: 1\naccounts:\n  - {name: a, share: 0}\n",
-                    {"f:2: foo: found an unknown key, expected accounts, classes, data_centres, endpoints, pools, "
-                     "schema, services or teams",
-                     "f:4: accounts[0].share: found \"0\", expected an integer from 1 to 1000000"}},
-        problem_row{"duplicate_key_overwrites",
-                    "schema: 1\nschema: 1\n",
-                    {"f:2: schema: found the key a second time, expected each key once"}},
-        problem_row{
+        problem_row {"empty_document_accepted", "", {"f: found 0 YAML documents, expected one YAML document"}},
+        problem_row {"second_document_ignored",
+                     "schema: 1\n---\nschema: 1\n",
+                     {"f: found 2 YAML documents, expected one YAML document"}},
+        problem_row {"malformed_yaml_without_line",
+                     "schema: 1\npools: [a\n",
+                     {"f:3: found malformed YAML (end of sequence flow not found), expected valid YAML"}},
+        problem_row {"invalid_utf8_reaches_json",
+                     "schema: 1 # \xff",
+                     {"f: found bytes that are not UTF-8, expected a YAML document in UTF-8"}},
+        problem_row {"schema_missing", "pools: []\n", {"f:1: schema: found nothing, expected 1"}},
+        problem_row {"other_schema_accepted", "schema: 2\n", {"f:1: schema: found \"2\", expected 1"}},
+        problem_row {"only_first_problem_reported",
+                     "schema: 1\nfoo: 1\naccounts:\n  - {name: a, share: 0}\n",
+                     {"f:2: foo: found an unknown key, expected accounts, classes, data_centres, endpoints, pools, "
+                      "schema, services or teams",
+                      "f:4: accounts[0].share: found \"0\", expected an integer from 1 to 1000000"}},
+        problem_row {"duplicate_key_overwrites",
+                     "schema: 1\nschema: 1\n",
+                     {"f:2: schema: found the key a second time, expected each key once"}},
+        problem_row {
             "duplicate_name_accepted",
             "schema: 1\naccounts:\n  - {name: a}\n  - {name: a}\n",
             {"f:4: accounts[1].name: found \"a\" a second time, expected a name of its own for each of accounts"}},
-        problem_row{"selector_without_pool_accepted",
-                    document("classes:\n  - {name: c, pools: tier=slow}\n"),
-                    {"f:5: classes[0].pools: found \"tier=slow\", which matches no pool of kind model, expected a "
-                     "selector that matches the labels of at least one"}},
-        problem_row{"malformed_selector_reported_twice",
-                    document("classes:\n  - {name: c, pools: \"=\"}\n"),
-                    {"f:5: classes[0].pools: found term \"=\": the key has to be 1 to 128 letters, digits, '.', '_', "
-                     "'-', '/' or ':', expected a selector such as \"key=value,key in (a,b),!key\""}},
-        problem_row{"service_sent_to_model_pool",
-                    document("services:\n  - {name: s, prefix: /s, pools: tier=fast}\n"),
-                    {"f:5: services[0].pools: found \"tier=fast\", which matches no pool of kind service, expected a "
-                     "selector that matches the labels of at least one"}},
-        problem_row{"unknown_account_in_match",
-                    document("classes:\n  - {name: c, match: {accounts: [x]}}\n"),
-                    {"f:5: classes[0].match.accounts[0]: found \"x\", expected a name from accounts"}},
-        problem_row{"quoted_number_accepted",
-                    document("classes:\n  - {name: c, priority: \"7\"}\n"),
-                    {"f:5: classes[0].priority: found \"7\", expected an integer from 0 to 9"}},
-        problem_row{"word_taken_for_boolean",
-                    document("classes:\n  - {name: c, resume_elsewhere: yes}\n"),
-                    {"f:5: classes[0].resume_elsewhere: found \"yes\", expected true or false"}},
-        problem_row{"list_taken_for_mapping",
-                    document("classes:\n  - {name: c, match: [a]}\n"),
-                    {"f:5: classes[0].match: found a list, expected a mapping"}},
-        problem_row{"model_missing",
-                    "schema: 1\npools:\n  - {name: p, kind: model}\n",
-                    {"f:3: pools[0].model: found nothing, expected the name of a model, because the kind is model"}},
-        problem_row{
+        problem_row {"selector_without_pool_accepted",
+                     document("classes:\n  - {name: c, pools: tier=slow}\n"),
+                     {"f:5: classes[0].pools: found \"tier=slow\", which matches no pool of kind model, expected a "
+                      "selector that matches the labels of at least one"}},
+        problem_row {"malformed_selector_reported_twice",
+                     document("classes:\n  - {name: c, pools: \"=\"}\n"),
+                     {"f:5: classes[0].pools: found term \"=\": the key has to be 1 to 128 letters, digits, '.', '_', "
+                      "'-', '/' or ':', expected a selector such as \"key=value,key in (a,b),!key\""}},
+        problem_row {"service_sent_to_model_pool",
+                     document("services:\n  - {name: s, prefix: /s, pools: tier=fast}\n"),
+                     {"f:5: services[0].pools: found \"tier=fast\", which matches no pool of kind service, expected a "
+                      "selector that matches the labels of at least one"}},
+        problem_row {"unknown_account_in_match",
+                     document("classes:\n  - {name: c, match: {accounts: [x]}}\n"),
+                     {"f:5: classes[0].match.accounts[0]: found \"x\", expected a name from accounts"}},
+        problem_row {"quoted_number_accepted",
+                     document("classes:\n  - {name: c, priority: \"7\"}\n"),
+                     {"f:5: classes[0].priority: found \"7\", expected an integer from 0 to 9"}},
+        problem_row {"word_taken_for_boolean",
+                     document("classes:\n  - {name: c, resume_elsewhere: yes}\n"),
+                     {"f:5: classes[0].resume_elsewhere: found \"yes\", expected true or false"}},
+        problem_row {"list_taken_for_mapping",
+                     document("classes:\n  - {name: c, match: [a]}\n"),
+                     {"f:5: classes[0].match: found a list, expected a mapping"}},
+        problem_row {"model_missing",
+                     "schema: 1\npools:\n  - {name: p, kind: model}\n",
+                     {"f:3: pools[0].model: found nothing, expected the name of a model, because the kind is model"}},
+        problem_row {
             "short_hash_accepted_or_its_line_lost",
             "schema: 1\naccounts:\n  - name: a\n    key_hashes:\n      - abc\n",
             {"f:5: accounts[0].key_hashes[0]: found \"abc\", expected 64 lower-case hexadecimal digits (SHA-256 "
              "of the key)"}},
-        problem_row{"prefix_with_final_slash_accepted",
-                    "schema: 1\npools:\n  - {name: p, kind: service}\nservices:\n  - {name: s, prefix: /s/}\n",
-                    {"f:5: services[0].prefix: found \"/s/\", expected a path such as \"/orders\" that begins and does "
-                     "not end with '/'"}},
-        problem_row{"state_misspelt",
-                    "schema: 1\ndata_centres:\n  - {name: a, state: off}\n",
-                    {"f:3: data_centres[0].state: found \"off\", expected in_service or out"}},
-        problem_row{"teams_lock_everybody_out",
-                    "schema: 1\nteams:\n  - {name: t}\n",
-                    {"f:2: teams: found no team with operator: true and a key, expected at least one"}},
-        problem_row{"name_unfit_for_a_path",
-                    "schema: 1\nendpoints:\n  - {name: a/b}\n",
-                    {"f:3: endpoints[0].name: found \"a/b\", expected 1 to 128 letters, digits, '.', '_' or '-'"}}),
+        problem_row {
+            "prefix_with_final_slash_accepted",
+            "schema: 1\npools:\n  - {name: p, kind: service}\nservices:\n  - {name: s, prefix: /s/}\n",
+            {"f:5: services[0].prefix: found \"/s/\", expected a path such as \"/orders\" that begins and does "
+             "not end with '/'"}},
+        problem_row {"state_misspelt",
+                     "schema: 1\ndata_centres:\n  - {name: a, state: off}\n",
+                     {"f:3: data_centres[0].state: found \"off\", expected in_service or out"}},
+        problem_row {"teams_lock_everybody_out",
+                     "schema: 1\nteams:\n  - {name: t}\n",
+                     {"f:2: teams: found no team with operator: true and a key, expected at least one"}},
+        problem_row {"name_unfit_for_a_path",
+                     "schema: 1\nendpoints:\n  - {name: a/b}\n",
+                     {"f:3: endpoints[0].name: found \"a/b\", expected 1 to 128 letters, digits, '.', '_' or '-'"}}),
     [](const auto &row) { return std::string(row.param.name); });
 
 struct envelope_row
@@ -198,13 +199,13 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, envelope_error,
-    testing::Values(envelope_row{"truncated_json_throws", "{\"revision\": 1", "not a JSON object"},
-                    envelope_row{
+    testing::Values(envelope_row {"truncated_json_throws", "{\"revision\": 1", "not a JSON object"},
+                    envelope_row {
                         "missing_mark_accepted", R"({"revision": 1, "author": "a", "at": "", "content": {}})",
                         "needs an integer \"revision\", texts \"mark\", \"author\" and \"at\", and \"content\""},
-                    envelope_row{"invalid_content_accepted",
-                                 R"({"revision": 1, "mark": "", "author": "a", "at": "", "content": {"schema": 3}})",
-                                 "content:1: schema: found \"3\", expected 1"}),
+                    envelope_row {"invalid_content_accepted",
+                                  R"({"revision": 1, "mark": "", "author": "a", "at": "", "content": {"schema": 3}})",
+                                  "content:1: schema: found \"3\", expected 1"}),
     [](const auto &row) { return std::string(row.param.name); });
 
 } // namespace
--- a/tests/http/curl_http_client_test.cpp
+++ b/tests/http/curl_http_client_test.cpp
@@ -70,8 +70,8 @@
         return {200, {{"X-Method", request.method}}, request.body, nullptr};
     }
 
-    std::atomic<bool> stop{false};
-    std::atomic<int> handled{0};
+    std::atomic<bool> stop {false};
+    std::atomic<int> handled {0};
     std::set<std::string> peers;
 
 private:
@@ -135,12 +135,12 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, curl_http_client_calls,
-    testing::Values(client_row{"answer_lost", "/a", true, "body", 200, {}},
-                    client_row{"error_status_taken_for_failure", "/refused", true, "", 503, {}},
-                    client_row{"refused_connection_seen_as_sent", "/a", false, "", 0, errc::unavailable},
-                    client_row{"cut_answer_seen_as_not_sent", "/cut", true, "", 0, errc::outcome_unknown},
-                    client_row{"silence_seen_as_not_sent", "/silent", true, "", 0, errc::outcome_unknown},
-                    client_row{"answer_without_limit", "/a", true, std::string(4096, 'a'), 0, errc::too_large}),
+    testing::Values(client_row {"answer_lost", "/a", true, "body", 200, {}},
+                    client_row {"error_status_taken_for_failure", "/refused", true, "", 503, {}},
+                    client_row {"refused_connection_seen_as_sent", "/a", false, "", 0, errc::unavailable},
+                    client_row {"cut_answer_seen_as_not_sent", "/cut", true, "", 0, errc::outcome_unknown},
+                    client_row {"silence_seen_as_not_sent", "/silent", true, "", 0, errc::outcome_unknown},
+                    client_row {"answer_without_limit", "/a", true, std::string(4096, 'a'), 0, errc::too_large}),
     [](const auto &row) { return std::string(row.param.name); });
 
 TEST(curl_http_client, reusesItsConnection)
@@ -159,7 +159,7 @@
 {
     running_server running;
     curl_http_client client(2);
-    std::atomic<int> wrong{0};
+    std::atomic<int> wrong {0};
     std::vector<std::thread> threads;
     threads.reserve(6);
     for (int thread = 0; thread < 6; ++thread) {
@@ -209,10 +209,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, http_stream_reader_ends,
-                         testing::Values(stream_row{"end_seen_as_failure", "/whole", true, {}},
-                                         stream_row{"cut_seen_as_end", "/cut", false, errc::unavailable},
-                                         stream_row{"error_status_seen_as_data", "/refused", false, errc::unavailable},
-                                         stream_row{"silence_not_found", "/silent", false, errc::timed_out}),
+                         testing::Values(stream_row {"end_seen_as_failure", "/whole", true, {}},
+                                         stream_row {"cut_seen_as_end", "/cut", false, errc::unavailable},
+                                         stream_row {"error_status_seen_as_data", "/refused", false, errc::unavailable},
+                                         stream_row {"silence_not_found", "/silent", false, errc::timed_out}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 TEST(http_stream_reader, stopEndsASilentTransfer)
--- a/tests/http/stale_connection_test.cpp
+++ b/tests/http/stale_connection_test.cpp
@@ -18,7 +18,7 @@
 public:
     closing_server() : m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
     {
-        sockaddr_in address{};
+        sockaddr_in address {};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t length = sizeof address;
@@ -37,7 +37,7 @@
     }
 
     std::uint16_t port = 0;
-    std::atomic<int> received{0};
+    std::atomic<int> received {0};
 
 private:
     static bool readRequest(int descriptor)
@@ -106,8 +106,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, stale_connection,
-                         testing::Values(stale_row{"write_sent_twice", false, false, 2},
-                                         stale_row{"read_failed_by_stale_connection", true, true, 3}),
+                         testing::Values(stale_row {"write_sent_twice", false, false, 2},
+                                         stale_row {"read_failed_by_stale_connection", true, true, 3}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 } // namespace
--- a/tests/policy/adaptive_limiter_test.cpp
+++ b/tests/policy/adaptive_limiter_test.cpp
@@ -14,7 +14,7 @@
 struct driver
 {
     adaptive_limiter limiter;
-    time_point now{std::chrono::hours(1)};
+    time_point now {std::chrono::hours(1)};
 
     /** Runs as many requests as the limit allows at the same time, rounds times. */
     void rounds(int count, milliseconds token, answer_outcome outcome = answer_outcome::answered)
@@ -26,10 +26,10 @@
 
     void run(int concurrent, milliseconds token, answer_outcome outcome = answer_outcome::answered)
     {
-        const answer_sample sample{.outcome = outcome,
-                                   .firstToken = milliseconds(100),
-                                   .service = milliseconds(100) + 19 * token,
-                                   .tokens = 20};
+        const answer_sample sample {.outcome = outcome,
+                                    .firstToken = milliseconds(100),
+                                    .service = milliseconds(100) + 19 * token,
+                                    .tokens = 20};
         for (int each = 0; each < concurrent; ++each) {
             limiter.onStarted(now);
         }
@@ -60,7 +60,7 @@
 
 TEST_P(limiter_table, limitAndColdness)
 {
-    driver drive{.limiter = adaptive_limiter({.maximum = 32, .initial = 16})};
+    driver drive {.limiter = adaptive_limiter({.maximum = 32, .initial = 16})};
     GetParam().drive(drive);
     EXPECT_GE(drive.limiter.limit(drive.now), GetParam().least);
     EXPECT_LE(drive.limiter.limit(drive.now), GetParam().most);
@@ -72,84 +72,84 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, limiter_table,
-    testing::Values(limiter_row{"starts_warm", [](driver &) {}, 1, 1, true},
-                    limiter_row{"proof_does_not_double", [](driver &d) { d.rounds(1, fast); }, 2, 2, true},
-                    limiter_row{"answers_of_one_round_double_repeatedly", [](driver &d) { d.rounds(3, fast); }, 8, 8,
-                                true},
-                    limiter_row{"never_becomes_warm", [](driver &d) { d.rounds(4, fast); }, 16, 17, false},
-                    limiter_row{"slow_answer_counts_as_proof", [](driver &d) { d.rounds(5, slow); }, 1, 1, true},
-                    limiter_row{"failure_counts_as_proof", [](driver &d) { d.rounds(5, fast, answer_outcome::failed); },
-                                1, 1, true},
-                    limiter_row{"cancellation_counts_as_proof",
-                                [](driver &d) { d.rounds(5, fast, answer_outcome::cancelled); }, 1, 1, true},
-                    limiter_row{"failure_keeps_cap",
-                                [](driver &d) {
-                                    d.rounds(3, fast);
-                                    d.run(1, fast, answer_outcome::failed);
-                                },
-                                4, 4, true},
-                    limiter_row{"idle_engine_proves_a_high_cap",
-                                [](driver &d) {
-                                    d.rounds(2, fast);
-                                    d.run(1, fast);
-                                    d.run(1, fast);
-                                },
-                                4, 4, true},
-                    limiter_row{"restart_stays_warm",
-                                [](driver &d) {
-                                    d.report("first");
-                                    d.rounds(8, fast);
-                                    d.report("second");
-                                },
-                                1, 1, true},
-                    limiter_row{"first_report_or_lost_report_makes_cold",
-                                [](driver &d) {
-                                    d.rounds(8, fast);
-                                    d.report("first");
-                                    d.limiter.onLoadReport(d.now, {});
-                                    d.report("first");
-                                },
-                                16, 32, false},
-                    limiter_row{"drop_in_speed_stays_warm",
-                                [](driver &d) {
-                                    d.rounds(8, fast);
-                                    d.run(3, slow);
-                                },
-                                1, 1, true},
-                    limiter_row{"one_slow_answer_makes_cold",
-                                [](driver &d) {
-                                    d.rounds(8, fast);
-                                    d.run(1, slow);
-                                },
-                                16, 32, false},
-                    limiter_row{"answer_from_before_the_mark_is_proof",
-                                [](driver &d) {
-                                    d.rounds(8, fast);
-                                    d.limiter.onStarted(d.now);
-                                    d.limiter.markCold(d.now + milliseconds(10));
-                                    d.now += milliseconds(480);
-                                    d.limiter.onFinished(
-                                        d.now,
-                                        {.firstToken = milliseconds(100), .service = milliseconds(480), .tokens = 20});
-                                },
-                                1, 1, true},
-                    limiter_row{"slower_for_good_stays_cold_for_ever",
-                                [](driver &d) {
-                                    d.rounds(8, fast);
-                                    d.run(3, milliseconds(62));
-                                    d.rounds(30, milliseconds(62));
-                                },
-                                4, 32, false},
-                    limiter_row{"grows_above_maximum", [](driver &d) { d.rounds(500, fast); }, 32, 32, false},
-                    limiter_row{"engine_queue_does_not_lower",
-                                [](driver &d) {
-                                    d.rounds(500, fast);
-                                    for (int report = 0; report < 10; ++report) {
-                                        d.now += milliseconds(1000);
-                                        d.report("first", 10, 10);
-                                    }
-                                },
-                                10, 12, false}),
+    testing::Values(limiter_row {"starts_warm", [](driver &) {}, 1, 1, true},
+                    limiter_row {"proof_does_not_double", [](driver &d) { d.rounds(1, fast); }, 2, 2, true},
+                    limiter_row {"answers_of_one_round_double_repeatedly", [](driver &d) { d.rounds(3, fast); }, 8, 8,
+                                 true},
+                    limiter_row {"never_becomes_warm", [](driver &d) { d.rounds(4, fast); }, 16, 17, false},
+                    limiter_row {"slow_answer_counts_as_proof", [](driver &d) { d.rounds(5, slow); }, 1, 1, true},
+                    limiter_row {"failure_counts_as_proof",
+                                 [](driver &d) { d.rounds(5, fast, answer_outcome::failed); }, 1, 1, true},
+                    limiter_row {"cancellation_counts_as_proof",
+                                 [](driver &d) { d.rounds(5, fast, answer_outcome::cancelled); }, 1, 1, true},
+                    limiter_row {"failure_keeps_cap",
+                                 [](driver &d) {
+                                     d.rounds(3, fast);
+                                     d.run(1, fast, answer_outcome::failed);
+                                 },
+                                 4, 4, true},
+                    limiter_row {"idle_engine_proves_a_high_cap",
+                                 [](driver &d) {
+                                     d.rounds(2, fast);
+                                     d.run(1, fast);
+                                     d.run(1, fast);
+                                 },
+                                 4, 4, true},
+                    limiter_row {"restart_stays_warm",
+                                 [](driver &d) {
+                                     d.report("first");
+                                     d.rounds(8, fast);
+                                     d.report("second");
+                                 },
+                                 1, 1, true},
+                    limiter_row {"first_report_or_lost_report_makes_cold",
+                                 [](driver &d) {
+                                     d.rounds(8, fast);
+                                     d.report("first");
+                                     d.limiter.onLoadReport(d.now, {});
+                                     d.report("first");
+                                 },
+                                 16, 32, false},
+                    limiter_row {"drop_in_speed_stays_warm",
+                                 [](driver &d) {
+                                     d.rounds(8, fast);
+                                     d.run(3, slow);
+                                 },
+                                 1, 1, true},
+                    limiter_row {"one_slow_answer_makes_cold",
+                                 [](driver &d) {
+                                     d.rounds(8, fast);
+                                     d.run(1, slow);
+                                 },
+                                 16, 32, false},
+                    limiter_row {"answer_from_before_the_mark_is_proof",
+                                 [](driver &d) {
+                                     d.rounds(8, fast);
+                                     d.limiter.onStarted(d.now);
+                                     d.limiter.markCold(d.now + milliseconds(10));
+                                     d.now += milliseconds(480);
+                                     d.limiter.onFinished(
+                                         d.now,
+                                         {.firstToken = milliseconds(100), .service = milliseconds(480), .tokens = 20});
+                                 },
+                                 1, 1, true},
+                    limiter_row {"slower_for_good_stays_cold_for_ever",
+                                 [](driver &d) {
+                                     d.rounds(8, fast);
+                                     d.run(3, milliseconds(62));
+                                     d.rounds(30, milliseconds(62));
+                                 },
+                                 4, 32, false},
+                    limiter_row {"grows_above_maximum", [](driver &d) { d.rounds(500, fast); }, 32, 32, false},
+                    limiter_row {"engine_queue_does_not_lower",
+                                 [](driver &d) {
+                                     d.rounds(500, fast);
+                                     for (int report = 0; report < 10; ++report) {
+                                         d.now += milliseconds(1000);
+                                         d.report("first", 10, 10);
+                                     }
+                                 },
+                                 10, 12, false}),
     [](const auto &row) { return std::string(row.param.name); });
 
 // Guards against a limit outside 1..maximum after any sequence of events.
@@ -157,7 +157,7 @@
 {
     const int maximum = *rc::gen::inRange(1, 100);
     adaptive_limiter limiter({.maximum = maximum, .initial = *rc::gen::inRange(1, 200)});
-    time_point now{std::chrono::hours(1)};
+    time_point now {std::chrono::hours(1)};
     const auto events = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100000));
     for (const int event : events) {
         now += milliseconds(event % 997);
--- a/tests/policy/fair_queue_test.cpp
+++ b/tests/policy/fair_queue_test.cpp
@@ -9,7 +9,7 @@
 namespace bronzechute {
 namespace {
 
-const time_point start{std::chrono::hours(1)};
+const time_point start {std::chrono::hours(1)};
 
 queued_request make(std::uint64_t id, const char *account, int priority = 5, int weight = 1,
                     std::chrono::seconds patience = std::chrono::seconds(60))
@@ -48,93 +48,93 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, queue_order,
-                         testing::Values(order_row{"account_order_not_kept",
-                                                   [](fair_queue &q) {
-                                                       q.push(make(1, "a"));
-                                                       q.push(make(2, "a"));
-                                                       q.push(make(3, "a"));
-                                                   },
-                                                   {1, 2, 3}},
-                                         order_row{"small_account_waits_behind_large",
-                                                   [](fair_queue &q) {
-                                                       q.push(make(1, "a"));
-                                                       q.push(make(2, "a"));
-                                                       q.push(make(3, "a"));
-                                                       q.push(make(4, "b"));
-                                                   },
-                                                   {1, 4, 2, 3}},
-                                         order_row{"weight_ignored",
-                                                   [](fair_queue &q) {
-                                                       for (std::uint64_t id = 1; id <= 4; ++id) {
-                                                           q.push(make(id, "a", 5, 3));
-                                                       }
-                                                       q.push(make(5, "b"));
-                                                       q.push(make(6, "b"));
-                                                   },
-                                                   {1, 5, 2, 3, 4, 6}},
-                                         order_row{"higher_priority_waits",
-                                                   [](fair_queue &q) {
-                                                       q.push(make(1, "a", 1));
-                                                       q.push(make(2, "a", 9));
-                                                   },
-                                                   {2, 1}},
-                                         order_row{"lower_priority_starves",
-                                                   [](fair_queue &q) {
-                                                       for (std::uint64_t id = 1; id <= 5; ++id) {
-                                                           q.push(make(id, "a", 9));
-                                                       }
-                                                       q.push(make(6, "b", 1));
-                                                   },
-                                                   {1, 2, 6, 3, 4, 5}},
-                                         order_row{"cancelled_runs",
-                                                   [](fair_queue &q) {
-                                                       q.push(make(1, "a"));
-                                                       q.push(make(2, "a"));
-                                                       EXPECT_TRUE(q.cancel({0, 1}));
-                                                       EXPECT_FALSE(q.cancel({0, 1}));
-                                                   },
-                                                   {2}},
-                                         order_row{"same_id_queued_twice",
-                                                   [](fair_queue &q) {
-                                                       q.push(make(1, "a"));
-                                                       EXPECT_FALSE(q.push(make(1, "a")).queued);
-                                                   },
-                                                   {1}},
-                                         order_row{"flood_displaces_others",
-                                                   [](fair_queue &q) {
-                                                       q.push(make(1, "b"));
-                                                       for (std::uint64_t id = 2; id <= 6; ++id) {
-                                                           q.push(make(id, "a"));
-                                                       }
-                                                       const auto result = q.push(make(7, "a"));
-                                                       EXPECT_FALSE(result.queued);
-                                                       EXPECT_FALSE(result.displaced);
-                                                   },
-                                                   {1, 2, 3, 4, 5, 6}},
-                                         order_row{"flood_keeps_others_out",
-                                                   [](fair_queue &q) {
-                                                       for (std::uint64_t id = 1; id <= 6; ++id) {
-                                                           q.push(make(id, "a"));
-                                                       }
-                                                       const auto result = q.push(make(7, "b"));
-                                                       EXPECT_TRUE(result.queued);
-                                                       ASSERT_TRUE(result.displaced);
-                                                       EXPECT_EQ(result.displaced->id.low, 6U);
-                                                   },
-                                                   {1, 7, 2, 3, 4, 5}},
-                                         order_row{"idle_account_saves_up_a_claim",
-                                                   [](fair_queue &q) {
-                                                       q.push(make(1, "b"));
-                                                       drain(q);
-                                                       for (std::uint64_t id = 2; id <= 6; ++id) {
-                                                           q.push(make(id, "a"));
-                                                       }
-                                                       EXPECT_EQ(q.pop(start).next->id.low, 2U);
-                                                       EXPECT_EQ(q.pop(start).next->id.low, 3U);
-                                                       q.push(make(7, "b"));
-                                                       q.push(make(8, "b"));
-                                                   },
-                                                   {7, 4, 8, 5, 6}}),
+                         testing::Values(order_row {"account_order_not_kept",
+                                                    [](fair_queue &q) {
+                                                        q.push(make(1, "a"));
+                                                        q.push(make(2, "a"));
+                                                        q.push(make(3, "a"));
+                                                    },
+                                                    {1, 2, 3}},
+                                         order_row {"small_account_waits_behind_large",
+                                                    [](fair_queue &q) {
+                                                        q.push(make(1, "a"));
+                                                        q.push(make(2, "a"));
+                                                        q.push(make(3, "a"));
+                                                        q.push(make(4, "b"));
+                                                    },
+                                                    {1, 4, 2, 3}},
+                                         order_row {"weight_ignored",
+                                                    [](fair_queue &q) {
+                                                        for (std::uint64_t id = 1; id <= 4; ++id) {
+                                                            q.push(make(id, "a", 5, 3));
+                                                        }
+                                                        q.push(make(5, "b"));
+                                                        q.push(make(6, "b"));
+                                                    },
+                                                    {1, 5, 2, 3, 4, 6}},
+                                         order_row {"higher_priority_waits",
+                                                    [](fair_queue &q) {
+                                                        q.push(make(1, "a", 1));
+                                                        q.push(make(2, "a", 9));
+                                                    },
+                                                    {2, 1}},
+                                         order_row {"lower_priority_starves",
+                                                    [](fair_queue &q) {
+                                                        for (std::uint64_t id = 1; id <= 5; ++id) {
+                                                            q.push(make(id, "a", 9));
+                                                        }
+                                                        q.push(make(6, "b", 1));
+                                                    },
+                                                    {1, 2, 6, 3, 4, 5}},
+                                         order_row {"cancelled_runs",
+                                                    [](fair_queue &q) {
+                                                        q.push(make(1, "a"));
+                                                        q.push(make(2, "a"));
+                                                        EXPECT_TRUE(q.cancel({0, 1}));
+                                                        EXPECT_FALSE(q.cancel({0, 1}));
+                                                    },
+                                                    {2}},
+                                         order_row {"same_id_queued_twice",
+                                                    [](fair_queue &q) {
+                                                        q.push(make(1, "a"));
+                                                        EXPECT_FALSE(q.push(make(1, "a")).queued);
+                                                    },
+                                                    {1}},
+                                         order_row {"flood_displaces_others",
+                                                    [](fair_queue &q) {
+                                                        q.push(make(1, "b"));
+                                                        for (std::uint64_t id = 2; id <= 6; ++id) {
+                                                            q.push(make(id, "a"));
+                                                        }
+                                                        const auto result = q.push(make(7, "a"));
+                                                        EXPECT_FALSE(result.queued);
+                                                        EXPECT_FALSE(result.displaced);
+                                                    },
+                                                    {1, 2, 3, 4, 5, 6}},
+                                         order_row {"flood_keeps_others_out",
+                                                    [](fair_queue &q) {
+                                                        for (std::uint64_t id = 1; id <= 6; ++id) {
+                                                            q.push(make(id, "a"));
+                                                        }
+                                                        const auto result = q.push(make(7, "b"));
+                                                        EXPECT_TRUE(result.queued);
+                                                        ASSERT_TRUE(result.displaced);
+                                                        EXPECT_EQ(result.displaced->id.low, 6U);
+                                                    },
+                                                    {1, 7, 2, 3, 4, 5}},
+                                         order_row {"idle_account_saves_up_a_claim",
+                                                    [](fair_queue &q) {
+                                                        q.push(make(1, "b"));
+                                                        drain(q);
+                                                        for (std::uint64_t id = 2; id <= 6; ++id) {
+                                                            q.push(make(id, "a"));
+                                                        }
+                                                        EXPECT_EQ(q.pop(start).next->id.low, 2U);
+                                                        EXPECT_EQ(q.pop(start).next->id.low, 3U);
+                                                        q.push(make(7, "b"));
+                                                        q.push(make(8, "b"));
+                                                    },
+                                                    {7, 4, 8, 5, 6}}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 // Guards against an expired request that runs, and one that is never answered.
--- a/tests/policy/prefix_index_test.cpp
+++ b/tests/policy/prefix_index_test.cpp
@@ -7,7 +7,7 @@
 namespace bronzechute {
 namespace {
 
-const std::vector<std::uint64_t> four{1, 2, 3, 4};
+const std::vector<std::uint64_t> four {1, 2, 3, 4};
 
 struct prefix_row
 {
@@ -28,42 +28,42 @@
     EXPECT_LE(index.size(), 6U);
 }
 
-INSTANTIATE_TEST_SUITE_P(rows, prefix_table,
-                         testing::Values(prefix_row{"unknown_matches", [](auto &) {}, {}},
-                                         prefix_row{
-                                             "served_prefix_not_found", [](auto &i) { i.record(four, 7); }, {{7, 1.0}}},
-                                         prefix_row{"longer_match_not_first",
-                                                    [](auto &i) {
-                                                        i.record(four, 7);
-                                                        i.record(std::vector<std::uint64_t>{1, 2}, 8);
-                                                    },
-                                                    {{7, 1.0}, {8, 0.5}}},
-                                         prefix_row{"lost_cache_still_matches",
-                                                    [](auto &i) {
-                                                        i.record(four, 7);
-                                                        i.forget(7);
-                                                    },
-                                                    {}},
-                                         prefix_row{"old_blocks_never_forgotten",
-                                                    [](auto &i) {
-                                                        i.record(four, 7);
-                                                        i.record(std::vector<std::uint64_t>{11, 12, 13, 14, 15, 16}, 8);
-                                                    },
-                                                    {}},
-                                         prefix_row{"first_blocks_forgotten_before_last",
-                                                    [](auto &i) {
-                                                        i.record(four, 7);
-                                                        i.record(std::vector<std::uint64_t>{11, 12, 13, 14}, 8);
-                                                    },
-                                                    {{7, 0.5}}},
-                                         prefix_row{"endpoints_of_a_block_unbounded",
-                                                    [](auto &i) {
-                                                        for (std::uint64_t endpoint = 1; endpoint <= 5; ++endpoint) {
-                                                            i.record(four, endpoint);
-                                                        }
-                                                    },
-                                                    {{5, 1.0}, {4, 1.0}, {3, 1.0}, {2, 1.0}}}),
-                         [](const auto &row) { return std::string(row.param.name); });
+INSTANTIATE_TEST_SUITE_P(
+    rows, prefix_table,
+    testing::Values(prefix_row {"unknown_matches", [](auto &) {}, {}},
+                    prefix_row {"served_prefix_not_found", [](auto &i) { i.record(four, 7); }, {{7, 1.0}}},
+                    prefix_row {"longer_match_not_first",
+                                [](auto &i) {
+                                    i.record(four, 7);
+                                    i.record(std::vector<std::uint64_t> {1, 2}, 8);
+                                },
+                                {{7, 1.0}, {8, 0.5}}},
+                    prefix_row {"lost_cache_still_matches",
+                                [](auto &i) {
+                                    i.record(four, 7);
+                                    i.forget(7);
+                                },
+                                {}},
+                    prefix_row {"old_blocks_never_forgotten",
+                                [](auto &i) {
+                                    i.record(four, 7);
+                                    i.record(std::vector<std::uint64_t> {11, 12, 13, 14, 15, 16}, 8);
+                                },
+                                {}},
+                    prefix_row {"first_blocks_forgotten_before_last",
+                                [](auto &i) {
+                                    i.record(four, 7);
+                                    i.record(std::vector<std::uint64_t> {11, 12, 13, 14}, 8);
+                                },
+                                {{7, 0.5}}},
+                    prefix_row {"endpoints_of_a_block_unbounded",
+                                [](auto &i) {
+                                    for (std::uint64_t endpoint = 1; endpoint <= 5; ++endpoint) {
+                                        i.record(four, endpoint);
+                                    }
+                                },
+                                {{5, 1.0}, {4, 1.0}, {3, 1.0}, {2, 1.0}}}),
+    [](const auto &row) { return std::string(row.param.name); });
 
 // Guards against equal hashes for prompts that differ before the block, and different ones for prompts that share it.
 TEST(prefix_chain, dependsOnAllBlocksSoFar)
--- a/tests/policy/retry_test.cpp
+++ b/tests/policy/retry_test.cpp
@@ -22,7 +22,7 @@
 TEST_P(budget_table, allowsShareAndFloor)
 {
     retry_budget budget;
-    time_point now{std::chrono::hours(1)};
+    time_point now {std::chrono::hours(1)};
     budget.onRequest(now);
     now += GetParam().idleBefore;
     int retries = 0;
@@ -36,9 +36,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, budget_table,
-                         testing::Values(budget_row{"lone_failure_not_retried", 1, std::chrono::seconds(0), 1, 1},
-                                         budget_row{"retry_storm", 10000, std::chrono::seconds(0), 1000, 1010},
-                                         budget_row{"quiet_time_saves_up_a_burst", 100, std::chrono::hours(1), 10, 14}),
+                         testing::Values(budget_row {"lone_failure_not_retried", 1, std::chrono::seconds(0), 1, 1},
+                                         budget_row {"retry_storm", 10000, std::chrono::seconds(0), 1000, 1010},
+                                         budget_row {"quiet_time_saves_up_a_burst", 100, std::chrono::hours(1), 10,
+                                                     14}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 struct estimate_row
@@ -67,11 +68,11 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, estimate_table,
-                         testing::Values(estimate_row{"zero_invites_immediate_return", 0, 100, 1, 1, 1},
-                                         estimate_row{"unknown_service_time_gives_zero", 0, 1, 0, 1, 2},
-                                         estimate_row{"long_queue_ignored", 99, 10, 1000, 8, 13},
-                                         estimate_row{"endless_wait", 1000000, 1, 1000, 60, 60},
-                                         estimate_row{"zero_limit_divides", 3, 0, 1000, 3, 5}),
+                         testing::Values(estimate_row {"zero_invites_immediate_return", 0, 100, 1, 1, 1},
+                                         estimate_row {"unknown_service_time_gives_zero", 0, 1, 0, 1, 2},
+                                         estimate_row {"long_queue_ignored", 99, 10, 1000, 8, 13},
+                                         estimate_row {"endless_wait", 1000000, 1, 1000, 60, 60},
+                                         estimate_row {"zero_limit_divides", 3, 0, 1000, 3, 5}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 } // namespace
--- a/tests/standins/connected_peers.cpp
+++ b/tests/standins/connected_peers.cpp
@@ -27,7 +27,7 @@
         if (fields != fieldsOfLine || localPort != port || state != established) {
             continue;
         }
-        const in_addr address{remoteAddress};
+        const in_addr address {remoteAddress};
         char text[INET_ADDRSTRLEN] = {};
         inet_ntop(AF_INET, &address, text, sizeof text);
         peers.insert(std::string(text) + ":" + std::to_string(remotePort));
--- a/tests/standins/engine_batch.cpp
+++ b/tests/standins/engine_batch.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::size_t bytesPerToken = 4;
-constexpr std::chrono::milliseconds faultPoll{5};
+constexpr std::chrono::milliseconds faultPoll {5};
 
 } // namespace
 
@@ -68,7 +68,7 @@
     while (m_history.size() > 1 && m_history[1].when <= limit) {
         m_history.pop_front();
     }
-    return !m_history.empty() && m_history.front().when <= limit ? m_history.front().stats : engine_batch_stats{};
+    return !m_history.empty() && m_history.front().when <= limit ? m_history.front().stats : engine_batch_stats {};
 }
 
 void engine_batch::waitWhileFallenOver()
--- a/tests/standins/engine_batch.h
+++ b/tests/standins/engine_batch.h
@@ -66,7 +66,7 @@
 
     const model_engine_options m_options;
     fault_board &m_faults;
-    ranked_mutex m_mutex{lock_rank::queue};
+    ranked_mutex m_mutex {lock_rank::queue};
     std::condition_variable_any m_changed;
     std::deque<std::shared_ptr<engine_sequence>> m_waiting; ///< By priority, then arrival.
     std::vector<std::shared_ptr<engine_sequence>> m_running;
--- a/tests/standins/engine_sequence.h
+++ b/tests/standins/engine_sequence.h
@@ -39,7 +39,7 @@
     progress waitForEnd();
 
 private:
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     std::condition_variable_any m_changed;
     std::size_t m_added = 0;
     bool m_stopped = false;
--- a/tests/standins/fault_board.h
+++ b/tests/standins/fault_board.h
@@ -35,7 +35,7 @@
 
 private:
     std::function<void(int)> m_turnCold;
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     std::condition_variable_any m_changed;
     fault_settings m_settings;
     bool m_stopped = false;
--- a/tests/standins/forward_direction.cpp
+++ b/tests/standins/forward_direction.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-constexpr std::size_t bufferLimit = std::size_t{256} * 1024;
-constexpr std::size_t blockBytes = std::size_t{16} * 1024;
+constexpr std::size_t bufferLimit = std::size_t {256} * 1024;
+constexpr std::size_t blockBytes = std::size_t {16} * 1024;
 
 bool wouldBlock()
 {
--- a/tests/standins/forwarded_connection.cpp
+++ b/tests/standins/forwarded_connection.cpp
@@ -26,7 +26,7 @@
     const auto entry = [now](int descriptor, const forward_direction &in, const forward_direction &out) {
         const int events = (in.wantsRead() ? POLLIN : 0) | (out.wantsWrite(now) ? POLLOUT : 0);
         // poll() reports a hang-up even when no event is requested, so an idle descriptor is left out.
-        return pollfd{events == 0 ? -1 : descriptor, static_cast<short>(events), 0};
+        return pollfd {events == 0 ? -1 : descriptor, static_cast<short>(events), 0};
     };
     if (silent()) {
         entries.push_back({-1, 0, 0});
--- a/tests/standins/forwarder.cpp
+++ b/tests/standins/forwarder.cpp
@@ -22,7 +22,7 @@
 
 sockaddr_in loopback(std::uint16_t port)
 {
-    sockaddr_in address{};
+    sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     address.sin_port = htons(port);
@@ -82,7 +82,7 @@
     if (bind(m_listenSocket, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0
         || listen(m_listenSocket, backlog) != 0
         || getsockname(m_listenSocket, reinterpret_cast<sockaddr *>(&address), &length) != 0) {
-        return error{errc::unavailable, "forwarder.listen", std::to_string(port), std::strerror(errno)};
+        return error {errc::unavailable, "forwarder.listen", std::to_string(port), std::strerror(errno)};
     }
     m_port = ntohs(address.sin_port);
     return success();
@@ -148,11 +148,11 @@
         up += connection.bytesUp();
         down += connection.bytesDown();
     }
-    return nlohmann::json{{"accepted", m_accepted},
-                          {"open", m_connections.size()},
-                          {"silent", std::ranges::count_if(m_connections, &forwarded_connection::silent)},
-                          {"bytes_up", up},
-                          {"bytes_down", down}}
+    return nlohmann::json {{"accepted", m_accepted},
+                           {"open", m_connections.size()},
+                           {"silent", std::ranges::count_if(m_connections, &forwarded_connection::silent)},
+                           {"bytes_up", up},
+                           {"bytes_down", down}}
         .dump();
 }
 
--- a/tests/standins/forwarder.h
+++ b/tests/standins/forwarder.h
@@ -59,7 +59,7 @@
     std::uint16_t m_port = 0;
     int m_listenSocket = -1;
     int m_wakeDescriptor = -1;
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     forwarder_settings m_settings;
     std::list<forwarded_connection> m_connections;
     std::uint64_t m_accepted = 0;
--- a/tests/standins/forwarder_settings.h
+++ b/tests/standins/forwarder_settings.h
@@ -8,7 +8,7 @@
 /** Faults that a forwarder shows at present. */
 struct forwarder_settings
 {
-    std::chrono::milliseconds delay{0}; ///< Time each byte is held.
+    std::chrono::milliseconds delay {0}; ///< Time each byte is held.
     bool refuseNew = false; ///< New connections are closed at once.
     bool silenceNew = false; ///< New connections are accepted and stay silent.
     std::uint64_t nextLimit = 0; ///< Bytes after which each of the next connections goes silent.
--- a/tests/standins/model_engine.cpp
+++ b/tests/standins/model_engine.cpp
@@ -15,7 +15,7 @@
 
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
-constexpr std::chrono::milliseconds watchInterval{200};
+constexpr std::chrono::milliseconds watchInterval {200};
 
 http_reply jsonReply(int status, std::string body)
 {
@@ -24,7 +24,7 @@
 
 http_reply errorReply(int status, const std::string &message)
 {
-    return jsonReply(status, nlohmann::json{{"error", {{"message", message}}}}.dump());
+    return jsonReply(status, nlohmann::json {{"error", {{"message", message}}}}.dump());
 }
 
 std::string sample(const std::string &name, const std::string &labels, double value)
@@ -142,18 +142,18 @@
 http_reply model_engine::stats()
 {
     const engine_batch_stats now = m_batch.stats();
-    nlohmann::json object{{"started", now.started},
-                          {"completed", now.completed},
-                          {"cancelled", now.cancelled},
-                          {"tokens", now.tokens},
-                          {"steps", now.steps},
-                          {"fall_overs", now.fallOvers},
-                          {"cached_prompts", now.cachedPrompts},
-                          {"running", now.running},
-                          {"waiting", now.waiting},
-                          {"peak_concurrency", now.peak},
-                          {"peak_while_cold", now.peakWhileCold},
-                          {"cold", now.cold}};
+    nlohmann::json object {{"started", now.started},
+                           {"completed", now.completed},
+                           {"cancelled", now.cancelled},
+                           {"tokens", now.tokens},
+                           {"steps", now.steps},
+                           {"fall_overs", now.fallOvers},
+                           {"cached_prompts", now.cachedPrompts},
+                           {"running", now.running},
+                           {"waiting", now.waiting},
+                           {"peak_concurrency", now.peak},
+                           {"peak_while_cold", now.peakWhileCold},
+                           {"cold", now.cold}};
     const std::scoped_lock lock(m_mutex);
     object["requests"] = m_runs;
     return jsonReply(200, object.dump());
--- a/tests/standins/model_engine.h
+++ b/tests/standins/model_engine.h
@@ -58,9 +58,9 @@
     const model_engine_options m_options;
     fault_board m_faults;
     engine_batch m_batch;
-    std::atomic<std::uint64_t> m_number{0};
+    std::atomic<std::uint64_t> m_number {0};
     std::string m_startTime;
-    ranked_mutex m_mutex{lock_rank::request_table};
+    ranked_mutex m_mutex {lock_rank::request_table};
     std::condition_variable_any m_stopping;
     bool m_stopped = false;
     std::map<std::string, std::uint64_t> m_runs; ///< Requests run by X-Request-Id.
--- a/tests/standins/order_book.cpp
+++ b/tests/standins/order_book.cpp
@@ -9,7 +9,7 @@
     const std::scoped_lock lock(m_mutex);
     ++m_byText[text];
     ++m_byKey[idempotencyKey];
-    return m_orders.emplace_back(order{m_orders.size() + 1, text});
+    return m_orders.emplace_back(order {m_orders.size() + 1, text});
 }
 
 std::optional<order_book::order> order_book::find(std::uint64_t id)
--- a/tests/standins/order_book.h
+++ b/tests/standins/order_book.h
@@ -35,7 +35,7 @@
     std::map<std::string, std::uint64_t> countByKey();
 
 private:
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     std::vector<order> m_orders;
     std::map<std::string, std::uint64_t> m_byText;
     std::map<std::string, std::uint64_t> m_byKey;
--- a/tests/standins/plain_service.h
+++ b/tests/standins/plain_service.h
@@ -56,9 +56,9 @@
     fault_board m_faults;
     order_book m_orders;
     std::atomic<int> m_coldRequests;
-    std::atomic<int> m_active{0};
-    std::atomic<int> m_peak{0};
-    std::atomic<int> m_peakWhileCold{0};
+    std::atomic<int> m_active {0};
+    std::atomic<int> m_peak {0};
+    std::atomic<int> m_peakWhileCold {0};
     std::unique_ptr<http_server> m_server;
 };
 
--- a/tests/standins/plain_service_options.h
+++ b/tests/standins/plain_service_options.h
@@ -9,8 +9,8 @@
 struct plain_service_options
 {
     std::uint16_t port = 0; ///< 0: the kernel chooses.
-    std::chrono::microseconds work{0}; ///< Time of one request.
-    std::chrono::milliseconds coldWork{20}; ///< Added to it while cold.
+    std::chrono::microseconds work {0}; ///< Time of one request.
+    std::chrono::milliseconds coldWork {20}; ///< Added to it while cold.
     int coldRequests = 0; ///< Cold after start until so many requests are complete.
 };
 
--- a/tests/standins/store_server.h
+++ b/tests/standins/store_server.h
@@ -52,7 +52,7 @@
     http_reply openWatch(const nlohmann::json &request);
     nlohmann::json dispatch(const std::string &kind, const nlohmann::json &request);
 
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     std::condition_variable_any m_changed;
     store_state m_state;
     store_faults m_faults;
--- a/tests/standins/store_state.cpp
+++ b/tests/standins/store_state.cpp
@@ -12,7 +12,7 @@
 
 using json = nlohmann::json;
 
-constexpr std::size_t valueLimit = std::size_t{1024} * 1024;
+constexpr std::size_t valueLimit = std::size_t {1024} * 1024;
 constexpr std::size_t operationLimit = 128; // etcd's default --max-txn-ops.
 constexpr int invalidArgument = 3;
 constexpr int notFound = 5;
@@ -135,7 +135,7 @@
         }
         for (const json &step : branch["steps"]) {
             answer["responses"].push_back(step.is_number() ? answers[step.get<std::size_t>()]
-                                                           : json{{"response_txn", self(self, step)}});
+                                                           : json {{"response_txn", self(self, step)}});
         }
         return answer;
     };
--- a/tests/standins/store_watch_source.cpp
+++ b/tests/standins/store_watch_source.cpp
@@ -31,7 +31,7 @@
 
 void store_watch_source::appendMessage(nlohmann::json message)
 {
-    m_pending += nlohmann::json{{"result", std::move(message)}}.dump() + "\n";
+    m_pending += nlohmann::json {{"result", std::move(message)}}.dump() + "\n";
 }
 
 void store_watch_source::collectEvents(time_point now)
--- a/tests/store/etcd_store_test.cpp
+++ b/tests/store/etcd_store_test.cpp
@@ -43,15 +43,15 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, etcd_store_writes,
-    testing::Values(write_row{"plain_write_fails", json::object(), std::nullopt, "v"},
-                    write_row{"outage_seen_as_unknown", {{"outage", true}}, errc::unavailable, "absent"},
-                    write_row{"closed_connection_seen_as_proof",
-                              {{"outage", true}, {"outage_closes", true}},
-                              errc::outcome_unknown,
-                              "absent"},
-                    write_row{"late_write_seen_as_not_made", {{"delay_ms", 600}}, errc::outcome_unknown, "v"},
-                    write_row{"slow_answer_seen_as_not_made", {{"delay_answer_ms", 600}}, errc::outcome_unknown, "v"},
-                    write_row{"lost_answer_seen_as_not_made", {{"lose_answers", 1}}, errc::outcome_unknown, "v"}),
+    testing::Values(write_row {"plain_write_fails", json::object(), std::nullopt, "v"},
+                    write_row {"outage_seen_as_unknown", {{"outage", true}}, errc::unavailable, "absent"},
+                    write_row {"closed_connection_seen_as_proof",
+                               {{"outage", true}, {"outage_closes", true}},
+                               errc::outcome_unknown,
+                               "absent"},
+                    write_row {"late_write_seen_as_not_made", {{"delay_ms", 600}}, errc::outcome_unknown, "v"},
+                    write_row {"slow_answer_seen_as_not_made", {{"delay_answer_ms", 600}}, errc::outcome_unknown, "v"},
+                    write_row {"lost_answer_seen_as_not_made", {{"lose_answers", 1}}, errc::outcome_unknown, "v"}),
     [](const auto &row) { return std::string(row.param.name); });
 
 struct read_row
@@ -84,11 +84,11 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, etcd_store_reads,
-    testing::Values(read_row{"plain_read_fails", json::object(), true},
-                    read_row{"outage_seen_as_absent", {{"outage", true}}, false},
-                    read_row{"closed_connection_seen_as_unknown", {{"outage", true}, {"outage_closes", true}}, false},
-                    read_row{"timeout_seen_as_absent", {{"delay_ms", 600}}, false},
-                    read_row{"read_counted_as_lost_write", {{"lose_answers", 1}}, true}),
+    testing::Values(read_row {"plain_read_fails", json::object(), true},
+                    read_row {"outage_seen_as_absent", {{"outage", true}}, false},
+                    read_row {"closed_connection_seen_as_unknown", {{"outage", true}, {"outage_closes", true}}, false},
+                    read_row {"timeout_seen_as_absent", {{"delay_ms", 600}}, false},
+                    read_row {"read_counted_as_lost_write", {{"lose_answers", 1}}, true}),
     [](const auto &row) { return std::string(row.param.name); });
 
 TEST(etcd_store, usesTheNextEndpointWhenOneRefuses)
--- a/tests/store/etcd_watch_test.cpp
+++ b/tests/store/etcd_watch_test.cpp
@@ -36,7 +36,7 @@
     }
 
 private:
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     std::map<std::string, std::string> m_state;
 };
 
@@ -76,11 +76,11 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, etcd_watch_follows,
-    testing::Values(watch_row{"plain_event_lost", json::object(), json::object()},
-                    watch_row{"silent_connection_not_found", {{"silence_watches", true}}, json::object()},
-                    watch_row{"change_lost_while_held", {{"hold_events_ms", 300}}, json::object()},
-                    watch_row{"change_lost_with_the_connection", {{"hold_events_ms", 60000}}, {{"outage", true}}},
-                    watch_row{"change_lost_while_slow", {{"delay_ms", 50}}, json::object()}),
+    testing::Values(watch_row {"plain_event_lost", json::object(), json::object()},
+                    watch_row {"silent_connection_not_found", {{"silence_watches", true}}, json::object()},
+                    watch_row {"change_lost_while_held", {{"hold_events_ms", 300}}, json::object()},
+                    watch_row {"change_lost_with_the_connection", {{"hold_events_ms", 60000}}, {{"outage", true}}},
+                    watch_row {"change_lost_while_slow", {{"delay_ms", 50}}, json::object()}),
     [](const auto &row) { return std::string(row.param.name); });
 
 TEST(etcd_watch, reportsTheStateOfARolledBackStore)
