store: configuration repository, holder and watcher

Accepted configurations were nowhere kept. The current document and its history entry are written in one transaction; writing the history first was ruled out, since a lost race leaves an entry that was never accepted. The holder only moves to greater revisions. The watcher restores its document when the store comes back behind, empty, or with another document of the same revision, and counts each case.

--- /dev/null
+++ b/src/store/configuration_watcher.cpp
@@ -0,0 +1,147 @@
+#include "store/configuration_watcher.h"
+
+#include "base/request_id.h"
+#include "config/configuration_parser.h"
+#include "store/store_paths.h"
+
+#include <algorithm>
+#include <mutex>
+
+namespace bronzechute {
+
+namespace {
+
+constexpr std::chrono::milliseconds retryInterval{500};
+
+} // namespace
+
+configuration_watcher::configuration_watcher(platform_store &store, configuration_holder &holder, std::uint64_t seed,
+                                             std::chrono::milliseconds checkInterval)
+    : m_store(store), m_holder(holder), m_checkInterval(checkInterval), m_random(seed)
+{
+    m_thread = std::thread([this] { run(); });
+    m_watch = m_store.watch(store_paths::currentConfiguration, [this](const store_event &event) { onEvent(event); });
+}
+
+configuration_watcher::~configuration_watcher()
+{
+    m_watch.reset();
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_stopping = true;
+    }
+    m_wake.notify_all();
+    m_thread.join();
+}
+
+configuration_watcher_counts configuration_watcher::counts() const
+{
+    return {m_storeBehind, m_storeDiverged, m_unreadable, m_writtenBack};
+}
+
+std::optional<time_point> configuration_watcher::lastContact() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_lastContact;
+}
+
+void configuration_watcher::recordContact()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_lastContact = boot_clock::now();
+}
+
+void configuration_watcher::onEvent(const store_event &event)
+{
+    if (event.entry.key != store_paths::currentConfiguration) {
+        return;
+    }
+    recordContact();
+    auto stored =
+        event.deleted ? result<configuration_envelope>(configuration_envelope()) : parseEnvelope(event.entry.value);
+    if (stored && m_holder.apply(stored.value(), configuration_source::store)) {
+        return;
+    }
+    const configuration_ptr held = m_holder.current();
+    if (!stored || stored.value().revision != held->revision || stored.value().mark != held->mark) {
+        const std::scoped_lock lock(m_mutex);
+        m_checkRequested = true;
+        m_wake.notify_all();
+    }
+}
+
+void configuration_watcher::run()
+{
+    std::chrono::milliseconds wait = m_checkInterval;
+    std::unique_lock lock(m_mutex);
+    while (!m_stopping) {
+        m_wake.wait_for(lock, wait, [this] { return m_checkRequested || m_stopping; });
+        if (m_stopping) {
+            return;
+        }
+        m_checkRequested = false;
+        lock.unlock();
+        wait = check() ? m_checkInterval : std::min(m_checkInterval, retryInterval);
+        lock.lock();
+    }
+}
+
+// Returns false when the check has to be repeated soon.
+bool configuration_watcher::check()
+{
+    const auto entry = m_store.get(store_paths::currentConfiguration);
+    if (!entry) {
+        return false;
+    }
+    recordContact();
+    const std::int64_t modRevision = entry.value() ? entry.value()->modRevision : 0;
+    const auto stored =
+        entry.value() ? parseEnvelope(entry.value()->value) : result<configuration_envelope>(configuration_envelope());
+    if (!stored) {
+        // Possibly written by a later version; it must not be overwritten.
+        ++m_unreadable;
+        return true;
+    }
+    m_holder.apply(stored.value(), configuration_source::store);
+    const configuration_ptr held = m_holder.current();
+    if (stored.value().revision > held->revision) {
+        return false; // The holder moved on in between.
+    }
+    if (stored.value().revision < held->revision) {
+        ++m_storeBehind;
+        return restore(*held, modRevision);
+    }
+    if (stored.value().mark != held->mark) {
+        // A change was accepted on top of an older state of the store. Both were accepted as this revision; the one
+        // in force goes on under the next revision, so that all processes agree again.
+        ++m_storeDiverged;
+        configuration_envelope successor = *held;
+        ++successor.revision;
+        successor.mark = request_id::generate(m_random).toString();
+        if (!restore(successor, modRevision)) {
+            return false;
+        }
+        m_holder.apply(std::move(successor), configuration_source::store);
+    }
+    return true;
+}
+
+bool configuration_watcher::restore(const configuration_envelope &document, std::int64_t currentModRevision)
+{
+    const std::string historyKey = store_paths::historyKey(document.revision);
+    const auto history = m_store.get(historyKey);
+    if (!history) {
+        return false;
+    }
+    const std::string value = serializeEnvelope(document);
+    const std::int64_t historyModRevision = history.value() ? history.value()->modRevision : 0;
+    // After an unknown outcome or a conflict the next check finds what the store holds now.
+    const auto written = m_store.compareAndSwapAll({{store_paths::currentConfiguration, currentModRevision, value, 0},
+                                                    {historyKey, historyModRevision, value, 0}});
+    if (written) {
+        ++m_writtenBack;
+    }
+    return static_cast<bool>(written);
+}
+
+} // namespace bronzechute
