--- a/src/store/configuration_holder.cpp
+++ b/src/store/configuration_holder.cpp
@@ -1,26 +1,25 @@
 #include "store/configuration_holder.h"
 
-#include "observe/log.h"
-
 #include <mutex>
 
 namespace bronzechute {
 
-configuration_holder::configuration_holder() : m_current(std::make_shared<const configuration_envelope>())
-{
-}
-
-bool configuration_holder::apply(configuration_ptr envelope, const std::string &source)
+bool configuration_holder::apply(configuration_envelope envelope, configuration_source source)
 {
+    const std::scoped_lock applyLock(m_applyMutex);
+    if (envelope.revision <= current()->revision) {
+        return false;
+    }
+    const auto published = std::make_shared<const configuration_envelope>(std::move(envelope));
     {
         const std::scoped_lock lock(m_mutex);
-        if (envelope->revision <= m_current->revision) {
-            return false;
-        }
-        m_current = envelope;
+        m_current = published;
+        m_source = source;
+        m_appliedAt = boot_clock::now();
+    }
+    for (const auto &[id, onApplied] : m_subscribers) {
+        onApplied(published);
     }
-    logLine(log_level::info, "configuration", "configuration in force",
-            {{"revision", envelope->revision}, {"author", envelope->author}, {"source", source}});
     return true;
 }
 
@@ -30,4 +29,29 @@
     return m_current;
 }
 
+configuration_source configuration_holder::source() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_source;
+}
+
+time_point configuration_holder::appliedAt() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_appliedAt;
+}
+
+int configuration_holder::subscribe(subscriber onApplied)
+{
+    const std::scoped_lock lock(m_applyMutex);
+    m_subscribers.emplace(++m_lastSubscriber, std::move(onApplied));
+    return m_lastSubscriber;
+}
+
+void configuration_holder::unsubscribe(int id)
+{
+    const std::scoped_lock lock(m_applyMutex);
+    m_subscribers.erase(id);
+}
+
 } // namespace bronzechute
--- a/src/store/configuration_holder.h
+++ b/src/store/configuration_holder.h
@@ -4,30 +4,58 @@
 #include "base/ranked_mutex.h"
 #include "config/configuration_envelope.h"
 
-#include <string>
+#include <functional>
+#include <map>
 
 namespace bronzechute {
 
-/**
- * The configuration that a process has in force. Never goes back to an older revision, whatever offers one.
- */
+/** Where a process got its configuration from. */
+enum class configuration_source {
+    none, ///< No configuration yet.
+    store,
+    peer, ///< Another process of the system.
+};
+
+/** The configuration that a process has in force; its revision only rises. Safe to call from any thread. */
 class configuration_holder
 {
 public:
-    configuration_holder();
+    using subscriber = std::function<void(const configuration_ptr &)>;
 
     /**
-     * @param source where the envelope came from, for logs
-     * @returns whether the envelope is newer and is in force now
+     * Puts the envelope in force if its revision is greater than the one in force.
+     * @returns whether it did; subscribers have been told by then.
      */
-    bool apply(configuration_ptr envelope, const std::string &source);
+    bool apply(configuration_envelope envelope, configuration_source source);
 
-    /** @returns the configuration in force; revision 0 with empty content when none is known. */
+    /** @returns the envelope in force; never null, revision 0 before the first one. */
     configuration_ptr current() const;
 
+    configuration_source source() const;
+
+    /** @returns when the envelope in force was applied, on the clock of this process. */
+    time_point appliedAt() const;
+
+    /**
+     * Calls back with each envelope put in force from now on, in order of revision, in the thread that applies it.
+     * A callback must not call apply(), subscribe() or unsubscribe().
+     * @returns a number for unsubscribe()
+     */
+    int subscribe(subscriber onApplied);
+
+    /** No callback runs after this returns. */
+    void unsubscribe(int id);
+
 private:
-    mutable ranked_mutex m_mutex {lock_rank::configuration};
-    configuration_ptr m_current;
+    // Held while subscribers are told, so that they see revisions in order.
+    ranked_mutex m_applyMutex{lock_rank::configuration};
+    std::map<int, subscriber> m_subscribers;
+    int m_lastSubscriber = 0;
+
+    mutable ranked_mutex m_mutex{lock_rank::leaf};
+    configuration_ptr m_current = std::make_shared<const configuration_envelope>();
+    configuration_source m_source = configuration_source::none;
+    time_point m_appliedAt = boot_clock::now();
 };
 
 } // namespace bronzechute
