--- a/src/backend/collecting_sink.h
+++ b/src/backend/collecting_sink.h
@@ -1,25 +1,14 @@
 #pragma once
 
 #include "backend/back_end.h"
+#include "backend/collected_answer.h"
 #include "base/ranked_mutex.h"
 
 #include <chrono>
 #include <condition_variable>
-#include <optional>
-#include <string>
 
 namespace bronzechute {
 
-/** A whole answer, or how it failed. */
-struct collected_answer
-{
-    int status = 0;
-    header_list headers;
-    std::string body;
-    std::optional<error> failure;
-    bool mayHaveRun = true; ///< As in answer_sink::onError().
-};
-
 /** Collects a short answer for a thread that waits for it. */
 class collecting_sink : public answer_sink
 {
--- a/src/backend/transfer_queue.h
+++ b/src/backend/transfer_queue.h
@@ -1,28 +1,14 @@
 #pragma once
 
+#include "backend/transfer_command.h"
 #include "base/ranked_mutex.h"
 
 #include <curl/curl.h>
 
-#include <memory>
 #include <vector>
 
 namespace bronzechute {
 
-class running_transfer;
-
-/** What another thread asks of the thread of a transfer_loop. */
-struct transfer_command
-{
-    enum class kind {
-        start,
-        cancel,
-        resume,
-    };
-    kind what = kind::start;
-    std::shared_ptr<running_transfer> subject;
-};
-
 /**
  * Commands from any thread to the thread of a transfer_loop. Outlives the loop, because handles of transfers refer to
  * it.
--- /dev/null
+++ b/tests/standins/raw_connection.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace bronzechute::standins {
+
+/** One accepted connection of a raw_server. */
+class raw_connection
+{
+public:
+    explicit raw_connection(int descriptor) : m_descriptor(descriptor)
+    {
+    }
+
+    /** @returns the next HTTP request, head and body of Content-Length bytes; empty when the peer closed. */
+    std::string readRequest();
+
+    /** @returns whether all bytes were sent. */
+    bool send(std::string_view bytes);
+
+    /** Blocks until the peer closes the connection. */
+    void waitForClose();
+
+private:
+    int m_descriptor;
+    std::string m_buffer;
+};
+
+} // namespace bronzechute::standins
--- a/tests/standins/raw_server.cpp
+++ b/tests/standins/raw_server.cpp
@@ -1,9 +1,6 @@
 #include "standins/raw_server.h"
 
-#include <algorithm>
 #include <arpa/inet.h>
-#include <cctype>
-#include <cstdlib>
 #include <mutex>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -11,59 +8,6 @@
 
 namespace bronzechute::standins {
 
-namespace {
-
-std::size_t contentLength(std::string_view head)
-{
-    constexpr std::string_view field = "content-length:";
-    const auto equal = [](unsigned char a, unsigned char b) {
-        return std::tolower(a) == b;
-    };
-    const auto *found = std::search(head.begin(), head.end(), field.begin(), field.end(), equal);
-    return found == head.end() ? 0 : std::strtoul(found + field.size(), nullptr, 10);
-}
-
-} // namespace
-
-std::string raw_connection::readRequest()
-{
-    char block[4096];
-    while (true) {
-        const std::size_t headEnd = m_buffer.find("\r\n\r\n");
-        if (headEnd != std::string::npos) {
-            const std::size_t whole = headEnd + 4 + contentLength(std::string_view(m_buffer).substr(0, headEnd + 4));
-            if (m_buffer.size() >= whole) {
-                std::string request = m_buffer.substr(0, whole);
-                m_buffer.erase(0, whole);
-                return request;
-            }
-        }
-        const ssize_t count = recv(m_descriptor, block, sizeof block, 0);
-        if (count <= 0) {
-            return {};
-        }
-        m_buffer.append(block, static_cast<std::size_t>(count));
-    }
-}
-
-bool raw_connection::send(std::string_view bytes)
-{
-    while (!bytes.empty()) {
-        const ssize_t count = ::send(m_descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        if (count <= 0) {
-            return false;
-        }
-        bytes.remove_prefix(static_cast<std::size_t>(count));
-    }
-    return true;
-}
-
-void raw_connection::waitForClose()
-{
-    char block[4096];
-    while (recv(m_descriptor, block, sizeof block, 0) > 0) { }
-}
-
 raw_server::raw_server(connection_function function) : m_function(std::move(function))
 {
     m_listenSocket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/tests/standins/raw_server.h
+++ b/tests/standins/raw_server.h
@@ -1,39 +1,16 @@
 #pragma once
 
 #include "base/ranked_mutex.h"
+#include "standins/raw_connection.h"
 
-#include <atomic>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
 
 namespace bronzechute::standins {
 
-/** One accepted connection of a raw_server. */
-class raw_connection
-{
-public:
-    explicit raw_connection(int descriptor) : m_descriptor(descriptor)
-    {
-    }
-
-    /** @returns the next HTTP request, head and body of Content-Length bytes; empty when the peer closed. */
-    std::string readRequest();
-
-    /** @returns whether all bytes were sent. */
-    bool send(std::string_view bytes);
-
-    /** Blocks until the peer closes the connection. */
-    void waitForClose();
-
-private:
-    int m_descriptor;
-    std::string m_buffer;
-};
-
 /** A TCP server on the loopback address that runs a function on a thread for each connection, then closes it. */
 class raw_server
 {
