--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -1,6 +1,7 @@
 #include "entry/entry_role.h"
 
 #include "observe/log.h"
+#include "store/etcd_store.h"
 
 #include <mutex>
 #include <set>
@@ -71,12 +72,32 @@
     for (const peer_settings &peer : settings.peers) {
         role->m_hub->dial(peer.name, peer.address.toString());
     }
+    role->followStore();
     return role;
 }
 
+void entry_role::followStore()
+{
+    m_subscription = m_configuration.subscribe([this](const configuration_ptr &current) {
+        logLine(log_level::info, "configuration", "configuration in force",
+                {{"revision", current->revision}, {"author", current->author}});
+        m_exchange.publish();
+    });
+    if (m_settings.storeEndpoints.empty()) {
+        return;
+    }
+    etcd_store_options options;
+    options.endpoints = m_settings.storeEndpoints;
+    options.callTimeout = m_settings.storeTimeout;
+    m_store = std::make_unique<etcd_store>(options);
+    m_watcher = std::make_unique<configuration_watcher>(*m_store, m_configuration, std::random_device {}());
+}
+
 entry_role::~entry_role()
 {
     m_server.reset();
+    m_watcher.reset();
+    m_configuration.unsubscribe(m_subscription);
     m_hub.reset();
 }
 
--- a/src/entry/entry_role.h
+++ b/src/entry/entry_role.h
@@ -13,6 +13,9 @@
 #include "node/node_role.h"
 #include "observe/metrics.h"
 #include "settings/daemon_settings.h"
+#include "store/configuration_holder.h"
+#include "store/configuration_watcher.h"
+#include "store/platform_store.h"
 
 #include <atomic>
 #include <memory>
@@ -40,6 +43,8 @@
 private:
     explicit entry_role(const daemon_settings &settings);
 
+    /** Connects to the store and follows the configuration there. */
+    void followStore();
     void onAnswerFrame(const link_ptr &connection, const frame &message);
     http_reply listModels(const http_request &request);
     request_id newRequestId(const http_request &request);
@@ -56,6 +61,9 @@
     configuration_exchange m_exchange;
     health_handler m_health;
     std::unique_ptr<link_hub> m_hub;
+    std::unique_ptr<platform_store> m_store;
+    std::unique_ptr<configuration_watcher> m_watcher;
+    int m_subscription = 0;
     std::unique_ptr<http_server> m_server;
     std::atomic<bool> m_draining {false};
     ranked_mutex m_randomMutex {lock_rank::leaf};
--- a/src/node/configuration_exchange.cpp
+++ b/src/node/configuration_exchange.cpp
@@ -62,8 +62,10 @@
                 {{"peer", connection->peer().node}, {"error", envelope.error().toString()}});
         return;
     }
-    if (m_holder.apply(std::make_shared<const configuration_envelope>(std::move(envelope.value())),
-                       connection->peer().node)) {
+    const std::int64_t revision = envelope.value().revision;
+    if (m_holder.apply(std::move(envelope.value()), configuration_source::peer)) {
+        logLine(log_level::info, "configuration", "configuration in force",
+                {{"revision", revision}, {"peer", connection->peer().node}});
         m_onApplied();
         publish();
     }
--- a/src/store/configuration_holder.h
+++ b/src/store/configuration_holder.h
@@ -48,11 +48,11 @@
 
 private:
     // Held while subscribers are told, so that they see revisions in order.
-    ranked_mutex m_applyMutex{lock_rank::configuration};
+    ranked_mutex m_applyMutex {lock_rank::configuration};
     std::map<int, subscriber> m_subscribers;
     int m_lastSubscriber = 0;
 
-    mutable ranked_mutex m_mutex{lock_rank::leaf};
+    mutable ranked_mutex m_mutex {lock_rank::leaf};
     configuration_ptr m_current = std::make_shared<const configuration_envelope>();
     configuration_source m_source = configuration_source::none;
     time_point m_appliedAt = boot_clock::now();
--- a/src/store/configuration_watcher.h
+++ b/src/store/configuration_watcher.h
@@ -64,12 +64,12 @@
     const std::chrono::milliseconds m_checkInterval;
     std::mt19937_64 m_random;
 
-    std::atomic<std::int64_t> m_storeBehind{0};
-    std::atomic<std::int64_t> m_storeDiverged{0};
-    std::atomic<std::int64_t> m_unreadable{0};
-    std::atomic<std::int64_t> m_writtenBack{0};
+    std::atomic<std::int64_t> m_storeBehind {0};
+    std::atomic<std::int64_t> m_storeDiverged {0};
+    std::atomic<std::int64_t> m_unreadable {0};
+    std::atomic<std::int64_t> m_writtenBack {0};
 
-    mutable ranked_mutex m_mutex{lock_rank::store};
+    mutable ranked_mutex m_mutex {lock_rank::store};
     std::condition_variable_any m_wake;
     bool m_checkRequested = true;
     bool m_stopping = false;
--- a/src/store/store_configuration_repository.cpp
+++ b/src/store/store_configuration_repository.cpp
@@ -14,12 +14,12 @@
 namespace {
 
 constexpr const char *proposeStep = "configuration.propose";
-constexpr std::chrono::milliseconds settlePause{50};
+constexpr std::chrono::milliseconds settlePause {50};
 
 std::string currentTimeText()
 {
     const std::time_t now = std::time(nullptr);
-    std::tm parts{};
+    std::tm parts {};
     gmtime_r(&now, &parts);
     char text[32];
     std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%SZ", &parts);
@@ -67,7 +67,7 @@
         return entry.error();
     }
     if (!entry.value()) {
-        return error{errc::not_found, "configuration.read", {}, "revision " + std::to_string(revision)};
+        return error {errc::not_found, "configuration.read", {}, "revision " + std::to_string(revision)};
     }
     return parseEnvelope(entry.value()->value);
 }
@@ -124,7 +124,7 @@
     if (base.value().envelope.revision != baseRevision) {
         return competingChange(base.value().envelope);
     }
-    configuration_envelope proposed{baseRevision + 1, {}, author, currentTimeText(), content};
+    configuration_envelope proposed {baseRevision + 1, {}, author, currentTimeText(), content};
     {
         const std::scoped_lock lock(m_mutex);
         proposed.mark = request_id::generate(m_random).toString();
@@ -132,7 +132,7 @@
     // A document that the nodes could not read back would stay in force nowhere.
     const auto readBack = parseEnvelope(serializeEnvelope(proposed));
     if (!readBack) {
-        return error{errc::invalid_argument, proposeStep, {}, readBack.error().detail};
+        return error {errc::invalid_argument, proposeStep, {}, readBack.error().detail};
     }
     return settle(proposed, base.value());
 }
@@ -173,7 +173,7 @@
             return competingChange(inForce.value());
         }
         if (boot_clock::now() >= end) {
-            return error{errc::outcome_unknown, proposeStep, {}, written.error().toString()};
+            return error {errc::outcome_unknown, proposeStep, {}, written.error().toString()};
         }
         std::this_thread::sleep_for(settlePause);
     }
--- a/src/store/store_configuration_repository.h
+++ b/src/store/store_configuration_repository.h
@@ -46,7 +46,7 @@
 
     platform_store &m_store;
     const std::chrono::milliseconds m_settleTime;
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     std::mt19937_64 m_random;
 };
 
--- a/tests/harness/child_process_test.cpp
+++ b/tests/harness/child_process_test.cpp
@@ -61,9 +61,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, child_process_exit,
-                         testing::Values(exit_row{"clean_end_seen_as_crash", {}, SIGTERM, nullptr, 0},
-                                         exit_row{"crash_seen_as_clean_end", {}, 0, R"({"crash": true})", 70},
-                                         exit_row{"abort_seen_as_clean_end", {}, SIGABRT, nullptr, 128 + SIGABRT}),
+                         testing::Values(exit_row {"clean_end_seen_as_crash", {}, SIGTERM, nullptr, 0},
+                                         exit_row {"crash_seen_as_clean_end", {}, 0, R"({"crash": true})", 70},
+                                         exit_row {"abort_seen_as_clean_end", {}, SIGABRT, nullptr, 128 + SIGABRT}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 // Guards against waiting the whole patience for a program that cannot become ready.
--- a/tests/standins/child_process.cpp
+++ b/tests/standins/child_process.cpp
@@ -46,16 +46,16 @@
                                                             const std::vector<std::string> &arguments)
 {
     if (access(program.c_str(), X_OK) != 0) {
-        return error{errc::not_found, startStep, program, std::strerror(errno)};
+        return error {errc::not_found, startStep, program, std::strerror(errno)};
     }
-    std::vector<char *> argv{const_cast<char *>(program.c_str())};
+    std::vector<char *> argv {const_cast<char *>(program.c_str())};
     for (const std::string &argument : arguments) {
         argv.push_back(const_cast<char *>(argument.c_str()));
     }
     argv.push_back(nullptr);
     int ends[2] = {};
     if (pipe2(ends, O_CLOEXEC) != 0) {
-        return error{errc::unavailable, startStep, program, std::strerror(errno)};
+        return error {errc::unavailable, startStep, program, std::strerror(errno)};
     }
     const pid_t parent = getpid();
     const pid_t pid = fork();
@@ -65,7 +65,7 @@
     close(ends[1]);
     if (pid < 0) {
         close(ends[0]);
-        return error{errc::unavailable, startStep, program, std::strerror(errno)};
+        return error {errc::unavailable, startStep, program, std::strerror(errno)};
     }
     return std::unique_ptr<child_process>(new child_process(pid, ends[0]));
 }
@@ -80,7 +80,7 @@
     child_process &child = *started.value();
     const auto line = child.waitForLine("ready ");
     if (!line) {
-        return error{errc::timed_out, startStep, program, "no ready line; output: " + child.output()};
+        return error {errc::timed_out, startStep, program, "no ready line; output: " + child.output()};
     }
     std::istringstream words(*line);
     std::string word;
@@ -166,7 +166,7 @@
 
 std::optional<int> child_process::waitForExit(std::chrono::milliseconds limit)
 {
-    constexpr std::chrono::milliseconds interval{5};
+    constexpr std::chrono::milliseconds interval {5};
     const time_point end = boot_clock::now() + limit;
     while (!m_status) {
         int status = 0;
--- a/tests/standins/child_process.h
+++ b/tests/standins/child_process.h
@@ -24,7 +24,7 @@
 class child_process
 {
 public:
-    static constexpr std::chrono::seconds patience{30};
+    static constexpr std::chrono::seconds patience {30};
 
     /**
      * Starts the program; its standard error is the test's own.
@@ -75,7 +75,7 @@
     int m_outputDescriptor;
     std::map<std::string, std::string> m_ready;
     std::optional<int> m_status; ///< Set once the program was waited for.
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     std::condition_variable_any m_changed;
     std::string m_output;
     bool m_outputEnded = false;
--- a/tests/standins/fetch_answer.h
+++ b/tests/standins/fetch_answer.h
@@ -15,8 +15,8 @@
     long status = 0; ///< 0 when no head arrived.
     header_list headers;
     std::string body;
-    std::chrono::microseconds firstByte{0}; ///< From the start to the first byte of the answer.
-    std::chrono::microseconds total{0};
+    std::chrono::microseconds firstByte {0}; ///< From the start to the first byte of the answer.
+    std::chrono::microseconds total {0};
 };
 
 } // namespace bronzechute::standins
--- a/tests/standins/fetch_request.h
+++ b/tests/standins/fetch_request.h
@@ -14,7 +14,7 @@
     std::string method = "GET";
     header_list headers;
     std::string body;
-    std::chrono::milliseconds timeout{20000};
+    std::chrono::milliseconds timeout {20000};
 };
 
 } // namespace bronzechute::standins
--- /dev/null
+++ b/tests/standins/local_system.cpp
@@ -0,0 +1,220 @@
+#include "standins/local_system.h"
+
+#include "config/configuration_parser.h"
+#include "settings/daemon_settings.h"
+#include "standins/http_fetch.h"
+#include "standins/unused_port.h"
+#include "store/etcd_store.h"
+#include "store/store_configuration_repository.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <random>
+#include <stdexcept>
+#include <thread>
+
+namespace bronzechute::standins {
+
+namespace {
+
+constexpr std::chrono::seconds patience {30};
+constexpr std::chrono::milliseconds pollInterval {10};
+
+std::unique_ptr<child_process> startOrThrow(const std::string &program, const std::vector<std::string> &arguments)
+{
+    auto started = child_process::startReady(programPath(program), arguments);
+    if (!started) {
+        throw std::runtime_error(program + ": " + started.error().toString());
+    }
+    return std::move(started.value());
+}
+
+std::string loopback(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
+std::string programPath(const std::string &name)
+{
+    const std::string folder = name == "bronzechuted" || name == "bronzechute" ? "/src/" : "/tests/";
+    return BRONZECHUTE_BIN_DIR + folder + name;
+}
+
+bool eventuallyTrue(const std::function<bool()> &condition)
+{
+    const auto deadline = std::chrono::steady_clock::now() + patience;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > deadline) {
+            return false;
+        }
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return true;
+}
+
+local_system::local_system()
+{
+    std::random_device entropy;
+    m_directory = std::filesystem::temp_directory_path() / ("bronzechute-" + std::to_string(entropy()));
+    std::filesystem::create_directories(m_directory);
+}
+
+local_system::~local_system()
+{
+    m_processes.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(m_directory, ignored);
+}
+
+std::string local_system::writeSettings(const std::string &name, const std::string &text)
+{
+    const std::filesystem::path path = m_directory / (name + ".yaml");
+    std::ofstream(path) << text;
+    return path;
+}
+
+void local_system::startStore()
+{
+    m_processes["store"] = startOrThrow("store", {});
+}
+
+void local_system::startEndpoint(const std::string &name, const std::string &settings)
+{
+    // The address is fixed so that a restarted process is found at the same place.
+    const std::string address = loopback(unusedPort());
+    m_settings[name] = writeSettings(name,
+                                     "role: endpoint\nnode: " + name + "\nlisten: {http: 127.0.0.1:0, peers: " + address
+                                         + "}\nlog: {level: warn}\n" + settings);
+    m_endpoints[name] = address;
+    restartEndpoint(name);
+}
+
+void local_system::restartEndpoint(const std::string &name)
+{
+    m_processes[name] = startOrThrow("bronzechuted", {"--settings", m_settings.at(name)});
+}
+
+void local_system::startModel(const std::string &name, const std::string &dataCentre,
+                              const std::vector<std::string> &engineFlags, const std::string &endpointSettings)
+{
+    auto engine = startOrThrow("model_engine", engineFlags);
+    const std::string engineUrl = engine->url();
+    m_processes[name + ".engine"] = std::move(engine);
+    startEndpoint(name,
+                  "data_centre: " + dataCentre + "\nendpoint:\n  labels: {engine: iroda-nyelv}\n  engine: {kind: "
+                      + "model, url: \"" + engineUrl + "\", models: [iroda-nyelv]}\n" + endpointSettings);
+}
+
+void local_system::startService(const std::string &name, const std::string &dataCentre,
+                                const std::vector<std::string> &serviceFlags)
+{
+    auto service = startOrThrow("plain_service", serviceFlags);
+    const std::string serviceUrl = service->url();
+    m_processes[name + ".engine"] = std::move(service);
+    startEndpoint(name,
+                  "data_centre: " + dataCentre + "\nendpoint:\n  labels: {app: iroda-app}\n  engine: {kind: "
+                      + "service, url: \"" + serviceUrl + "\"}\n");
+}
+
+void local_system::forward(const std::string &endpoint)
+{
+    const std::string target = m_endpoints.at(endpoint);
+    const std::string name = endpoint + ".forwarder";
+    m_processes[name] = startOrThrow("forwarder", {"--target_port", target.substr(target.find(':') + 1)});
+    m_endpoints[endpoint] = m_processes[name]->ready("tcp");
+}
+
+void local_system::startEntry(const std::string &name, const std::string &dataCentre)
+{
+    std::string text = "role: entry\nnode: " + name + "\ndata_centre: " + dataCentre
+        + "\nlisten: {http: 127.0.0.1:0, admin: 127.0.0.1:0, peers: 127.0.0.1:0}\nlog: {level: warn}\nstore: "
+          "{endpoints: [\""
+        + url("store") + "\"]}\nentry:\n  endpoints:\n";
+    for (const auto &[endpoint, address] : m_endpoints) {
+        text += "    - {name: " + endpoint + ", address: \"" + address + "\"}\n";
+    }
+    m_processes[name] = startOrThrow("bronzechuted", {"--settings", writeSettings(name, text)});
+}
+
+void local_system::apply(const std::string &yaml)
+{
+    const parsed_configuration parsed = parseConfiguration(yaml);
+    if (!parsed.content) {
+        throw std::runtime_error("configuration: " + parsed.problems.front().toString("document"));
+    }
+    etcd_store_options options;
+    options.endpoints = {url("store")};
+    etcd_store store(options);
+    store_configuration_repository repository(store, std::random_device {}());
+    const auto current = repository.current();
+    if (!current) {
+        throw std::runtime_error(current.error().toString());
+    }
+    const auto accepted = repository.propose(*parsed.content, current.value().revision, "test");
+    if (!accepted) {
+        throw std::runtime_error(accepted.error().toString());
+    }
+}
+
+bool local_system::waitReady(const std::string &entry, int endpoints)
+{
+    return eventuallyTrue([&] {
+        const fetch_answer answer = fetch(url(entry) + "/ready");
+        const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+        return answer.status == 200 && body.value("usable_endpoints", 0) >= endpoints;
+    });
+}
+
+child_process &local_system::process(const std::string &name)
+{
+    return *m_processes.at(name);
+}
+
+std::string local_system::url(const std::string &name)
+{
+    return process(name).url();
+}
+
+std::string local_system::stats(const std::string &engine)
+{
+    return fetch(url(engine) + "/standin/stats").body;
+}
+
+std::string local_system::exampleConfiguration()
+{
+    return readTextFile(std::string(BRONZECHUTE_SOURCE_DIR) + "/examples/two_data_centres/configuration.yaml").value();
+}
+
+fetch_answer local_system::complete(const std::string &entry, int tokens, bool stream, const std::string &prompt,
+                                    const std::string &key)
+{
+    const nlohmann::json body {{"model", "iroda-nyelv"},
+                               {"messages", {{{"role", "user"}, {"content", prompt}}}},
+                               {"max_tokens", tokens},
+                               {"stream", stream}};
+    fetch_request request;
+    request.url = url(entry) + "/v1/chat/completions";
+    request.method = "POST";
+    request.headers = {{"Authorization", "Bearer " + key}, {"Content-Type", "application/json"}};
+    request.body = body.dump();
+    return fetch(request);
+}
+
+fetch_answer local_system::order(const std::string &entry, const std::string &item, const header_list &headers,
+                                 std::chrono::milliseconds timeout)
+{
+    fetch_request request;
+    request.url = url(entry) + "/orders";
+    request.method = "POST";
+    request.headers = headers;
+    request.headers.emplace_back("Authorization", "Bearer example-office-key");
+    request.headers.emplace_back("Content-Type", "application/json");
+    request.body = nlohmann::json {{"text", item}}.dump();
+    request.timeout = timeout;
+    return fetch(request);
+}
+
+} // namespace bronzechute::standins
--- /dev/null
+++ b/tests/standins/local_system.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "standins/child_process.h"
+#include "standins/fetch_answer.h"
+#include "standins/fetch_request.h"
+
+#include <chrono>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace bronzechute::standins {
+
+/** @returns the path of a program of this build, for example "bronzechuted" or "model_engine". */
+std::string programPath(const std::string &name);
+
+/** Waits until the condition holds, at most 30 s. @returns whether it did. */
+bool eventuallyTrue(const std::function<bool()> &condition);
+
+/**
+ * A small system of separate processes on the loopback address: the store's stand-in, engines and plain services each
+ * with an endpoint process, and entries. Start the store first, then endpoints, then entries.
+ */
+class local_system
+{
+public:
+    local_system();
+    ~local_system();
+    local_system(const local_system &) = delete;
+    local_system &operator=(const local_system &) = delete;
+
+    void startStore();
+
+    /** Starts a model engine, and an endpoint process of the same name with the label engine=iroda-nyelv. */
+    void startModel(const std::string &name, const std::string &dataCentre,
+                    const std::vector<std::string> &engineFlags = {}, const std::string &endpointSettings = {});
+
+    /** Starts an order book, and an endpoint process of the same name with the label app=iroda-app. */
+    void startService(const std::string &name, const std::string &dataCentre,
+                      const std::vector<std::string> &serviceFlags = {});
+
+    /** Starts an endpoint process again, at the same address and beside the same engine. */
+    void restartEndpoint(const std::string &name);
+
+    /** Starts an entry that knows the endpoints started before it. */
+    void startEntry(const std::string &name, const std::string &dataCentre);
+
+    /** Accepts the document as the next revision, by the store. */
+    void apply(const std::string &yaml);
+
+    /** Waits until the entry knows a configuration and so many usable endpoints. */
+    bool waitReady(const std::string &entry, int endpoints);
+
+    /** @returns a process by name: "store", an endpoint's or entry's name, or an endpoint's name with ".engine". */
+    child_process &process(const std::string &name);
+
+    /** Routes the connections from entries to this endpoint through a forwarder named NAME.forwarder. */
+    void forward(const std::string &endpoint);
+
+    /** @returns the base URL of an entry, engine or the store. */
+    std::string url(const std::string &name);
+
+    /** @returns the JSON of an engine's or service's statistics as text. */
+    std::string stats(const std::string &engine);
+
+    /** @returns the example's configuration document. */
+    static std::string exampleConfiguration();
+
+    /** @returns the answer of a chat completion through the entry. */
+    fetch_answer complete(const std::string &entry, int tokens, bool stream, const std::string &prompt = "hello",
+                          const std::string &key = "example-office-key");
+
+    /** @returns the answer of an order booked through the entry. */
+    fetch_answer order(const std::string &entry, const std::string &item, const header_list &headers = {},
+                       std::chrono::milliseconds timeout = std::chrono::seconds(20));
+
+private:
+    std::string writeSettings(const std::string &name, const std::string &text);
+    void startEndpoint(const std::string &name, const std::string &settings);
+
+    std::filesystem::path m_directory;
+    std::map<std::string, std::unique_ptr<child_process>> m_processes;
+    std::map<std::string, std::string> m_endpoints; ///< Address that entries dial, by name.
+    std::map<std::string, std::string> m_settings; ///< Settings file of each endpoint process.
+};
+
+} // namespace bronzechute::standins
--- a/tests/store/configuration_repository_test.cpp
+++ b/tests/store/configuration_repository_test.cpp
@@ -57,10 +57,10 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, configuration_repository_proposals,
-    testing::Values(propose_row{"plain_change_refused", json::object(), std::nullopt, 2},
-                    propose_row{"own_change_seen_as_conflict", {{"lose_answers", 1}}, std::nullopt, 2},
-                    propose_row{"outage_seen_as_accepted", {{"outage", true}}, errc::unavailable, 1},
-                    propose_row{"slow_answer_seen_as_conflict", {{"delay_answer_ms", 150}}, std::nullopt, 2}),
+    testing::Values(propose_row {"plain_change_refused", json::object(), std::nullopt, 2},
+                    propose_row {"own_change_seen_as_conflict", {{"lose_answers", 1}}, std::nullopt, 2},
+                    propose_row {"outage_seen_as_accepted", {{"outage", true}}, errc::unavailable, 1},
+                    propose_row {"slow_answer_seen_as_conflict", {{"delay_answer_ms", 150}}, std::nullopt, 2}),
     [](const auto &row) { return std::string(row.param.name); });
 
 // The first transaction is answered after the deadline; reads in between must not be taken for proof.
@@ -91,8 +91,8 @@
     store_fixture fixture;
     store_configuration_repository repository(*fixture.store, 1);
     ASSERT_TRUE(repository.propose(contentOf("one"), 0, "team"));
-    std::atomic<int> accepted{0};
-    std::atomic<int> conflicts{0};
+    std::atomic<int> accepted {0};
+    std::atomic<int> conflicts {0};
     std::vector<std::thread> operators;
     operators.reserve(8);
     for (int index = 0; index < 8; ++index) {
--- a/tests/store/configuration_watcher_test.cpp
+++ b/tests/store/configuration_watcher_test.cpp
@@ -49,10 +49,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, configuration_holder_applies,
-                         testing::Values(holder_row{"older_document_in_force", 4, false},
-                                         holder_row{"other_document_of_same_revision_in_force", 5, false},
-                                         holder_row{"newer_document_ignored", 6, true},
-                                         holder_row{"skipped_revision_ignored", 9, true}),
+                         testing::Values(holder_row {"older_document_in_force", 4, false},
+                                         holder_row {"other_document_of_same_revision_in_force", 5, false},
+                                         holder_row {"newer_document_ignored", 6, true},
+                                         holder_row {"skipped_revision_ignored", 9, true}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 struct watcher_row
@@ -100,11 +100,11 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, configuration_watcher_restores,
-                         testing::Values(watcher_row{"document_lost_without_fault", json::object(), -1},
-                                         watcher_row{"older_store_not_restored", json::object(), 1},
-                                         watcher_row{"empty_store_not_restored", json::object(), 0},
-                                         watcher_row{"silent_watch_hides_older_store", {{"silence_watches", true}}, 1},
-                                         watcher_row{"slow_store_not_restored", {{"delay_ms", 50}}, 1}),
+                         testing::Values(watcher_row {"document_lost_without_fault", json::object(), -1},
+                                         watcher_row {"older_store_not_restored", json::object(), 1},
+                                         watcher_row {"empty_store_not_restored", json::object(), 0},
+                                         watcher_row {"silent_watch_hides_older_store", {{"silence_watches", true}}, 1},
+                                         watcher_row {"slow_store_not_restored", {{"delay_ms", 50}}, 1}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 TEST(configuration_watcher, documentFromAPeerIsWrittenWhenTheStoreIsBehind)
