--- /dev/null
+++ b/src/admin/live_endpoints.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "config/configuration.h"
+#include "config/configuration_problem.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bronzechute {
+
+/** Names and labels of the endpoints and data centres that a status page shows. */
+class live_endpoints
+{
+public:
+    /** @param status see status_source; parts that are missing or malformed are left out. */
+    explicit live_endpoints(const nlohmann::json &status);
+
+    bool hasEndpoint(const std::string &name) const
+    {
+        return m_labels.contains(name);
+    }
+
+    bool hasDataCentre(const std::string &name) const
+    {
+        return m_dataCentres.contains(name);
+    }
+
+    /** @returns a warning for each pool whose members match no live endpoint; none when no endpoint is live. */
+    std::vector<configuration_problem> emptyPools(const configuration &content) const;
+
+private:
+    std::map<std::string, label_set> m_labels;
+    std::set<std::string> m_dataCentres;
+};
+
+} // namespace bronzechute
