--- a/src/backend/running_transfer.cpp
+++ b/src/backend/running_transfer.cpp
@@ -12,14 +12,16 @@
 
 constexpr const char *transferStep = "backend.transfer";
 
-errc errorCodeOf(CURLcode code)
+errc errorCodeOf(CURLcode code, bool sent)
 {
     switch (code) {
     case CURLE_OPERATION_TIMEDOUT:
         return errc::timed_out;
     case CURLE_URL_MALFORMAT:
-    case CURLE_UNSUPPORTED_PROTOCOL:
         return errc::invalid_argument;
+    case CURLE_UNSUPPORTED_PROTOCOL:
+        // libcurl also reports an answer without a status line, which would be HTTP 0.9, so.
+        return sent ? errc::protocol_violation : errc::invalid_argument;
     case CURLE_WEIRD_SERVER_REPLY:
     case CURLE_BAD_CONTENT_ENCODING:
     case CURLE_HTTP2:
@@ -165,9 +167,9 @@
     if (m_cancelled) {
         fail(errc::cancelled, "");
     } else if (code != CURLE_OK) {
-        fail(errorCodeOf(code), m_errorText[0] != '\0' ? m_errorText : curl_easy_strerror(code));
+        fail(errorCodeOf(code, m_sent), m_errorText[0] != '\0' ? m_errorText : curl_easy_strerror(code));
     } else if (!m_headDone) {
-        fail(errc::protocol_violation, "the answer has no HTTP head");
+        fail(errc::unavailable, "the connection closed before the head of the answer was complete");
     } else {
         m_easy.reset();
         m_sink->onEnd();
