entry: administration API and configuration from the store

Cause: the entry has to follow the configuration in the store, pass it on to endpoint processes, and serve the administration API.

--- a/src/admin/admin_api.h
+++ b/src/admin/admin_api.h
@@ -59,7 +59,7 @@
     configuration_repository &m_repository;
     status_source &m_status;
     configuration_editor m_editor;
-    ranked_mutex m_mutex{lock_rank::configuration};
+    ranked_mutex m_mutex {lock_rank::configuration};
     std::optional<configuration> m_lastRead; ///< Guarded by m_mutex.
 };
 
--- a/src/admin/admin_change_handlers.cpp
+++ b/src/admin/admin_change_handlers.cpp
@@ -122,7 +122,7 @@
                                   "no endpoint " + request.name + " in the configuration or among the live endpoints",
                                   "name");
             }
-            found = overrides.insert(overrides.end(), endpoint_override{request.name, {}, false});
+            found = overrides.insert(overrides.end(), endpoint_override {request.name, {}, false});
         }
         applyLabels(found->labels, labels);
         found->drained = body.value("drained", found->drained);
--- a/src/admin/admin_read_handlers.cpp
+++ b/src/admin/admin_read_handlers.cpp
@@ -48,7 +48,7 @@
         return errorReply(400, "invalid_argument", limit.error().detail, "limit");
     }
     const auto count =
-        static_cast<std::size_t>(std::clamp(limit.value().value_or(defaultHistory), std::int64_t{1}, longestHistory));
+        static_cast<std::size_t>(std::clamp(limit.value().value_or(defaultHistory), std::int64_t {1}, longestHistory));
     // One more than asked for, so that the oldest one shown has a predecessor to compare with.
     const auto history = m_repository.history(count + 1);
     if (!history) {
--- a/src/admin/authorization.cpp
+++ b/src/admin/authorization.cpp
@@ -39,15 +39,15 @@
     constexpr std::string_view scheme = "Bearer ";
     const std::string header = findHeader(headers, "Authorization").value_or("");
     if (!header.starts_with(scheme)) {
-        return error{errc::permission_denied, authenticateStep, "", "the header Authorization: Bearer KEY is missing"};
+        return error {errc::permission_denied, authenticateStep, "", "the header Authorization: Bearer KEY is missing"};
     }
     const std::string hash = keyHash(trimmed(std::string_view(header).substr(scheme.size())));
     for (const operator_team &team : content.teams) {
         if (contains(team.keyHashes, hash)) {
-            return admin_caller{team, false};
+            return admin_caller {team, false};
         }
     }
-    return error{errc::permission_denied, authenticateStep, "", "no team has this key"};
+    return error {errc::permission_denied, authenticateStep, "", "no team has this key"};
 }
 
 std::optional<configuration_change> firstForbidden(const operator_team &team,
--- a/src/config/key_hash.cpp
+++ b/src/config/key_hash.cpp
@@ -8,7 +8,7 @@
 std::string keyHash(std::string_view key)
 {
     constexpr std::string_view digits = "0123456789abcdef";
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
     SHA256(reinterpret_cast<const unsigned char *>(key.data()), key.size(), digest.data());
     std::string text;
     text.reserve(2 * digest.size());
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -2,6 +2,7 @@
 
 #include "observe/log.h"
 #include "store/etcd_store.h"
+#include "store/store_configuration_repository.h"
 
 #include <mutex>
 #include <set>
@@ -73,9 +74,43 @@
         role->m_hub->dial(peer.name, peer.address.toString());
     }
     role->followStore();
+    if (auto started = role->startAdmin(); !started) {
+        return started.error();
+    }
     return role;
 }
 
+result<void> entry_role::startAdmin()
+{
+    if (!m_settings.listen.admin || m_store == nullptr) {
+        return success();
+    }
+    m_repository = std::make_unique<store_configuration_repository>(*m_store, std::random_device {}());
+    m_admin = std::make_unique<admin_api>(*m_repository, *this);
+    http_server_options options;
+    options.address = m_settings.listen.admin->host;
+    options.port = m_settings.listen.admin->port;
+    auto server = http_server::start(options, *m_admin);
+    if (!server) {
+        return server.error();
+    }
+    m_adminServer = std::move(server.value());
+    return success();
+}
+
+nlohmann::json entry_role::status()
+{
+    const time_point now = boot_clock::now();
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_configuration.appliedAt());
+    return {{"node", m_settings.node},
+            {"role", "entry"},
+            {"data_centre", m_settings.dataCentre},
+            {"revision", m_configuration.current()->revision},
+            {"configuration_age_ms", age.count()},
+            {"pending", m_pending.size()},
+            {"endpoints", m_directory.describe(now)}};
+}
+
 void entry_role::followStore()
 {
     m_subscription = m_configuration.subscribe([this](const configuration_ptr &current) {
@@ -96,6 +131,7 @@
 entry_role::~entry_role()
 {
     m_server.reset();
+    m_adminServer.reset();
     m_watcher.reset();
     m_configuration.unsubscribe(m_subscription);
     m_hub.reset();
@@ -104,7 +140,10 @@
 std::string entry_role::addresses() const
 {
     return "http=" + m_settings.listen.http.host + ":" + std::to_string(m_server->port())
-        + " peers=" + m_settings.listen.peers.host + ":" + std::to_string(m_hub->port());
+        + " peers=" + m_settings.listen.peers.host + ":" + std::to_string(m_hub->port())
+        + (m_adminServer == nullptr
+               ? ""
+               : " admin=" + m_settings.listen.admin->host + ":" + std::to_string(m_adminServer->port()));
 }
 
 bool entry_role::drain()
--- a/src/entry/entry_role.h
+++ b/src/entry/entry_role.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "admin/admin_api.h"
+#include "admin/status_source.h"
 #include "base/result.h"
 #include "entry/dispatcher.h"
 #include "entry/endpoint_directory.h"
@@ -14,6 +16,7 @@
 #include "observe/metrics.h"
 #include "settings/daemon_settings.h"
 #include "store/configuration_holder.h"
+#include "store/configuration_repository.h"
 #include "store/configuration_watcher.h"
 #include "store/platform_store.h"
 
@@ -24,7 +27,7 @@
 namespace bronzechute {
 
 /** The role that accepts callers' requests and relays them to endpoints. */
-class entry_role final : public node_role, public link_handler, public http_handler
+class entry_role final : public node_role, public link_handler, public http_handler, public status_source
 {
 public:
     static result<std::unique_ptr<entry_role>> start(const daemon_settings &settings, const hello_frame &self);
@@ -39,12 +42,14 @@
     heartbeat_frame makeHeartbeat() override;
 
     http_reply handle(const http_request &request) override;
+    nlohmann::json status() override;
 
 private:
     explicit entry_role(const daemon_settings &settings);
 
     /** Connects to the store and follows the configuration there. */
     void followStore();
+    result<void> startAdmin();
     void onAnswerFrame(const link_ptr &connection, const frame &message);
     http_reply listModels(const http_request &request);
     request_id newRequestId(const http_request &request);
@@ -64,6 +69,9 @@
     std::unique_ptr<platform_store> m_store;
     std::unique_ptr<configuration_watcher> m_watcher;
     int m_subscription = 0;
+    std::unique_ptr<configuration_repository> m_repository;
+    std::unique_ptr<admin_api> m_admin;
+    std::unique_ptr<http_server> m_adminServer;
     std::unique_ptr<http_server> m_server;
     std::atomic<bool> m_draining {false};
     ranked_mutex m_randomMutex {lock_rank::leaf};
--- a/tests/admin/admin_conflict_test.cpp
+++ b/tests/admin/admin_conflict_test.cpp
@@ -104,9 +104,9 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, admin_fault,
-    testing::Values(fault_row{"outage_told_as_unknown", errc::unavailable, 503, "store_unavailable"},
-                    fault_row{"unknown_outcome_told_as_failure", errc::outcome_unknown, 504, "outcome_unknown"},
-                    fault_row{"timeout_told_as_not_done", errc::timed_out, 504, "outcome_unknown"}),
+    testing::Values(fault_row {"outage_told_as_unknown", errc::unavailable, 503, "store_unavailable"},
+                    fault_row {"unknown_outcome_told_as_failure", errc::outcome_unknown, 504, "outcome_unknown"},
+                    fault_row {"timeout_told_as_not_done", errc::timed_out, 504, "outcome_unknown"}),
     [](const auto &row) { return std::string(row.param.name); });
 
 // Guards against a status page that fails, or opens to everybody, while the store is unavailable.
--- a/tests/backend/eventually.h
+++ b/tests/backend/eventually.h
@@ -8,7 +8,8 @@
 namespace bronzechute {
 
 /** Waits with a generous deadline. @returns whether the condition came to hold. */
-template<typename Condition> bool eventually(Condition condition)
+template<typename Condition>
+bool eventually(Condition condition)
 {
     constexpr auto patience = std::chrono::seconds(20);
     const time_point end = boot_clock::now() + patience;
--- a/tests/backend/http_back_end_headers_test.cpp
+++ b/tests/backend/http_back_end_headers_test.cpp
@@ -117,12 +117,12 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, back_end_priority,
-    testing::Values(priority_row{"highest_not_first", engineKind, 9, R"({"a":1})", R"({"a":1,"priority":0})"},
-                    priority_row{"callers_value_wins", engineKind, 2, R"({"priority":0} )",
-                                 R"({"priority":0,"priority":7} )"},
-                    priority_row{"empty_object_broken", engineKind, 0, "{ }", R"({ "priority":9})"},
-                    priority_row{"other_body_changed", engineKind, 0, "[1]", "[1]"},
-                    priority_row{"service_body_changed", http_back_end_options::kind::service, 0, "{}", "{}"}),
+    testing::Values(priority_row {"highest_not_first", engineKind, 9, R"({"a":1})", R"({"a":1,"priority":0})"},
+                    priority_row {"callers_value_wins", engineKind, 2, R"({"priority":0} )",
+                                  R"({"priority":0,"priority":7} )"},
+                    priority_row {"empty_object_broken", engineKind, 0, "{ }", R"({ "priority":9})"},
+                    priority_row {"other_body_changed", engineKind, 0, "[1]", "[1]"},
+                    priority_row {"service_body_changed", http_back_end_options::kind::service, 0, "{}", "{}"}),
     [](const auto &row) { return std::string(row.param.name); });
 
 } // namespace
--- a/tests/backend/http_back_end_probe_test.cpp
+++ b/tests/backend/http_back_end_probe_test.cpp
@@ -21,7 +21,7 @@
 // Guards against a new connection for each probe or read.
 TEST(http_back_end, reusesConnectionsForReads)
 {
-    std::atomic<int> connections{0};
+    std::atomic<int> connections {0};
     standins::raw_server server([&connections](raw_connection &connection, int) {
         ++connections;
         while (!connection.readRequest().empty()) {
@@ -60,28 +60,28 @@
 INSTANTIATE_TEST_SUITE_P(
     rows, back_end_probe,
     testing::Values(
-        probe_row{"labels_not_read", pageHead + "vllm:num_requests_running{m=\"a}\"} 3.0\n", {true, "", 3, 0, 0}},
-        probe_row{"label_sets_not_added",
-                  pageHead + "vllm:num_requests_waiting{m=\"a\"} 1\nvllm:num_requests_waiting 2",
-                  {true, "", 0, 3, 0}},
-        probe_row{"longer_name_read", pageHead + "vllm:num_requests_running_total 9\n", {true, "", 0, 0, 0}},
-        probe_row{"start_id_rounded",
-                  pageHead + "process_start_time_seconds 1.79635095847e+09\n",
-                  {true, "1.79635095847e+09", 0, 0, 0}},
-        probe_row{"cache_not_read", pageHead + "vllm:gpu_cache_usage_perc 0.25\n", {true, "", 0, 0, 0.25}},
-        probe_row{"newer_cache_name_not_read", pageHead + "vllm:kv_cache_usage_perc 0.5\n", {true, "", 0, 0, 0.5}},
-        probe_row{"error_page_seen_as_reachable", "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n", {}},
-        probe_row{"silence_seen_as_reachable", "", {}}),
+        probe_row {"labels_not_read", pageHead + "vllm:num_requests_running{m=\"a}\"} 3.0\n", {true, "", 3, 0, 0}},
+        probe_row {"label_sets_not_added",
+                   pageHead + "vllm:num_requests_waiting{m=\"a\"} 1\nvllm:num_requests_waiting 2",
+                   {true, "", 0, 3, 0}},
+        probe_row {"longer_name_read", pageHead + "vllm:num_requests_running_total 9\n", {true, "", 0, 0, 0}},
+        probe_row {"start_id_rounded",
+                   pageHead + "process_start_time_seconds 1.79635095847e+09\n",
+                   {true, "1.79635095847e+09", 0, 0, 0}},
+        probe_row {"cache_not_read", pageHead + "vllm:gpu_cache_usage_perc 0.25\n", {true, "", 0, 0, 0.25}},
+        probe_row {"newer_cache_name_not_read", pageHead + "vllm:kv_cache_usage_perc 0.5\n", {true, "", 0, 0, 0.5}},
+        probe_row {"error_page_seen_as_reachable", "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n", {}},
+        probe_row {"silence_seen_as_reachable", "", {}}),
     [](const auto &row) { return std::string(row.param.name); });
 
 // Guards against a probe that blocks for as long as the engine is silent.
 TEST(http_back_end, probeGivesUp)
 {
     standins::raw_server server([](raw_connection &connection, int) { connection.waitForClose(); });
-    http_back_end_options options{engineKind, server.url()};
+    http_back_end_options options {engineKind, server.url()};
     options.probeTimeout = 200ms;
     http_back_end engine(options, std::make_shared<transfer_loop>());
-    EXPECT_EQ(engine.probe(), back_end_load{});
+    EXPECT_EQ(engine.probe(), back_end_load {});
 }
 
 // Guards against an adapter that looks for other names than the stand-ins show.
--- a/tests/backend/http_back_end_test.cpp
+++ b/tests/backend/http_back_end_test.cpp
@@ -24,7 +24,7 @@
     request.method = "POST";
     request.path = "/v1/completions";
     request.headers = {{"Content-Type", "application/json"}};
-    request.body = nlohmann::json{{"prompt", "minutes"}, {"max_tokens", tokens}, {"stream", stream}}.dump();
+    request.body = nlohmann::json {{"prompt", "minutes"}, {"max_tokens", tokens}, {"stream", stream}}.dump();
     return request;
 }
 
@@ -89,10 +89,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, back_end_cancel,
-                         testing::Values(cancel_row{"stream_runs_on", true, "{}", false},
-                                         cancel_row{"whole_answer_runs_on", false, "{}", false},
-                                         cancel_row{"stalled_request_runs_on", true, R"({"stall": true})", false},
-                                         cancel_row{"refused_bytes_ignored", true, "{}", true}),
+                         testing::Values(cancel_row {"stream_runs_on", true, "{}", false},
+                                         cancel_row {"whole_answer_runs_on", false, "{}", false},
+                                         cancel_row {"stalled_request_runs_on", true, R"({"stall": true})", false},
+                                         cancel_row {"refused_bytes_ignored", true, "{}", true}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 // Guards against transfers that never end because their loop has gone, and against handles that use it afterwards.
@@ -116,9 +116,9 @@
 // Guards against a slow caller whose answer piles up in this process, and against bytes lost by a pause.
 TEST(http_back_end, pausedTransferDoesNotGrowMemory)
 {
-    constexpr std::size_t blockBytes = std::size_t{64} * 1024;
+    constexpr std::size_t blockBytes = std::size_t {64} * 1024;
     constexpr std::size_t blocks = 1024; // 64 MiB, more than the sockets hold.
-    std::atomic<std::size_t> sent{0};
+    std::atomic<std::size_t> sent {0};
     standins::raw_server server([&sent](raw_connection &connection, int) {
         connection.readRequest();
         connection.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(blockBytes * blocks) + "\r\n\r\n");
@@ -129,7 +129,7 @@
     });
     http_back_end target({http_back_end_options::kind::service, server.url()}, std::make_shared<transfer_loop>());
     const auto sink = std::make_shared<recording_sink>();
-    back_end_request request{"GET", "/", {}, ""};
+    back_end_request request {"GET", "/", {}, ""};
     request.idleTimeout = 500ms; // A pause is no silence of the server.
     const auto running = target.start(request, sink);
     running->pause();
--- a/tests/backend/recording_sink.cpp
+++ b/tests/backend/recording_sink.cpp
@@ -99,7 +99,7 @@
 
 bool recording_sink::waitUntil(const std::function<bool()> &condition)
 {
-    constexpr std::chrono::seconds patience{30};
+    constexpr std::chrono::seconds patience {30};
     std::unique_lock lock(m_mutex);
     return m_changed.wait_for(lock, patience, condition);
 }
--- a/tests/backend/recording_sink.h
+++ b/tests/backend/recording_sink.h
@@ -43,7 +43,7 @@
     void note(char call);
     bool waitUntil(const std::function<bool()> &condition);
 
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     std::condition_variable_any m_changed;
     std::string m_calls;
     std::string m_body;
