--- a/tests/standins/store_server.cpp
+++ b/tests/standins/store_server.cpp
@@ -4,6 +4,7 @@
 #include "standins/store_refusal.h"
 #include "standins/store_watch_source.h"
 
+#include <algorithm>
 #include <mutex>
 #include <thread>
 
@@ -44,6 +45,11 @@
     return jsonReply(status, {{"error", message}, {"code", code}, {"message", message}});
 }
 
+bool isWrite(const std::string &kind)
+{
+    return kind == "txn" || kind == "put" || kind == "deleterange";
+}
+
 const std::map<std::string, std::string> kindOfPath = {
     {"/v3/kv/range", "range"},
     {"/v3/kv/txn", "txn"},
@@ -137,6 +143,12 @@
         const std::scoped_lock lock(m_mutex);
         ++m_calls[kind];
         faults = m_faults;
+        if (isWrite(kind) && faults.writesPerSecond > 0) {
+            const time_point now = boot_clock::now();
+            m_nextWrite = std::max(m_nextWrite, now);
+            faults.delay += std::chrono::ceil<std::chrono::milliseconds>(m_nextWrite - now);
+            m_nextWrite += std::chrono::nanoseconds(std::chrono::seconds(1)) / faults.writesPerSecond;
+        }
     }
     std::this_thread::sleep_for(faults.delay);
     if (faults.outage) {
@@ -152,7 +164,7 @@
         m_state.expireLeases(boot_clock::now());
         const std::int64_t before = m_state.revision();
         answer = dispatch(kind, request);
-        if (kind == "txn" || kind == "put" || kind == "deleterange") {
+        if (isWrite(kind)) {
             ++m_writes;
             lose = m_state.revision() != before && m_faults.loseAnswers > 0;
             m_faults.loseAnswers -= lose ? 1 : 0;
--- a/tests/standins/store_server.h
+++ b/tests/standins/store_server.h
@@ -58,6 +58,7 @@
     store_faults m_faults;
     std::map<std::string, std::int64_t> m_calls;
     std::int64_t m_writes = 0;
+    time_point m_nextWrite; ///< Earliest time of the next write under a rate limit.
     int m_openWatches = 0;
     int m_silenceCount = 0; ///< Watches opened before the last of these stay silent.
     int m_closeCount = 0; ///< Watches opened before the last of these are cut.
