tool: program bronzechute with its verbs, flags and exit codes

Operators need one command line for the administration API whose exit code says whether a change was made. ulfius' client does not tell a refused connection from a lost answer, so a change is sent only after a read was answered: an unanswered read exits with 4 (nothing changed), an unanswered change with 5 (outcome unknown). gflags' own parser was ruled out for the command line because it exits with 1 at a wrong flag, which means a failed operation here; the flags and their conversions stay with gflags. apply takes its base revision from the first line that get prints, so that an edited old document does not overwrite a later change.

--- /dev/null
+++ b/src/tool/run_tool.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "tool/exit_code.h"
+#include "tool/tool_options.h"
+
+#include <istream>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace bronzechute {
+
+/**
+ * Runs the program bronzechute.
+ * @param words the verb and its arguments, without flags
+ */
+exit_code runTool(const tool_options &options, const std::vector<std::string> &words, std::istream &in,
+                  std::ostream &out, std::ostream &err);
+
+/** @returns the usage text with every verb. */
+std::string usageText();
+
+} // namespace bronzechute
