--- a/src/admin/configuration_editor.cpp
+++ b/src/admin/configuration_editor.cpp
@@ -50,9 +50,6 @@
         return errorReply(401, "unauthenticated", caller.error().detail, "Authorization");
     }
     const std::int64_t base = current.value().revision;
-    if (how.baseRevision && *how.baseRevision != base) {
-        return conflictReply(*how.baseRevision);
-    }
     configuration content = current.value().content;
     if (auto refusal = change(content)) {
         return refusal;
@@ -64,12 +61,16 @@
     if (!checked.content) {
         return invalidDocumentReply(checked.problems);
     }
+    const auto changes = diffConfigurations(current.value().content, content);
+    // An equal document is no conflict, so that a change whose outcome was unknown can be sent again.
+    if (how.baseRevision && *how.baseRevision != base && !changes.empty()) {
+        return conflictReply(*how.baseRevision);
+    }
     if (content.teams.empty() && !current.value().content.teams.empty()) {
         return errorReply(422, "invalid_configuration",
                           "found no team, expected at least one, because without teams everybody may change everything",
                           "teams");
     }
-    const auto changes = diffConfigurations(current.value().content, content);
     if (const auto forbidden = firstForbidden(caller.value().team, changes)) {
         return errorReply(403, "permission_denied",
                           "team " + caller.value().team.name + " may not change " + forbidden->path, forbidden->path);
--- a/src/admin/configuration_editor.h
+++ b/src/admin/configuration_editor.h
@@ -21,7 +21,7 @@
 
     struct options
     {
-        std::optional<std::int64_t> baseRevision; ///< When set, another revision in force is a conflict.
+        std::optional<std::int64_t> baseRevision; ///< When set, another revision with other content is a conflict.
         bool dryRun = false; ///< Checks everything, changes nothing.
         bool retry = true; ///< Whether the change may be made again from a newer configuration after a conflict.
     };
--- a/src/config/configuration_json.cpp
+++ b/src/config/configuration_json.cpp
@@ -91,7 +91,7 @@
 void emit(YAML::Emitter &out, const json &value)
 {
     if (value.is_object()) {
-        out << YAML::BeginMap;
+        out << (value.empty() ? YAML::Flow : YAML::Block) << YAML::BeginMap;
         // The name first, for people; the others in alphabetical order.
         if (value.contains("name")) {
             out << YAML::Key << "name" << YAML::Value;
