--- a/src/config/configuration_diff.cpp
+++ b/src/config/configuration_diff.cpp
@@ -3,6 +3,7 @@
 #include "config/configuration_parser.h"
 
 #include <algorithm>
+#include <map>
 
 namespace bronzechute {
 
@@ -11,10 +12,15 @@
 using json = nlohmann::json;
 using change_list = std::vector<configuration_change>;
 
-const json *findNamed(const json &items, const json &name)
+using name_index = std::map<std::string, const json *>;
+
+name_index indexByName(const json &items)
 {
-    const auto found = std::find_if(items.begin(), items.end(), [&](const json &item) { return item["name"] == name; });
-    return found == items.end() ? nullptr : &*found;
+    name_index index;
+    for (const json &item : items) {
+        index.emplace(item["name"].get<std::string>(), &item);
+    }
+    return index;
 }
 
 /** Compares values key by key down to lists, texts and numbers. */
@@ -57,14 +63,17 @@
 
 void compareSections(const std::string &section, const json &before, const json &after, change_list &changes)
 {
+    const name_index old = indexByName(before);
+    const name_index current = indexByName(after);
     for (const json &item : before) {
-        const json *other = findNamed(after, item["name"]);
-        compareValues(placeOf(section, item["name"].get<std::string>()), item, other == nullptr ? json() : *other,
-                      changes);
+        const std::string name = item["name"].get<std::string>();
+        const auto other = current.find(name);
+        compareValues(placeOf(section, name), item, other == current.end() ? json() : *other->second, changes);
     }
     for (const json &item : after) {
-        if (findNamed(before, item["name"]) == nullptr) {
-            compareValues(placeOf(section, item["name"].get<std::string>()), json(), item, changes);
+        const std::string name = item["name"].get<std::string>();
+        if (!old.contains(name)) {
+            compareValues(placeOf(section, name), json(), item, changes);
         }
     }
 }
