policy: cost-based choice, slow start of the limit, bench of policies

Cause: measured against random, round robin and least requests on the same arrivals, the first version spread the load by load over each endpoint's own limit, lowered the limit after a single slow answer, and let one answer double the cold-start cap.

Change: bench/policy_bench.cpp runs entries, endpoint processes and engines as a discrete-event model. The cost of an endpoint is relative service time times load over the mean limit, plus its queue; changes since the last report count once for each entry. The limit falls when 20% of the answers miss a target and doubles until its first fall. The cap doubles after warm answers for half of it.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -8,7 +8,9 @@
 
 DEFINE_uint64(seed, 1, "seed of the first run; further runs use the following numbers");
 DEFINE_uint64(seeds, 3, "number of seeds");
+DEFINE_double(capacity, 0, "requests a second to take as capacity; 0 measures it");
 DEFINE_bool(json, false, "print JSON instead of a table");
+DEFINE_bool(variants, false, "compare bronzechute with variants of itself instead of the usual policies");
 DEFINE_string(scenario, "", "run only the scenario of this name");
 
 namespace bronzechute::policy_model {
@@ -23,6 +25,37 @@
             {.name = "bronzechute", .selection = std::nullopt, .adaptive = true}};
 }
 
+/** bronzechute with one part changed, to show what the part does. */
+std::vector<policy_kind> variants()
+{
+    std::vector<policy_kind> result;
+    const auto add = [&result](const char *name, auto change) {
+        policy_kind kind = policies().back();
+        kind.name = name;
+        change(kind);
+        result.push_back(kind);
+    };
+    add("unchanged", [](auto &) {});
+    add("no_affinity", [](auto &kind) { kind.chooser.affinityBound = kind.chooser.affinitySlack = 0; });
+    add("own_hash", [](auto &kind) { kind.commonHash = false; });
+    add("entries_1", [](auto &kind) { kind.chooser.entries = 1; });
+    add("bound_1.0", [](auto &kind) { kind.chooser.affinityBound = 1.0; });
+    add("bound_1.1", [](auto &kind) { kind.chooser.affinityBound = 1.1; });
+    add("slack_0.3", [](auto &kind) { kind.chooser.affinitySlack = 0.3; });
+    add("bound_1.5", [](auto &kind) { kind.chooser.affinityBound = 1.5; });
+    add("samples_2", [](auto &kind) { kind.chooser.samples = 2; });
+    add("samples_16", [](auto &kind) { kind.chooser.samples = endpointCount; });
+    add("miss_0.05", [](auto &kind) { kind.limiter.missShare = 0.05; });
+    add("miss_0.5", [](auto &kind) { kind.limiter.missShare = 0.5; });
+    add("proof_one", [](auto &kind) { kind.limiter.proofShare = 0; });
+    add("proof_one_least", [](auto &kind) {
+        kind.limiter.proofShare = 0;
+        kind.selection = baseline::least_requests;
+    });
+    add("proof_full", [](auto &kind) { kind.limiter.proofShare = 1; });
+    return result;
+}
+
 std::vector<scenario> scenarios()
 {
     return {{.name = "even"},
@@ -32,6 +65,9 @@
             {.name = "overload_150", .load = 1.5},
             {.name = "cold_return", .load = 0.7, .restarts = 1},
             {.name = "third_vanishes", .load = 0.6, .vanish = 5},
+            {.name = "silent_cold", .load = 0.7, .silentCold = 1},
+            {.name = "plain", .plain = true},
+            {.name = "no_flood", .load = 0.5},
             {.name = "flood", .load = 0.5, .floodLoad = 1.5}};
 }
 
@@ -106,7 +142,7 @@
 
 int report()
 {
-    const double capacity = findCapacity(FLAGS_seed);
+    const double capacity = FLAGS_capacity > 0 ? FLAGS_capacity : findCapacity(FLAGS_seed);
     nlohmann::json all{{"seed", FLAGS_seed}, {"seeds", FLAGS_seeds}, {"capacity_per_s", capacity}};
     if (!FLAGS_json) {
         std::printf("capacity %.1f requests/s; seeds %llu..%llu\n", capacity,
@@ -119,7 +155,7 @@
         if (!FLAGS_scenario.empty() && FLAGS_scenario != course.name) {
             continue;
         }
-        for (const policy_kind &kind : policies()) {
+        for (const policy_kind &kind : FLAGS_variants ? variants() : policies()) {
             const nlohmann::json row = summarize(course, kind, capacity);
             all["rows"].push_back(row);
             if (FLAGS_json) {
--- a/bench/policy_engine.h
+++ b/bench/policy_engine.h
@@ -74,6 +74,13 @@
         std::erase_if(m_waiting, same);
     }
 
+    /** Becomes cold and keeps its work. */
+    void loseWarmth()
+    {
+        m_cache.clear();
+        answers = 0;
+    }
+
     /** Drops all work and the cache, and becomes cold. @returns the requests that were lost. */
     std::vector<int> restart()
     {
@@ -86,8 +93,7 @@
         }
         m_batch.clear();
         m_waiting.clear();
-        m_cache.clear();
-        answers = 0;
+        loseWarmth();
         return lost;
     }
 
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -29,6 +29,8 @@
     bool adaptive =
         false; ///< adaptive_limiter and fair_queue, instead of a fixed limit and a first-in first-out queue.
     load_aware_settings chooser{.entries = entryCount};
+    limiter_settings limiter{.maximum = 64, .initial = 16};
+    bool commonHash = true; ///< Whether entries rank endpoints for a new prefix alike.
 };
 
 struct outcome_counts
@@ -78,6 +80,9 @@
         for (int index = 0; index < m_course.restarts; ++index) {
             at(30, [this, index] { restartEngine(index, 10); });
         }
+        for (int index = 0; index < m_course.silentCold; ++index) {
+            at(30, [this, index] { m_nodes[index].machine.loseWarmth(); });
+        }
         for (int index = 0; index < m_course.vanish; ++index) {
             at(30, [this, index] { vanish(index); });
         }
@@ -168,6 +173,9 @@
 
     std::vector<std::uint64_t> chainOf(int request) const
     {
+        if (m_course.plain) {
+            return {};
+        }
         const auto prefix = static_cast<std::uint64_t>(m_arrivals[request].prefix + 1) * 0x9E3779B97F4A7C15ULL;
         return {prefix, prefix + 1, prefix + 2, prefix + 3, static_cast<std::uint64_t>(request)};
     }
--- a/bench/policy_model_endpoint.h
+++ b/bench/policy_model_endpoint.h
@@ -7,7 +7,7 @@
 inline void simulation::resetProcess(int node)
 {
     node_state &here = m_nodes[node];
-    here.limiter = std::make_unique<adaptive_limiter>(limiter_settings{.maximum = 64, .initial = 16});
+    here.limiter = std::make_unique<adaptive_limiter>(m_kind.limiter);
     here.queue = std::make_unique<fair_queue>(queue_settings{.capacity = queueCapacity});
     here.plainQueue.clear();
     here.running = 0;
--- a/bench/policy_model_entry.h
+++ b/bench/policy_model_entry.h
@@ -43,6 +43,9 @@
             each.ejected = state.ejected;
             each.probeAllowed = state.probeAllowed;
         }
+        if (!m_kind.commonHash) {
+            each.nameHash = each.nameHash * (2 * static_cast<std::uint64_t>(m_arrivals[request].entry) + 3);
+        }
         result.push_back(each);
     }
     return result;
--- a/bench/policy_scenario.h
+++ b/bench/policy_scenario.h
@@ -27,6 +27,8 @@
     double floodLoad = 0; ///< Load over capacity that account 0 adds.
     double slowness = 1; ///< Of endpoint 0, from second 20.
     int restarts = 0; ///< Engines that restart at second 30, from endpoint 0 on; they are away for 10 s.
+    int silentCold = 0; ///< Engines that lose their warm state at second 30 without a restart or a sign.
+    bool plain = false; ///< No prompt prefixes: every prompt is short.
     int vanish = 0; ///< VMs that fall silent at second 30, from endpoint 0 on, and return cold at second 50.
 };
 
@@ -54,7 +56,7 @@
         each.at = at;
         const bool flooding = part(random) * (base + flood) < flood;
         each.account = flooding ? 0 : 1 + static_cast<int>(random() % (accountCount - 1));
-        each.prefix = part(random) < course.hotShare ? 0 : static_cast<int>(random() % prefixCount);
+        each.prefix = course.plain || part(random) < course.hotShare ? 0 : static_cast<int>(random() % prefixCount);
         each.tokens = 10 + std::min(140, tokens(random));
         each.entry = static_cast<int>(random() % entryCount);
         arrivals.push_back(each);
--- a/src/policy/adaptive_limiter.cpp
+++ b/src/policy/adaptive_limiter.cpp
@@ -64,8 +64,10 @@
     }
     onWarm(now, sample, pace);
     if (!m_cold && limitInUse && sample.outcome == answer_outcome::answered && m_missShare < m_settings.missShare / 2) {
-        // One more for each limit's worth of answers.
-        m_adaptive = std::min(m_adaptive + 1.0 / m_adaptive, static_cast<double>(std::max(1, m_settings.maximum)));
+        // Before the first decrease the limit doubles with each limit's worth of answers, so that a queue that formed
+        // during the cold start is worked off soon; after it, the limit grows by one.
+        const double step = m_decreased ? 1.0 / m_adaptive : 1.0;
+        m_adaptive = std::min(m_adaptive + step, static_cast<double>(std::max(1, m_settings.maximum)));
     }
 }
 
@@ -140,6 +142,7 @@
     if (now - m_decreasedAt >= m_settings.decreaseInterval) {
         m_adaptive = std::max(1.0, m_adaptive * decreaseFactor);
         m_decreasedAt = now;
+        m_decreased = true;
     }
 }
 
@@ -165,6 +168,7 @@
 {
     m_cold = true;
     m_drops = 0;
+    m_missShare = 0;
     changeCap(now, 1);
 }
 
--- a/src/policy/adaptive_limiter.h
+++ b/src/policy/adaptive_limiter.h
@@ -47,6 +47,7 @@
     int m_inFlight = 0;
     int m_peakInFlight = 0; ///< Since the last change of the cap.
     int m_proofs = 0; ///< Answers at warm speed that started at the present cap.
+    bool m_decreased = false; ///< Whether the limit has been lowered since the start of the process.
     double m_missShare = 0; ///< Smoothed share of answers that miss a target.
     int m_drops = 0; ///< Consecutive answers far below warm speed.
     std::optional<double> m_warmPace; ///< Smoothed seconds a token (or a call) of the warm engine.
--- a/src/policy/load_aware_chooser.cpp
+++ b/src/policy/load_aware_chooser.cpp
@@ -1,6 +1,7 @@
 #include "policy/load_aware_chooser.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bronzechute {
 namespace {
@@ -40,7 +41,10 @@
                                                       const choice_request &request, std::mt19937_64 &random)
 {
     m_options.clear();
-    double sum = 0;
+    m_options.reserve(candidates.size());
+    double limits = 0;
+    double services = 0;
+    int servicesKnown = 0;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const endpoint_candidate &candidate = candidates[index];
         if (!mayTake(candidate, request)) {
@@ -54,15 +58,32 @@
         if (candidate.cold && load >= candidate.limit) {
             continue;
         }
-        const bool remote = candidate.dataCentre != request.localDataCentre;
-        const double utilisation =
-            (load + 1.0) / std::max(1, candidate.limit) + (remote ? m_settings.remotePenalty : 0.0);
-        sum += utilisation;
-        m_options.push_back({static_cast<std::uint32_t>(index), utilisation});
+        limits += std::max(1, candidate.limit);
+        services += candidate.meanServiceMs;
+        servicesKnown += candidate.meanServiceMs > 0 ? 1 : 0;
+        m_options.push_back({static_cast<std::uint32_t>(index), load + 1.0, 0});
     }
     if (m_options.empty()) {
         return std::nullopt;
     }
+    // Reciprocals, because a division for each candidate takes a good part of a choice.
+    const double perMeanLimit = static_cast<double>(m_options.size()) / limits;
+    const double perMeanService = servicesKnown > 0 ? servicesKnown / services : 1;
+    double sum = 0;
+    for (option &each : m_options) {
+        const endpoint_candidate &candidate = candidates[each.index];
+        const double service = candidate.meanServiceMs > 0 ? candidate.meanServiceMs * perMeanService : 1;
+        const double limit = std::max(1, candidate.limit);
+        each.cost = each.load * perMeanLimit;
+        if (each.load > limit) {
+            each.cost += (each.load - limit) / limit;
+        }
+        each.cost *= service;
+        if (candidate.dataCentre != request.localDataCentre) {
+            each.cost += m_settings.remotePenalty;
+        }
+        sum += each.cost;
+    }
     if (!request.prefixChain.empty()) {
         const auto preferred = chooseByPrefix(candidates, request, sum / static_cast<double>(m_options.size()));
         if (preferred) {
@@ -73,7 +94,7 @@
     const option *best = &m_options[pick(random)];
     for (int sample = 1; sample < m_settings.samples; ++sample) {
         const option &other = m_options[pick(random)];
-        if (other.utilisation < best->utilisation) {
+        if (other.cost < best->cost) {
             best = &other;
         }
     }
@@ -81,24 +102,21 @@
 }
 
 std::optional<std::size_t> load_aware_chooser::chooseByPrefix(std::span<const endpoint_candidate> candidates,
-                                                              const choice_request &request,
-                                                              double meanUtilisation) const
+                                                              const choice_request &request, double meanCost) const
 {
-    const double bound = meanUtilisation * m_settings.affinityBound + m_settings.affinitySlack;
+    const double bound = meanCost * m_settings.affinityBound + m_settings.affinitySlack;
     const std::uint64_t prefix = request.prefixChain.front();
     const option *best = nullptr;
-    double bestAffinity = -1;
-    std::uint64_t bestRank = 0;
+    std::pair<double, std::uint64_t> bestKey;
     for (const option &each : m_options) {
-        if (each.utilisation > bound) {
+        if (each.cost > bound) {
             continue;
         }
         const endpoint_candidate &candidate = candidates[each.index];
-        const std::uint64_t rank = mix(prefix ^ candidate.nameHash);
-        if (candidate.affinity > bestAffinity || (candidate.affinity == bestAffinity && rank > bestRank)) {
+        const std::pair key(candidate.affinity, mix(prefix ^ candidate.nameHash));
+        if (!best || key > bestKey) {
             best = &each;
-            bestAffinity = candidate.affinity;
-            bestRank = rank;
+            bestKey = key;
         }
     }
     return best ? std::optional<std::size_t>(best->index) : std::nullopt;
--- a/src/policy/load_aware_settings.h
+++ b/src/policy/load_aware_settings.h
@@ -9,10 +9,10 @@
 {
     std::chrono::milliseconds statusLifetime{2000}; ///< An endpoint with an older status gets nothing.
     int entries = 1; ///< Entries that send to the same endpoints, this one included.
-    int samples = 3; ///< Candidates compared for a request without affinity.
-    double affinityBound = 1.25; ///< An endpoint keeps a prefix up to this multiple of the mean utilisation...
-    double affinitySlack = 0.1; ///< ...plus this utilisation, so that an idle pool does not scatter prefixes.
-    double remotePenalty = 0.5; ///< Added to the utilisation of endpoints in another data centre.
+    int samples = 3; ///< Candidates compared for a request without a prefix.
+    double affinityBound = 1.25; ///< An endpoint keeps a prefix up to this multiple of the mean cost...
+    double affinitySlack = 0.1; ///< ...plus this, so that an idle pool does not scatter prefixes.
+    double remotePenalty = 0.5; ///< Added to the cost of endpoints in another data centre.
 };
 
 } // namespace bronzechute
--- a/tests/policy/load_aware_chooser_test.cpp
+++ b/tests/policy/load_aware_chooser_test.cpp
@@ -39,7 +39,7 @@
     GetParam().prepare(candidates[0], candidates[1]);
     const std::vector<std::string_view> tried{"tried"};
     const choice_request request{.localDataCentre = "buda", .prefixChain = {}, .priority = 5, .tried = tried};
-    load_aware_chooser chooser;
+    load_aware_chooser chooser({.entries = 4, .samples = 16});
     std::mt19937_64 random(1);
     std::set<std::string> selected;
     for (int choice = 0; choice < 200; ++choice) {
@@ -72,6 +72,42 @@
                                    a.ownInFlight = 1;
                                },
                                {"b"}},
+                    choice_row{"slow_as_good_as_fast",
+                               [](auto &a, auto &b) {
+                                   a.meanServiceMs = 4000;
+                                   b.meanServiceMs = 1000;
+                                   a.inFlight = b.inFlight = 4;
+                               },
+                               {"b"}},
+                    choice_row{"higher_limit_attracts_more_than_equal_load",
+                               [](auto &a, auto &b) {
+                                   a.limit = 40;
+                                   a.inFlight = 6;
+                                   b.inFlight = 5;
+                               },
+                               {"b"}},
+                    choice_row{"queue_behind_limit_ignored",
+                               [](auto &a, auto &b) {
+                                   a.limit = 2;
+                                   a.inFlight = 2;
+                                   a.queued = 2;
+                                   b.limit = 40;
+                                   b.inFlight = 5;
+                               },
+                               {"b"}},
+                    choice_row{"requests_of_other_entries_since_status_ignored",
+                               [](auto &a, auto &b) {
+                                   a.ownInFlight = 2;
+                                   b.inFlight = 5;
+                               },
+                               {"b"}},
+                    choice_row{"remote_as_good_as_local", [](auto &a, auto &) { a.dataCentre = "pest"; }, {"b"}},
+                    choice_row{"remote_never_used",
+                               [](auto &a, auto &b) {
+                                   a.dataCentre = "pest";
+                                   b.inFlight = 9;
+                               },
+                               {"a"}},
                     choice_row{
                         "nothing_left_not_reported", [](auto &a, auto &b) { a.ejected = b.ejected = true; }, {""}}),
     [](const auto &row) { return std::string(row.param.name); });
@@ -119,7 +155,7 @@
     auto candidates = pool(all);
     const std::vector<std::uint64_t> chain{42};
     const choice_request request{.localDataCentre = "buda", .prefixChain = chain, .tried = {}};
-    load_aware_chooser chooser;
+    load_aware_chooser chooser({.entries = 1});
     std::mt19937_64 random(1);
     for (int sent = 0; sent < 40; ++sent) {
         const std::size_t index = chooser.choose(candidates, request, random).value();
