policy: plain calls need more drops; list marks from before a heartbeat end

Cause: three slow calls in a row are common for a plain service whose calls differ, and would have made it cold. An entry that starts while the VM list still says leaving about an older process would never have used the endpoint, since only a new incarnation ended the mark.

Change: twelve consecutive drops are needed for answers without tokens. A mark that the VM list set before the first heartbeat ends when the list says live again; a mark from a heartbeat does not.

Ruled out: letting the list end any of its marks, because a stale read after a newer one would return a leaving endpoint that was heard.

Conclusion: both faults are held by tests; how much the calls of real services differ is not measured.

--- a/src/policy/adaptive_limiter.cpp
+++ b/src/policy/adaptive_limiter.cpp
@@ -116,7 +116,7 @@
         return;
     }
     if (m_warmPace && pace > *m_warmPace * m_settings.dropFactor) {
-        if (++m_drops >= m_settings.dropAnswers) {
+        if (++m_drops >= (sample.tokens > 1 ? m_settings.dropAnswers : m_settings.dropCalls)) {
             markCold(now);
         }
         return;
--- a/src/policy/limiter_settings.h
+++ b/src/policy/limiter_settings.h
@@ -13,6 +13,7 @@
     std::chrono::milliseconds tokenTarget{66}; ///< The limit falls while later tokens take longer.
     double dropFactor = 3; ///< An answer this many times slower than warm speed counts as a drop.
     int dropAnswers = 3; ///< Consecutive drops that make the engine cold; one may be a long prompt.
+    int dropCalls = 12; ///< The same for a plain service, whose calls differ more in their time than tokens do.
     double warmFactor = 1.5; ///< An answer up to this many times slower than warm speed is at warm speed.
     double serviceFactor = 2; ///< A plain service slower than this multiple of its warm speed is overloaded.
     std::chrono::milliseconds decreaseInterval{1000}; ///< At most one decrease in this time: effects take that long.
--- a/src/policy/member.h
+++ b/src/policy/member.h
@@ -18,6 +18,7 @@
     bool inVmList = false;
     bool listedLeaving = false; ///< Last word of the VM list.
     bool leaving = false; ///< Some source said so about the present incarnation.
+    bool leavingUnheard = false; ///< The VM list said so before any heartbeat was heard.
     bool connected = false; ///< The connection of the last heartbeat is open.
     std::uint64_t incarnation = 0; ///< Of the process that was last heard; 0: never heard.
     std::optional<time_point> heardAt; ///< Last heartbeat.
--- a/src/policy/membership_table.cpp
+++ b/src/policy/membership_table.cpp
@@ -47,6 +47,12 @@
         }
         if (vm.leaving && !each.listedLeaving) {
             each.leaving = true;
+            each.leavingUnheard = each.incarnation == 0;
+        } else if (!vm.leaving && each.leavingUnheard) {
+            // The mark may be older than the process that was heard first; without this, an entry that starts while
+            // the list lags would never use the endpoint.
+            each.leaving = false;
+            each.leavingUnheard = false;
         }
         each.listedLeaving = vm.leaving;
     }
@@ -65,10 +71,14 @@
         // The first incarnation that is heard does not clear a mark of the list: the list may know better.
         if (each.incarnation != 0) {
             each.leaving = false;
+            each.leavingUnheard = false;
         }
         each.incarnation = incarnation;
     }
-    each.leaving = each.leaving || status.state == serving_state::leaving;
+    if (status.state == serving_state::leaving) {
+        each.leaving = true;
+        each.leavingUnheard = false;
+    }
     each.connected = true;
     each.heardAt = now;
     each.seenAt = now;
--- a/src/policy/membership_table.h
+++ b/src/policy/membership_table.h
@@ -21,6 +21,7 @@
  * - A heartbeat beats lists: an endpoint that a list does not name, or no longer names, stays usable while heard.
  * - `leaving` from any source holds until a heartbeat with a new incarnation. A list that still says `leaving` after
  *   that is taken as old; only its change from live to leaving counts again.
+ *   A list's mark from before the first heartbeat ends when the list says live again.
  * - Silence makes an endpoint unusable but does not remove it: a partition looks the same as a death. It is forgotten
  *   when no source has mentioned it for 10 minutes.
  * - An empty VM list is taken as an outage of its source and ignored.
--- a/tests/policy/adaptive_limiter_test.cpp
+++ b/tests/policy/adaptive_limiter_test.cpp
@@ -150,6 +150,19 @@
                         d.rounds(30, milliseconds(62));
                     },
                     4, 32, false},
+        limiter_row{"slow_calls_of_a_service_make_cold",
+                    [](driver &d) {
+                        const auto call = [&d](milliseconds service) {
+                            d.limiter.onStarted(d.now);
+                            d.now += service;
+                            d.limiter.onFinished(d.now, {.firstToken = service, .service = service, .tokens = 1});
+                        };
+                        d.rounds(8, fast);
+                        call(milliseconds(500));
+                        call(milliseconds(500));
+                        call(milliseconds(500));
+                    },
+                    16, 32, false},
         limiter_row{"grows_above_maximum", [](driver &d) { d.rounds(500, fast); }, 32, 32, false},
         limiter_row{"engine_queue_does_not_lower",
                     [](driver &d) {
--- a/tests/policy/membership_table_test.cpp
+++ b/tests/policy/membership_table_test.cpp
@@ -118,6 +118,20 @@
                                    d.heartbeat();
                                },
                                true, false},
+                    member_row{"mark_from_before_first_heartbeat_never_ends",
+                               [](driver &d) {
+                                   d.list(true);
+                                   d.heartbeat();
+                                   d.list(false);
+                               },
+                               true, true},
+                    member_row{"list_ends_mark_of_heartbeat",
+                               [](driver &d) {
+                                   d.list(true);
+                                   d.heartbeat(1, serving_state::leaving);
+                                   d.list(false);
+                               },
+                               true, false},
                     member_row{"missing_from_list_is_death",
                                [](driver &d) {
                                    d.list(false);
