expert_map: switching protocol as pure state machines

Cause: all ranks of a group must use one expert map in every step whatever fails, and a command to activate a map at a step diverges as soon as one rank misses it.

Change: rank_switch_state and coordinator_switch_state take messages, store answers and timeouts as values and return actions. The decision record holds the fencing number, the map, the first step and the members' incarnations under one sequence. A promise names the sequence of the write that decides it. Takeover, join, abort and commit each take one sequence, so the compare-and-swap alone rules out a commit on outdated promises.

Ruled out: a fencing number under a key of its own, because a superseded coordinator could then still write the decision; a join without a write, because a replaced rank could step on the old map while a commit that counts its predecessor's promise is under way; concluding from a read that a write failed, because it may still be in flight.

--- /dev/null
+++ b/src/expert_map/switch_action.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "expert_map/store_exchange.h"
+#include "expert_map/switch_message.h"
+
+#include <variant>
+#include <vector>
+
+namespace bronzechute {
+
+/** Load the weights of a map that this rank lacks; report with rank_switch_state::onLoaded. */
+struct load_request
+{
+    map_id map = 0;
+    map_id previousMap = 0; ///< Also needed by a rank that joins before the group reaches firstStep; 0: none.
+
+    friend bool operator==(const load_request &, const load_request &) = default;
+    friend auto operator<=>(const load_request &, const load_request &) = default;
+};
+
+/** What a state machine asks its caller to do: send a message, call the store, load weights. */
+using switch_action = std::variant<switch_message, store_request, load_request>;
+using switch_actions = std::vector<switch_action>;
+
+} // namespace bronzechute
