expert_map: explore message orders of the switching protocol

Cause: the property that all ranks use one map in every step has to hold for every order of messages and faults, which example tests cannot show.

A start now always raises the fencing number, which ends that attempt.

Conclusion: no order with two maps in a step was found within these bounds; longer exhaustive orders are not covered.

--- a/src/expert_map/coordinator_switch_state.cpp
+++ b/src/expert_map/coordinator_switch_state.cpp
@@ -13,6 +13,7 @@
 {
     m_target = target;
     m_cancelling = false;
+    m_acquireAbove = m_record.fence;
     m_phase = coordinator_phase::acquiring;
     return {read()};
 }
@@ -99,22 +100,20 @@
     const bool changed = record.sequence != m_record.sequence || m_record.members.empty();
     m_record = record;
     if (m_phase == coordinator_phase::acquiring) {
-        // A takeover under way may have been accepted without an answer; the owner field shows it.
-        return record.owner == m_owner ? beginStaging() : switch_actions{writeTakeover()};
+        // Also the present owner takes over, which ends an attempt that it left open and releases its held ranks.
+        const bool acquired = record.owner == m_owner && record.fence > m_acquireAbove;
+        return acquired ? beginStaging() : switch_actions{writeTakeover()};
     }
     using enum coordinator_phase;
     if (m_phase == idle || m_phase == cancelled || m_phase == superseded) {
         return {};
     }
     if (record.owner != m_owner) {
-        m_phase = coordinator_phase::superseded;
+        m_phase = superseded;
         return {};
     }
-    if (m_phase == coordinator_phase::committed) {
-        return {};
-    }
-    if (m_phase == coordinator_phase::staging) {
-        return changed ? beginStaging() : switch_actions{};
+    if (m_phase == committed || m_phase == staging) {
+        return changed && m_phase == staging ? beginStaging() : switch_actions{};
     }
     if (record.sequence >= m_attempt) {
         return afterDecision();
@@ -227,10 +226,7 @@
     if (message.kind == switch_message_kind::staged) {
         return onStaged(message);
     }
-    if (message.kind == switch_message_kind::promise) {
-        return onPromise(message);
-    }
-    return {};
+    return message.kind == switch_message_kind::promise ? onPromise(message) : switch_actions{};
 }
 
 switch_actions coordinator_switch_state::onStaged(const switch_message &message)
--- a/src/expert_map/coordinator_switch_state.h
+++ b/src/expert_map/coordinator_switch_state.h
@@ -35,7 +35,7 @@
      */
     coordinator_switch_state(std::uint64_t owner, std::uint64_t margin);
 
-    /** Begins to switch to the target; only from idle, committed, cancelled or superseded. */
+    /** Raises the fencing number, which ends any open attempt, and begins to switch to the target. */
     switch_actions start(map_id target);
 
     /** Gives the switch up where it is not yet decided. The store decides whether a commit under way came first. */
@@ -63,6 +63,8 @@
     friend bool operator==(const coordinator_switch_state &, const coordinator_switch_state &) = default;
 
 private:
+    friend struct state_digest; // Reads the complete state to recognise explored ones.
+
     /** What the coordinator knows of one rank. */
     struct rank_progress
     {
@@ -93,6 +95,7 @@
     std::uint64_t m_margin;
     coordinator_phase m_phase = coordinator_phase::idle;
     bool m_cancelling = false;
+    std::uint64_t m_acquireAbove = 0; ///< The takeover of this start has a higher fencing number.
     map_id m_target = 0;
     map_record m_record;
     std::uint64_t m_attempt = 0; ///< Sequence of the write that decides the current attempt.
--- a/src/expert_map/rank_switch_state.h
+++ b/src/expert_map/rank_switch_state.h
@@ -63,6 +63,8 @@
     friend bool operator==(const rank_switch_state &, const rank_switch_state &) = default;
 
 private:
+    friend struct state_digest; // Reads the complete state to recognise explored ones.
+
     switch_actions onStage(const switch_message &message);
     switch_actions onPromiseRequest(const switch_message &message);
     promise_refusal refusalOf(const switch_message &message) const;
--- /dev/null
+++ b/tests/expert_map/switch_exploration_test.cpp
@@ -0,0 +1,99 @@
+#include "order_explorer.h"
+#include "switch_world.h"
+
+#include <gtest/gtest.h>
+
+#include <iostream>
+
+namespace bronzechute {
+namespace {
+
+/** Which messages of a fault-free run are delivered before the exploration begins. */
+struct exploration_row
+{
+    const char *name; ///< The failure that the row guards against.
+    fault_budget budget;
+    int delivered; ///< Messages delivered in order first, so that a bounded depth reaches the late phases.
+    int depth;
+};
+
+class switch_exploration : public testing::TestWithParam<exploration_row>
+{
+};
+
+constexpr std::size_t layerLimit = 12'000;
+
+TEST_P(switch_exploration, oneMapInEveryStep)
+{
+    switch_world world({}, 6, 1);
+    for (int count = 0; count < GetParam().delivered && !world.network.empty(); ++count) {
+        world.deliver(0);
+    }
+    world.budget = GetParam().budget;
+    const auto report = exploreOrders(world, GetParam().depth, layerLimit, [](const switch_world &) {});
+    std::cout << "explored depth " << report.depth << ", states " << report.states << ", orders " << report.orders
+              << '\n';
+    EXPECT_FALSE(report.violated);
+    EXPECT_GT(report.depth, 3);
+}
+
+constexpr int beforePromises = 16;
+constexpr int beforeCommit = 22;
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, switch_exploration,
+    testing::Values(
+        exploration_row{"lost_message_splits_the_group", {.drops = 2, .rankTimeouts = 1}, beforePromises, 12},
+        exploration_row{"repeated_message_splits_the_group", {.duplicates = 2, .abandons = 1}, beforePromises, 12},
+        exploration_row{"replaced_rank_steps_on_the_map_before_a_commit", {.rankKills = 1}, beforePromises, 14},
+        exploration_row{"killed_rank_during_commit_joins_on_another_map", {.rankKills = 2}, beforeCommit, 14},
+        exploration_row{"restarted_endpoint_forgets_its_promise", {.endpointRestarts = 2}, beforePromises, 12},
+        exploration_row{"two_coordinators_commit_two_maps", {.takeovers = 1}, 0, 14},
+        exploration_row{"frozen_coordinator_commits_past_its_lease", {.takeovers = 1}, beforePromises, 14},
+        exploration_row{
+            "frozen_coordinator_writes_after_takeover", {.takeovers = 1, .rankTimeouts = 2}, beforeCommit, 14},
+        exploration_row{"restarted_coordinator_repeats_its_commit", {.coordinatorKills = 2}, beforeCommit, 14},
+        exploration_row{"lost_store_answer_taken_as_failure",
+                        {.drops = 1, .abandons = 1, .coordinatorTimeouts = 2},
+                        beforeCommit,
+                        14},
+        exploration_row{
+            "repeated_store_write_applied_twice", {.duplicates = 2, .coordinatorTimeouts = 1}, beforeCommit, 14},
+        exploration_row{"group_restart_mixes_old_and_new_map", {.groupRestarts = 1}, beforeCommit, 14},
+        exploration_row{"all_faults_together",
+                        {.drops = 1,
+                         .duplicates = 1,
+                         .rankKills = 1,
+                         .endpointRestarts = 1,
+                         .coordinatorKills = 1,
+                         .takeovers = 1,
+                         .abandons = 1,
+                         .groupRestarts = 1,
+                         .rankTimeouts = 1,
+                         .coordinatorTimeouts = 1},
+                        beforePromises,
+                        8}),
+    [](const auto &row) { return std::string(row.param.name); });
+
+TEST(switch_completion, withoutFaultsEveryOrderOfTheSwitchEndsOnTheNewMap)
+{
+    // Two steps, the first switch at step 3: the promise is never too late and every order must end.
+    switch_world world({}, 4, 2);
+    for (int count = 0; count < beforePromises && !world.network.empty(); ++count) {
+        world.deliver(0);
+    }
+    std::size_t ends = 0;
+    const auto report = exploreOrders(world, 60, 40'000, [&](const switch_world &end) {
+        ++ends;
+        EXPECT_TRUE(end.finishedOnRecordMap()) << end.describe();
+        EXPECT_EQ(end.record.map, 11U);
+    });
+    std::cout << "explored depth " << report.depth << ", states " << report.states << ", orders " << report.orders
+              << ", end states " << ends << '\n';
+    EXPECT_TRUE(report.exhausted);
+    EXPECT_FALSE(report.violated);
+    EXPECT_GT(ends, 0U);
+}
+
+} // namespace
+} // namespace bronzechute
