--- /dev/null
+++ b/src/expert_map/layer_search.cpp
@@ -0,0 +1,167 @@
+#include "expert_map/layer_search.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace bronzechute {
+
+namespace {
+
+constexpr double normOrder = 16.0;
+
+} // namespace
+
+layer_search::layer_search(const expert_map &map, const load_matrix &load, std::size_t layer,
+                           const std::vector<double> &speeds, std::size_t slots)
+    : m_slots(slots), m_load(map.experts), m_speeds(speeds), m_held(map.ranks), m_relative(map.ranks, 0.0)
+{
+    double total = 0;
+    for (std::size_t expert = 0; expert < map.experts; ++expert) {
+        total += load.at(layer, expert);
+    }
+    const double mean = total / std::accumulate(speeds.begin(), speeds.end(), 0.0);
+    for (std::size_t expert = 0; expert < map.experts; ++expert) {
+        m_load[expert] = mean > 0 ? load.at(layer, expert) / mean : 0.0;
+        m_copies.push_back(map.of(layer, expert));
+        for (const auto rank : m_copies.back()) {
+            m_held[rank].push_back(static_cast<std::uint16_t>(expert));
+            m_relative[rank] += m_load[expert] / static_cast<double>(m_copies.back().size()) / speeds[rank];
+        }
+    }
+    for (const double relative : m_relative) {
+        m_powerSum += power(relative);
+    }
+}
+
+double layer_search::power(double relative) const
+{
+    const double second = relative * relative;
+    const double fourth = second * second;
+    const double eighth = fourth * fourth;
+    return eighth * eighth;
+}
+
+double layer_search::changed(std::size_t rank, double delta) const
+{
+    return power(std::max(0.0, m_relative[rank] + delta / m_speeds[rank])) - power(m_relative[rank]);
+}
+
+double layer_search::gain(double powerChange) const
+{
+    return std::pow(m_powerSum, 1 / normOrder) - std::pow(std::max(0.0, m_powerSum + powerChange), 1 / normOrder);
+}
+
+bool layer_search::holds(std::size_t expert, std::size_t rank) const
+{
+    const auto &copies = m_copies[expert];
+    return std::find(copies.begin(), copies.end(), rank) != copies.end();
+}
+
+void layer_search::consider(std::optional<layer_move> &best, const layer_move &move, double powerChange) const
+{
+    if (powerChange >= 0) {
+        return;
+    }
+    const double perLoad = gain(powerChange) / (move.exchange ? 2.0 : 1.0);
+    if (!best || perLoad > best->gainPerLoad) {
+        best = move;
+        best->gainPerLoad = perLoad;
+    }
+}
+
+void layer_search::considerExpert(std::optional<layer_move> &best, std::size_t expert, std::size_t from) const
+{
+    const auto copies = static_cast<double>(m_copies[expert].size());
+    const double share = m_load[expert] / copies;
+    const double shareWithOneMore = m_load[expert] / (copies + 1);
+    double relief = 0; // Of the ranks that hold the expert, when one more does.
+    for (const auto rank : m_copies[expert]) {
+        relief += changed(rank, shareWithOneMore - share);
+    }
+    for (std::size_t to = 0; to < m_held.size(); ++to) {
+        if (to == from || holds(expert, to)) {
+            continue;
+        }
+        if (m_held[to].size() < m_slots) {
+            consider(best, {expert, from, to, std::nullopt, false, 0}, relief + changed(to, shareWithOneMore));
+        }
+        for (const auto evicted : m_held[to]) {
+            const auto evictedCopies = static_cast<double>(m_copies[evicted].size());
+            const double evictedShare = m_load[evicted] / evictedCopies;
+            if (!holds(evicted, from) && evictedShare < share) {
+                consider(best, {expert, from, to, evicted, true, 0},
+                         changed(from, evictedShare - share) + changed(to, share - evictedShare));
+            }
+            if (evictedCopies < 2) {
+                continue;
+            }
+            // Ranks that hold both experts are counted with both changes one after the other, which overstates the
+            // relief a little; apply() works with the exact loads.
+            double change = relief + changed(to, shareWithOneMore - evictedShare);
+            const double more = m_load[evicted] / (evictedCopies - 1) - evictedShare;
+            for (const auto rank : m_copies[evicted]) {
+                if (rank != to) {
+                    change += holds(expert, rank)
+                        ? changed(rank, more + shareWithOneMore - share) - changed(rank, shareWithOneMore - share)
+                        : changed(rank, more);
+                }
+            }
+            consider(best, {expert, from, to, evicted, false, 0}, change);
+        }
+    }
+}
+
+std::optional<layer_move> layer_search::best() const
+{
+    const auto from = static_cast<std::size_t>(
+        std::distance(m_relative.begin(), std::max_element(m_relative.begin(), m_relative.end())));
+    std::optional<layer_move> best;
+    for (const auto expert : m_held[from]) {
+        considerExpert(best, expert, from);
+    }
+    return best;
+}
+
+void layer_search::add(std::size_t expert, std::size_t rank)
+{
+    auto &copies = m_copies[expert];
+    const auto before = static_cast<double>(copies.size());
+    for (const auto holder : copies) {
+        m_relative[holder] += (m_load[expert] / (before + 1) - m_load[expert] / before) / m_speeds[holder];
+    }
+    m_relative[rank] += m_load[expert] / (before + 1) / m_speeds[rank];
+    copies.insert(std::upper_bound(copies.begin(), copies.end(), rank), static_cast<std::uint16_t>(rank));
+    m_held[rank].push_back(static_cast<std::uint16_t>(expert));
+}
+
+void layer_search::remove(std::size_t expert, std::size_t rank)
+{
+    auto &copies = m_copies[expert];
+    const auto before = static_cast<double>(copies.size());
+    std::erase(copies, static_cast<std::uint16_t>(rank));
+    std::erase(m_held[rank], static_cast<std::uint16_t>(expert));
+    m_relative[rank] -= m_load[expert] / before / m_speeds[rank];
+    for (const auto holder : copies) {
+        m_relative[holder] += (m_load[expert] / (before - 1) - m_load[expert] / before) / m_speeds[holder];
+    }
+}
+
+void layer_search::apply(const layer_move &move)
+{
+    // Adds come first: an expert never loses its last copy in between.
+    add(move.expert, move.to);
+    if (move.exchange) {
+        add(*move.evicted, move.from);
+        remove(move.expert, move.from);
+    }
+    if (move.evicted) {
+        remove(*move.evicted, move.to);
+    }
+    m_powerSum = 0;
+    for (const double relative : m_relative) {
+        m_powerSum += power(relative);
+    }
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/expert_map/placement_planner.cpp
@@ -0,0 +1,66 @@
+#include "expert_map/placement_planner.h"
+
+#include "expert_map/layer_search.h"
+
+#include <algorithm>
+#include <numeric>
+#include <queue>
+#include <utility>
+
+namespace bronzechute {
+
+placement_plan planPlacement(const expert_map &current, const load_matrix &load, const std::vector<double> &speeds,
+                             const planner_limits &limits)
+{
+    std::vector<layer_search> layers;
+    // The layers' best moves compete for the loads that the limits allow.
+    std::priority_queue<std::pair<double, std::size_t>> ready;
+    std::vector<std::optional<layer_move>> moves(current.layers);
+    const auto prepare = [&](std::size_t layer) {
+        moves[layer] = layers[layer].best();
+        if (moves[layer] && moves[layer]->gainPerLoad >= limits.minGainPerLoad) {
+            ready.emplace(moves[layer]->gainPerLoad, layer);
+        }
+    };
+    layers.reserve(current.layers);
+    for (std::size_t layer = 0; layer < current.layers; ++layer) {
+        layers.emplace_back(current, load, layer, speeds, limits.slots);
+        prepare(layer);
+    }
+    std::vector<std::size_t> loads(current.ranks, 0);
+    std::size_t total = 0;
+    while (!ready.empty()) {
+        const std::size_t layer = ready.top().second;
+        ready.pop();
+        const layer_move &move = *moves[layer];
+        const std::size_t needed = move.exchange ? 2 : 1;
+        const bool fits = total + needed <= limits.maxLoads && loads[move.to] < limits.maxLoadsPerRank
+            && (!move.exchange || loads[move.from] < limits.maxLoadsPerRank);
+        if (!fits) {
+            continue; // The layer stays as it is for now; the next plan continues there.
+        }
+        total += needed;
+        ++loads[move.to];
+        loads[move.from] += move.exchange ? 1 : 0;
+        layers[layer].apply(move);
+        prepare(layer);
+    }
+    placement_plan plan;
+    plan.map = current;
+    for (std::size_t layer = 0; layer < current.layers; ++layer) {
+        std::copy(layers[layer].copies().begin(), layers[layer].copies().end(),
+                  plan.map.copies.begin() + static_cast<std::ptrdiff_t>(layer * current.experts));
+    }
+    // A copy that moved away and back needs no load.
+    for (const auto count : loadsPerRank(current, plan.map)) {
+        plan.loads += count;
+        plan.bytesPerRank.push_back(count * limits.expertBytes);
+    }
+    const auto bytes = std::accumulate(plan.bytesPerRank.begin(), plan.bytesPerRank.end(), std::uint64_t{0});
+    plan.loadSeconds = bytes == 0 ? 0.0 : limits.queueSeconds + static_cast<double>(bytes) / limits.storeBytesPerSecond;
+    plan.loadBefore = criticalLoad(current, load, speeds);
+    plan.loadAfter = criticalLoad(plan.map, load, speeds);
+    return plan;
+}
+
+} // namespace bronzechute
