--- a/src/expert_map/expert_load_estimator.cpp
+++ b/src/expert_map/expert_load_estimator.cpp
@@ -14,6 +14,19 @@
     }
 }
 
+/** @returns the squared difference relative to the squared load, so that hot experts count most. */
+double relativeDifference(const load_matrix &left, const load_matrix &right)
+{
+    double difference = 0;
+    double square = 0;
+    for (std::size_t index = 0; index < left.tokens.size(); ++index) {
+        const double apart = left.tokens[index] - right.tokens[index];
+        difference += apart * apart;
+        square += left.tokens[index] * left.tokens[index];
+    }
+    return square > 0 ? difference / square : 0.0;
+}
+
 } // namespace
 
 expert_load_estimator::expert_load_estimator(const load_estimator_settings &settings) : m_settings(settings)
@@ -23,8 +36,11 @@
 void expert_load_estimator::report(time_point measuredAt, const load_matrix &load)
 {
     if (!m_fast || m_fast->tokens.size() != load.tokens.size()) {
+        m_estimate = load;
         m_fast = load;
         m_slow = load;
+        m_recent.assign(1, {measuredAt, load});
+        m_variance = 1;
         m_first = measuredAt;
         m_last = measuredAt;
         return;
@@ -39,10 +55,38 @@
     const auto weight = [&](std::chrono::duration<double> time) {
         return std::max(1 - std::exp(-elapsed / time), std::min(1.0, elapsed / (since + elapsed)));
     };
+    smooth(*m_estimate, load, kalmanWeight(measuredAt, load));
     smooth(*m_fast, load, weight(m_settings.fastTime));
     smooth(*m_slow, load, weight(m_settings.slowTime));
 }
 
+double expert_load_estimator::kalmanWeight(time_point measuredAt, const load_matrix &load)
+{
+    using seconds = std::chrono::duration<double>;
+    const auto follow = [&](double &average, double value) {
+        average += (average == 0 ? 1.0 : m_settings.varianceWeight) * (value - average);
+    };
+    const double elapsed = seconds(measuredAt - m_recent.back().first).count();
+    follow(m_shortDifference, relativeDifference(load, m_recent.back().second));
+    follow(m_shortSeconds, elapsed);
+    follow(m_longDifference, relativeDifference(load, m_recent.front().second));
+    follow(m_longSeconds, seconds(measuredAt - m_recent.front().first).count());
+    m_recent.emplace_back(measuredAt, load);
+    if (m_recent.size() > m_settings.history) {
+        m_recent.pop_front();
+    }
+    // A difference holds the noise of both reports and the movement of demand in the time between them.
+    constexpr double minVariance = 1e-9;
+    const double span = m_longSeconds - m_shortSeconds;
+    const double movement =
+        span > 0 ? std::max(minVariance, (m_longDifference - m_shortDifference) / span) : minVariance;
+    const double noise = std::max(minVariance, (m_shortDifference - movement * m_shortSeconds) / 2);
+    m_variance += movement * elapsed;
+    const double weight = m_variance / (m_variance + noise);
+    m_variance *= 1 - weight;
+    return weight;
+}
+
 std::chrono::nanoseconds expert_load_estimator::age(time_point now) const
 {
     return m_fast ? std::max(std::chrono::nanoseconds{0}, std::chrono::nanoseconds{now - m_last})
--- a/src/expert_map/rebalance_decider.h
+++ b/src/expert_map/rebalance_decider.h
@@ -23,9 +23,12 @@
     double loadSlowdown = 0.1; ///< Part by which the step time grows while a rank loads.
     double pauseSeconds = 0.1; ///< Expected pause of a switch.
     double riskSeconds = 0.2; ///< Expected loss by a switch that fails: probability times duration.
-    double minGainShare = 0.004; ///< Hysteresis: part of the step time that a plan must save.
-    double payback = 1.5; ///< Gain over cost that a plan, and each of its loads, must bring.
-    std::chrono::duration<double> minInterval{10};
+    double minGainShare = 0.006; ///< Hysteresis: part of the step time that a plan must save.
+    // The search takes the best of many moves on a noisy estimate, and demand moves on while they load, so the gain is
+    // overestimated. In trials of bench/expert_map_bench with one seed, 8 moved 12% to 62% more bytes for at most 0.4%
+    // more net tokens, and 20 lost up to 1.4% of them.
+    double payback = 12; ///< Gain over cost that a plan, and each of its loads, must bring.
+    std::chrono::duration<double> minInterval{5};
     std::chrono::duration<double> maxReportAge{15};
 
     friend bool operator==(const rebalance_settings &, const rebalance_settings &) = default;
