config: a repeated top-level key no longer hides the other problems

Reading stopped after any problem found while the top level was opened, so a document with a repeated top-level key was reported with that one problem only, although every problem has to be reported. Reading now stops only when the document is no mapping at all; the same holds for settings. Stopping at malformed YAML stays, since nothing can be read then. The row for repeated keys now has a second problem and demands both.

--- a/src/config/configuration_parser.cpp
+++ b/src/config/configuration_parser.cpp
@@ -11,7 +11,7 @@
 /** @param document reports to parsed.problems */
 void readDocument(const document_mapping &document, parsed_configuration &parsed)
 {
-    if (!parsed.problems.empty()) {
+    if (!document.isReadable()) {
         return;
     }
     configuration content = configuration_reader().read(document, parsed.problems);
--- a/src/config/document_mapping.cpp
+++ b/src/config/document_mapping.cpp
@@ -22,7 +22,7 @@
 } // namespace
 
 document_mapping::document_mapping(const document_node &node, std::string path, problem_list &problems)
-    : m_path(std::move(path)), m_line(node.line()), m_problems(&problems)
+    : m_path(std::move(path)), m_line(node.line()), m_readable(node.isMapping()), m_problems(&problems)
 {
     if (!node.isDefined()) {
         return;
--- a/src/config/document_mapping.h
+++ b/src/config/document_mapping.h
@@ -77,6 +77,12 @@
     /** @returns the line of an element of a list. */
     int lineOf(const std::string &key, std::size_t index) const;
 
+    /** @returns whether the node was a mapping, so that reading its keys makes sense. */
+    bool isReadable() const
+    {
+        return m_readable;
+    }
+
     /** @returns the number of problems of the whole document so far. */
     std::size_t problemCount() const
     {
@@ -89,6 +95,7 @@
 
     std::string m_path;
     int m_line = 0;
+    bool m_readable = false;
     std::map<std::string, document_node> m_entries;
     std::map<std::string, int> m_lines; ///< Lines of the keys; a null value has no line of its own.
     std::vector<std::string> m_order; ///< Keys in order of the document.
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -64,9 +64,8 @@
 
 daemon_settings settings_reader::read(const std::string &yaml)
 {
-    const std::size_t before = m_problems.size();
     document_mapping document = document_mapping::load(yaml, m_problems);
-    if (m_problems.size() != before) {
+    if (!document.isReadable()) {
         return m_settings;
     }
     m_settings.role =
--- a/tests/config/configuration_parser_test.cpp
+++ b/tests/config/configuration_parser_test.cpp
@@ -124,9 +124,10 @@
                     {"f:2: foo: found an unknown key, expected accounts, classes, data_centres, endpoints, pools, "
                      "schema, services or teams",
                      "f:4: accounts[0].share: found \"0\", expected an integer from 1 to 1000000"}},
-        problem_row{"duplicate_key_overwrites",
-                    "schema: 1\nschema: 1\n",
-                    {"f:2: schema: found the key a second time, expected each key once"}},
+        problem_row{"duplicate_key_overwrites_or_hides_the_rest",
+                    "schema: 1\nschema: 1\naccounts: [{name: a, share: 0}]\n",
+                    {"f:2: schema: found the key a second time, expected each key once",
+                     "f:3: accounts[0].share: found \"0\", expected an integer from 1 to 1000000"}},
         problem_row{
             "duplicate_name_accepted",
             "schema: 1\naccounts:\n  - {name: a}\n  - {name: a}\n",
