--- a/src/config/document_mapping.cpp
+++ b/src/config/document_mapping.cpp
@@ -7,20 +7,6 @@
 
 namespace bronzechute {
 
-namespace {
-
-std::string joined(const std::vector<std::string> &words)
-{
-    std::string text;
-    for (std::size_t index = 0; index < words.size(); ++index) {
-        text += index == 0 ? "" : index + 1 == words.size() ? " or " : ", ";
-        text += words[index];
-    }
-    return text;
-}
-
-} // namespace
-
 document_mapping::document_mapping(const document_node &node, std::string path, problem_list &problems)
     : m_path(std::move(path)), m_line(node.line()), m_readable(node.isMapping()), m_problems(&problems)
 {
--- a/src/config/text_check.cpp
+++ b/src/config/text_check.cpp
@@ -57,4 +57,14 @@
     return text.substr(first, text.find_last_not_of(blanks) - first + 1);
 }
 
+std::string joined(const std::vector<std::string> &words)
+{
+    std::string text;
+    for (std::size_t index = 0; index < words.size(); ++index) {
+        text += index == 0 ? "" : index + 1 == words.size() ? " or " : ", ";
+        text += words[index];
+    }
+    return text;
+}
+
 } // namespace bronzechute
--- a/src/config/text_check.h
+++ b/src/config/text_check.h
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace bronzechute {
 
@@ -29,4 +30,7 @@
 /** @returns the text without blanks at both ends. */
 std::string_view trimmed(std::string_view text);
 
+/** @returns the words as "a, b or c". */
+std::string joined(const std::vector<std::string> &words);
+
 } // namespace bronzechute
