--- a/bench/claims_bench.cpp
+++ b/bench/claims_bench.cpp
@@ -87,8 +87,8 @@
     }
     server->inject({{"writes_per_second", FLAGS_writes_per_second}, {"delay_ms", FLAGS_delay_ms}});
     const auto writesBefore = server->stats()["writes"].get<std::int64_t>();
-    std::atomic<int> next{0};
-    std::atomic<int> failed{0};
+    std::atomic<int> next {0};
+    std::atomic<int> failed {0};
     const time_point begin = boot_clock::now();
     std::vector<std::thread> threads;
     const int threadCount = FLAGS_entries * FLAGS_threads;
@@ -104,7 +104,7 @@
                     ++failed;
                     continue;
                 }
-                const http_answer answer{200, {}, std::string(static_cast<std::size_t>(bytes(random)), 'x')};
+                const http_answer answer {200, {}, std::string(static_cast<std::size_t>(bytes(random)), 'x')};
                 failed += registry.finish(outcome.value().claim, answer) ? 0 : 1;
             }
         });
--- a/bench/expert_map_bench.cpp
+++ b/bench/expert_map_bench.cpp
@@ -108,11 +108,11 @@
     rebalance_decider decider(settingsFor(slots));
     straggler_detector detector(ranks, {});
     std::deque<std::pair<int, load_matrix>> pending;
-    group_run run{evenMap(layers, experts, ranks), {}, -1, false};
+    group_run run {evenMap(layers, experts, ranks), {}, -1, false};
     std::optional<load_matrix> latest;
     simulation_result result;
     for (int second = 1; second <= duration; ++second) {
-        const time_point now{std::chrono::seconds(second)};
+        const time_point now {std::chrono::seconds(second)};
         demand.advance(second);
         if (scenario.straggler && second >= stragglerBegin) {
             speeds[1] = stragglerSpeed;
@@ -156,7 +156,7 @@
             if (next && *next != run.map) {
                 const auto loads = loadsPerRank(run.map, *next);
                 const double bytes =
-                    static_cast<double>(std::accumulate(loads.begin(), loads.end(), std::size_t{0})) * expertBytes;
+                    static_cast<double>(std::accumulate(loads.begin(), loads.end(), std::size_t {0})) * expertBytes;
                 run.next = std::move(*next);
                 run.loading = true;
                 run.loadEnd = second + bytes / storeRate;
@@ -188,7 +188,7 @@
         "demand      straggler ranks policy    skew_excess   GB_moved pause_s lost_Mtok  net_Mtok rebalances\n");
     for (int demand = 0; demand < 4; ++demand) {
         for (const bool straggler : {false, true}) {
-            for (const std::size_t ranks : {std::size_t{4}, std::size_t{16}, std::size_t{32}}) {
+            for (const std::size_t ranks : {std::size_t {4}, std::size_t {16}, std::size_t {32}}) {
                 for (int policy = 0; policy < 5; ++policy) {
                     simulation_result mean;
                     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
--- a/bench/expert_plan_bench.cpp
+++ b/bench/expert_plan_bench.cpp
@@ -29,7 +29,7 @@
     const std::vector<double> speeds(ranks, 1.0);
     const auto current = placeExperts(randomLoad(random, 0.8), ranks, slots, speeds);
     const auto load = randomLoad(random, 0.8);
-    const planner_limits limits{slots, 100'000, 100'000, static_cast<double>(state.range(0)) / 1000, 1, 1.0, 0.0};
+    const planner_limits limits {slots, 100'000, 100'000, static_cast<double>(state.range(0)) / 1000, 1, 1.0, 0.0};
     double skew = 0;
     double loads = 0;
     for (auto round : state) {
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -143,7 +143,7 @@
 int report()
 {
     const double capacity = FLAGS_capacity > 0 ? FLAGS_capacity : findCapacity(FLAGS_seed);
-    nlohmann::json all{{"seed", FLAGS_seed}, {"seeds", FLAGS_seeds}, {"capacity_per_s", capacity}};
+    nlohmann::json all {{"seed", FLAGS_seed}, {"seeds", FLAGS_seeds}, {"capacity_per_s", capacity}};
     if (!FLAGS_json) {
         std::printf("capacity %.1f requests/s; seeds %llu..%llu\n", capacity,
                     static_cast<unsigned long long>(FLAGS_seed),
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -28,8 +28,8 @@
     std::optional<baseline> selection; ///< Absent: load_aware_chooser with breaker and prefix index.
     bool adaptive =
         false; ///< adaptive_limiter and fair_queue, instead of a fixed limit and a first-in first-out queue.
-    load_aware_settings chooser{.entries = entryCount};
-    limiter_settings limiter{.maximum = 64, .initial = 16};
+    load_aware_settings chooser {.entries = entryCount};
+    limiter_settings limiter {.maximum = 64, .initial = 16};
     bool commonHash = true; ///< Whether entries rank endpoints for a new prefix alike.
 };
 
--- a/bench/policy_model_endpoint.h
+++ b/bench/policy_model_endpoint.h
@@ -8,7 +8,7 @@
 {
     node_state &here = m_nodes[node];
     here.limiter = std::make_unique<adaptive_limiter>(m_kind.limiter);
-    here.queue = std::make_unique<fair_queue>(queue_settings{.capacity = queueCapacity});
+    here.queue = std::make_unique<fair_queue>(queue_settings {.capacity = queueCapacity});
     here.plainQueue.clear();
     here.running = 0;
     here.meanServiceMs = 0;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -185,56 +185,82 @@
 http_reply dispatcher::relay(request_context context)
 {
     const response_head_frame head = context.pending->head();
+    const std::string id = context.pending->id().toString();
     m_metrics.firstByte.observe(boot_clock::now() - context.arrivedAt);
     http_reply reply;
     reply.status = head.status;
     reply.headers = head.headers;
-    reply.headers.emplace_back("X-Request-Id", context.pending->id().toString());
-    const auto onFinished = [this](request_context &finished, bool whole) {
-        if (!whole) {
-            m_metrics.cutStreams.add();
-        }
-        finish(finished, whole ? request_outcome::answered : request_outcome::unknown, finished.pending->endpoint());
-    };
-    std::string body;
+    reply.headers.emplace_back("X-Request-Id", id);
     if (!context.request.streaming) {
-        std::string buffer(readBytes, '\0');
-        while (!context.pending->complete() && body.size() < collectLimit) {
-            body.append(buffer, 0, context.pending->read(buffer.data(), buffer.size(), waitInterval));
-            const bool overdue = remaining(context) <= std::chrono::milliseconds(0);
-            if (context.pending->broken() || context.clientLeft() || overdue) {
-                context.pending->cancel();
-                const std::string endpoint = context.pending->endpoint();
-                m_directory.onFailed(endpoint, boot_clock::now());
-                api_error failure = unknownOutcome(overdue ? 504 : 502, "incomplete_answer",
-                                                   "the answer ended early: " + context.pending->failure().detail);
-                finish(context, request_outcome::unknown, {});
-                return failure.toReply(context.pending->id().toString());
-            }
-        }
-        if (context.pending->complete()) {
+        const auto end = collect(context, reply.body);
+        if (end == relay_end::whole) {
             reply.headers.emplace_back("X-Bronzechute-Outcome", std::string(toString(request_outcome::answered)));
-            reply.body = std::move(body);
-            finish(context, request_outcome::answered, context.pending->endpoint());
+            finishRelay(context, *end);
             return reply;
         }
+        if (end) {
+            context.pending->cancel();
+            const std::string detail = context.pending->failure().detail;
+            finishRelay(context, *end);
+            return unknownOutcome(end == relay_end::deadline ? 504 : 502, "incomplete_answer",
+                                  "the answer ended early: " + detail)
+                .toReply(id);
+        }
     }
-    reply.stream = std::make_shared<relay_stream>(std::move(context), std::move(body), onFinished);
+    std::string collected;
+    collected.swap(reply.body);
+    reply.stream = std::make_shared<relay_stream>(
+        std::move(context), std::move(collected),
+        [this](request_context &finished, relay_end end) { finishRelay(finished, end); });
     return reply;
 }
 
-void dispatcher::finish(request_context &context, request_outcome outcome, const std::string &endpoint)
+std::optional<relay_end> dispatcher::collect(request_context &context, std::string &body)
 {
-    const time_point now = boot_clock::now();
-    if (!endpoint.empty()) {
-        if (outcome == request_outcome::answered) {
-            m_directory.onAnswered(endpoint, context.request, now - context.arrivedAt, now);
-        } else if (context.pending->broken()) {
-            m_directory.onFailed(endpoint, now);
-        } else {
-            m_directory.onNeutral(endpoint);
+    std::string buffer(readBytes, '\0');
+    while (!context.pending->complete()) {
+        if (body.size() >= collectLimit) {
+            return std::nullopt;
+        }
+        body.append(buffer, 0, context.pending->read(buffer.data(), buffer.size(), waitInterval));
+        if (context.clientLeft()) {
+            return relay_end::caller_left;
+        }
+        if (context.pending->broken()) {
+            return relay_end::endpoint_failed;
+        }
+        if (remaining(context) <= std::chrono::milliseconds(0)) {
+            return relay_end::deadline;
         }
     }
+    return relay_end::whole;
+}
+
+void dispatcher::finishRelay(request_context &context, relay_end end)
+{
+    const time_point now = boot_clock::now();
+    const std::string endpoint = context.pending->endpoint();
+    switch (end) {
+    case relay_end::whole:
+        m_directory.onAnswered(endpoint, context.request, now - context.arrivedAt, now);
+        break;
+    case relay_end::endpoint_failed:
+    case relay_end::deadline:
+        m_directory.onFailed(endpoint, now);
+        break;
+    case relay_end::caller_left:
+        m_directory.onNeutral(endpoint);
+        break;
+    }
+    if (end != relay_end::whole) {
+        m_metrics.cutStreams.add();
+    }
+    finish(context, end == relay_end::whole ? request_outcome::answered : request_outcome::unknown);
+}
+
+void dispatcher::finish(request_context &context, request_outcome outcome)
+{
+    const time_point now = boot_clock::now();
     m_table.remove(context.pending->id());
     m_metrics.count(outcome);
     m_metrics.duration.observe(now - context.arrivedAt);
@@ -251,7 +277,7 @@
 
 http_reply dispatcher::reportFailure(request_context &context, const api_error &failure)
 {
-    finish(context, failure.outcome, {});
+    finish(context, failure.outcome);
     return failure.toReply(context.pending->id().toString());
 }
 
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -4,12 +4,14 @@
 #include "entry/endpoint_directory.h"
 #include "entry/entry_metrics.h"
 #include "entry/pending_table.h"
+#include "entry/relay_end.h"
 #include "entry/request_context.h"
 #include "http/http_reply.h"
 #include "policy/retry_budget.h"
 #include "store/configuration_holder.h"
 
-#include <variant>
+#include <optional>
+#include <string>
 
 namespace bronzechute {
 
@@ -43,8 +45,12 @@
     submit_frame makeSubmit(const request_context &context, const link_ptr &connection) const;
     bool mayRetry(const request_context &context);
     http_reply relay(request_context context);
+
+    /** Reads the answer until its end or a limit. @returns nothing when there is more than the limit. */
+    std::optional<relay_end> collect(request_context &context, std::string &body);
+    void finishRelay(request_context &context, relay_end end);
     http_reply reportFailure(request_context &context, const api_error &failure);
-    void finish(request_context &context, request_outcome outcome, const std::string &endpoint);
+    void finish(request_context &context, request_outcome outcome);
 
     endpoint_directory &m_directory;
     pending_table &m_table;
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -16,8 +16,9 @@
 
 } // namespace
 
-entry_role::entry_role(const daemon_settings &settings)
+entry_role::entry_role(const daemon_settings &settings, const hello_frame &self)
     : m_settings(settings)
+    , m_self(self)
     , m_entryMetrics(m_metrics)
     , m_directory(settings, m_configuration)
     , m_dispatcher(m_directory, m_pending, m_configuration, m_entryMetrics)
@@ -49,7 +50,7 @@
 
 result<std::unique_ptr<entry_role>> entry_role::start(const daemon_settings &settings, const hello_frame &self)
 {
-    std::unique_ptr<entry_role> role(new entry_role(settings));
+    std::unique_ptr<entry_role> role(new entry_role(settings, self));
     link_options options;
     options.self = self;
     auto hub = link_hub::create(options, settings.listen.peers, *role);
@@ -61,6 +62,7 @@
     serverOptions.address = settings.listen.http.host;
     serverOptions.port = settings.listen.http.port;
     serverOptions.bodyLimit = settings.bodyLimit;
+    role->connectStore();
     auto server = http_server::start(serverOptions, *role);
     if (!server) {
         return server.error();
@@ -111,6 +113,20 @@
             {"endpoints", m_directory.describe(now)}};
 }
 
+void entry_role::connectStore()
+{
+    if (!m_settings.storeEndpoints.empty()) {
+        etcd_store_options options;
+        options.endpoints = m_settings.storeEndpoints;
+        options.callTimeout = m_settings.storeTimeout;
+        m_store = std::make_unique<etcd_store>(options);
+        m_incarnationLease =
+            std::make_unique<incarnation_lease>(*m_store, m_self.node + "-" + std::to_string(m_self.incarnation));
+        m_claims = std::make_unique<claim_registry>(*m_store, *m_incarnationLease, std::random_device {}());
+    }
+    m_guard = std::make_unique<idempotency_guard>(m_dispatcher, m_claims.get());
+}
+
 void entry_role::followStore()
 {
     m_subscription = m_configuration.subscribe([this](const configuration_ptr &current) {
@@ -118,13 +134,9 @@
                 {{"revision", current->revision}, {"author", current->author}});
         m_exchange.publish();
     });
-    if (m_settings.storeEndpoints.empty()) {
+    if (m_store == nullptr) {
         return;
     }
-    etcd_store_options options;
-    options.endpoints = m_settings.storeEndpoints;
-    options.callTimeout = m_settings.storeTimeout;
-    m_store = std::make_unique<etcd_store>(options);
     m_watcher = std::make_unique<configuration_watcher>(*m_store, m_configuration, std::random_device {}());
 }
 
@@ -257,7 +269,7 @@
     context.arrivedAt = boot_clock::now();
     context.deadline = context.arrivedAt + context.request.deadline;
     context.trace = traceOf(request);
-    return m_dispatcher.run(std::move(context));
+    return m_guard->run(std::move(context));
 }
 
 http_reply entry_role::listModels(const http_request &request)
--- a/src/entry/entry_role.h
+++ b/src/entry/entry_role.h
@@ -6,6 +6,7 @@
 #include "entry/dispatcher.h"
 #include "entry/endpoint_directory.h"
 #include "entry/entry_metrics.h"
+#include "entry/idempotency_guard.h"
 #include "entry/pending_table.h"
 #include "entry/request_classifier.h"
 #include "http/http_server.h"
@@ -15,9 +16,11 @@
 #include "node/node_role.h"
 #include "observe/metrics.h"
 #include "settings/daemon_settings.h"
+#include "store/claim_registry.h"
 #include "store/configuration_holder.h"
 #include "store/configuration_repository.h"
 #include "store/configuration_watcher.h"
+#include "store/incarnation_lease.h"
 #include "store/platform_store.h"
 
 #include <atomic>
@@ -45,9 +48,11 @@
     nlohmann::json status() override;
 
 private:
-    explicit entry_role(const daemon_settings &settings);
+    entry_role(const daemon_settings &settings, const hello_frame &self);
 
-    /** Connects to the store and follows the configuration there. */
+    void connectStore();
+
+    /** Follows the configuration in the store. */
     void followStore();
     result<void> startAdmin();
     void onAnswerFrame(const link_ptr &connection, const frame &message);
@@ -56,6 +61,7 @@
     trace_context traceOf(const http_request &request);
 
     const daemon_settings m_settings;
+    const hello_frame m_self;
     metrics_registry m_metrics;
     entry_metrics m_entryMetrics;
     configuration_holder m_configuration;
@@ -68,6 +74,9 @@
     std::unique_ptr<link_hub> m_hub;
     std::unique_ptr<platform_store> m_store;
     std::unique_ptr<configuration_watcher> m_watcher;
+    std::unique_ptr<incarnation_lease> m_incarnationLease;
+    std::unique_ptr<claim_registry> m_claims;
+    std::unique_ptr<idempotency_guard> m_guard;
     int m_subscription = 0;
     std::unique_ptr<configuration_repository> m_repository;
     std::unique_ptr<admin_api> m_admin;
--- a/src/entry/relay_stream.cpp
+++ b/src/entry/relay_stream.cpp
@@ -12,7 +12,7 @@
 } // namespace
 
 relay_stream::relay_stream(request_context context, std::string collected,
-                           std::function<void(request_context &, bool)> onFinished)
+                           std::function<void(request_context &, relay_end)> onFinished)
     : m_context(std::move(context)), m_collected(std::move(collected)), m_onFinished(std::move(onFinished))
 {
 }
@@ -31,10 +31,18 @@
             return static_cast<ssize_t>(count);
         }
         if (m_context.pending->complete()) {
-            m_whole = true;
+            m_end = relay_end::whole;
             return endOfBody;
         }
-        if (m_context.pending->broken() || m_context.clientLeft() || boot_clock::now() > m_context.deadline) {
+        if (m_context.clientLeft()) {
+            return broken;
+        }
+        if (m_context.pending->broken()) {
+            m_end = relay_end::endpoint_failed;
+            return broken;
+        }
+        if (boot_clock::now() > m_context.deadline) {
+            m_end = relay_end::deadline;
             return broken;
         }
     }
@@ -42,10 +50,10 @@
 
 void relay_stream::onClosed()
 {
-    if (!m_whole) {
+    if (m_end != relay_end::whole) {
         m_context.pending->cancel();
     }
-    m_onFinished(m_context, m_whole);
+    m_onFinished(m_context, m_end);
 }
 
 } // namespace bronzechute
--- a/src/expert_map/coordinator_switch_state.cpp
+++ b/src/expert_map/coordinator_switch_state.cpp
@@ -53,7 +53,7 @@
 
 store_request coordinator_switch_state::nextWrite()
 {
-    store_request request{.tag = m_nextTag++, .write = true, .record = m_record};
+    store_request request {.tag = m_nextTag++, .write = true, .record = m_record};
     ++request.record.sequence;
     return request;
 }
@@ -102,7 +102,7 @@
     if (m_phase == coordinator_phase::acquiring) {
         // Also the present owner takes over, which ends an attempt that it left open and releases its held ranks.
         const bool acquired = record.owner == m_owner && record.fence > m_acquireAbove;
-        return acquired ? beginStaging() : switch_actions{writeTakeover()};
+        return acquired ? beginStaging() : switch_actions {writeTakeover()};
     }
     using enum coordinator_phase;
     if (m_phase == idle || m_phase == cancelled || m_phase == superseded) {
@@ -113,7 +113,7 @@
         return {};
     }
     if (m_phase == committed || m_phase == staging) {
-        return changed && m_phase == staging ? beginStaging() : switch_actions{};
+        return changed && m_phase == staging ? beginStaging() : switch_actions {};
     }
     if (record.sequence >= m_attempt) {
         return afterDecision();
@@ -152,7 +152,7 @@
         return announce(switch_message_kind::go);
     }
     m_phase = coordinator_phase::staging;
-    m_progress.assign(m_record.members.size(), rank_progress{});
+    m_progress.assign(m_record.members.size(), rank_progress {});
     return stageMissing();
 }
 
@@ -161,11 +161,11 @@
     switch_actions actions;
     for (std::size_t rank = 0; rank < m_progress.size(); ++rank) {
         if (!m_progress[rank].staged && m_record.members[rank] != 0) {
-            actions.emplace_back(switch_message{.kind = switch_message_kind::stage,
-                                                .rank = rank,
-                                                .fence = m_record.fence,
-                                                .map = m_target,
-                                                .record = {}});
+            actions.emplace_back(switch_message {.kind = switch_message_kind::stage,
+                                                 .rank = rank,
+                                                 .fence = m_record.fence,
+                                                 .map = m_target,
+                                                 .record = {}});
         }
     }
     return actions;
@@ -176,7 +176,7 @@
     switch_actions actions;
     for (std::size_t rank = 0; rank < m_record.members.size(); ++rank) {
         actions.emplace_back(
-            switch_message{.kind = kind, .rank = rank, .fence = m_record.fence, .map = m_target, .record = m_record});
+            switch_message {.kind = kind, .rank = rank, .fence = m_record.fence, .map = m_target, .record = m_record});
     }
     return actions;
 }
@@ -204,14 +204,14 @@
     switch_actions actions;
     for (std::size_t rank = 0; rank < m_progress.size(); ++rank) {
         if (!m_progress[rank].promised) {
-            actions.emplace_back(switch_message{.kind = switch_message_kind::promise_request,
-                                                .rank = rank,
-                                                .fence = m_record.fence,
-                                                .sequence = m_attempt,
-                                                .epoch = m_record.epoch,
-                                                .map = m_target,
-                                                .step = m_lastStep,
-                                                .record = {}});
+            actions.emplace_back(switch_message {.kind = switch_message_kind::promise_request,
+                                                 .rank = rank,
+                                                 .fence = m_record.fence,
+                                                 .sequence = m_attempt,
+                                                 .epoch = m_record.epoch,
+                                                 .map = m_target,
+                                                 .step = m_lastStep,
+                                                 .record = {}});
         }
     }
     return actions;
@@ -226,7 +226,7 @@
     if (message.kind == switch_message_kind::staged) {
         return onStaged(message);
     }
-    return message.kind == switch_message_kind::promise ? onPromise(message) : switch_actions{};
+    return message.kind == switch_message_kind::promise ? onPromise(message) : switch_actions {};
 }
 
 switch_actions coordinator_switch_state::onStaged(const switch_message &message)
@@ -237,7 +237,7 @@
     auto &progress = m_progress[message.rank];
     progress.staged = true;
     progress.nextStep = std::max(progress.nextStep, message.step);
-    return allStaged() ? beginPromising() : switch_actions{};
+    return allStaged() ? beginPromising() : switch_actions {};
 }
 
 switch_actions coordinator_switch_state::onPromise(const switch_message &message)
--- a/src/expert_map/expert_load_estimator.cpp
+++ b/src/expert_map/expert_load_estimator.cpp
@@ -89,7 +89,7 @@
 
 std::chrono::nanoseconds expert_load_estimator::age(time_point now) const
 {
-    return m_fast ? std::max(std::chrono::nanoseconds{0}, std::chrono::nanoseconds{now - m_last})
+    return m_fast ? std::max(std::chrono::nanoseconds {0}, std::chrono::nanoseconds {now - m_last})
                   : std::chrono::nanoseconds::max();
 }
 
--- a/src/expert_map/expert_load_estimator.h
+++ b/src/expert_map/expert_load_estimator.h
@@ -15,11 +15,11 @@
 {
     std::size_t history = 8; ///< Reports over which movement of demand is told from noise.
     double varianceWeight = 0.05; ///< Weight of a report in the estimates of movement and noise.
-    std::chrono::duration<double> fastTime{5}; ///< Smoothing time of the profile whose drift is measured.
-    std::chrono::duration<double> slowTime{60}; ///< Smoothing time of the profile that drift is measured against.
+    std::chrono::duration<double> fastTime {5}; ///< Smoothing time of the profile whose drift is measured.
+    std::chrono::duration<double> slowTime {60}; ///< Smoothing time of the profile that drift is measured against.
     double driftDistance = 0.25; ///< Demand counts as drifted when this share of the tokens goes to other experts.
-    std::chrono::duration<double> minDriftTime{20};
-    std::chrono::duration<double> maxDriftTime{1800};
+    std::chrono::duration<double> minDriftTime {20};
+    std::chrono::duration<double> maxDriftTime {1800};
 
     friend bool operator==(const load_estimator_settings &, const load_estimator_settings &) = default;
 };
--- a/src/expert_map/expert_map.cpp
+++ b/src/expert_map/expert_map.cpp
@@ -7,7 +7,7 @@
 
 expert_map evenMap(std::size_t layers, std::size_t experts, std::size_t ranks)
 {
-    expert_map map{layers, experts, ranks, {}};
+    expert_map map {layers, experts, ranks, {}};
     map.copies.resize(layers * experts);
     for (std::size_t index = 0; index < map.copies.size(); ++index) {
         map.copies[index] = {static_cast<std::uint16_t>(index % experts * ranks / experts)};
--- a/src/expert_map/placement.cpp
+++ b/src/expert_map/placement.cpp
@@ -34,7 +34,7 @@
 expert_map placeExperts(const load_matrix &load, std::size_t ranks, std::size_t slots,
                         const std::vector<double> &speeds)
 {
-    expert_map map{load.layers, load.experts, ranks, {}};
+    expert_map map {load.layers, load.experts, ranks, {}};
     map.copies.resize(load.layers * load.experts);
     for (std::size_t layer = 0; layer < load.layers; ++layer) {
         const auto counts = copyCounts(load, layer, ranks, ranks * slots);
--- a/src/expert_map/placement_planner.cpp
+++ b/src/expert_map/placement_planner.cpp
@@ -56,7 +56,7 @@
         plan.loads += count;
         plan.bytesPerRank.push_back(count * limits.expertBytes);
     }
-    const auto bytes = std::accumulate(plan.bytesPerRank.begin(), plan.bytesPerRank.end(), std::uint64_t{0});
+    const auto bytes = std::accumulate(plan.bytesPerRank.begin(), plan.bytesPerRank.end(), std::uint64_t {0});
     plan.loadSeconds = bytes == 0 ? 0.0 : limits.queueSeconds + static_cast<double>(bytes) / limits.storeBytesPerSecond;
     plan.loadBefore = criticalLoad(current, load, speeds);
     plan.loadAfter = criticalLoad(plan.map, load, speeds);
--- a/src/expert_map/rank_switch_state.cpp
+++ b/src/expert_map/rank_switch_state.cpp
@@ -62,7 +62,7 @@
         // The weights of the promised map must stay until the decision is known.
         return {};
     }
-    return {load_request{message.map, 0}};
+    return {load_request {message.map, 0}};
 }
 
 switch_actions rank_switch_state::onLoaded(const load_request &load)
@@ -74,19 +74,19 @@
         map_record record = *m_joinBase;
         ++record.sequence;
         record.members.at(m_rank) = m_engine.incarnation;
-        return {store_request{.tag = m_nextTag++, .write = true, .record = std::move(record)}};
+        return {store_request {.tag = m_nextTag++, .write = true, .record = std::move(record)}};
     }
     if (m_engine.hold && m_engine.hold->map != load.map) {
         return {};
     }
     m_engine.staged = load.map;
-    return {switch_message{.kind = switch_message_kind::staged,
-                           .rank = m_rank,
-                           .incarnation = m_engine.incarnation,
-                           .fence = m_stageFence,
-                           .map = load.map,
-                           .step = m_engine.nextStep,
-                           .record = {}}};
+    return {switch_message {.kind = switch_message_kind::staged,
+                            .rank = m_rank,
+                            .incarnation = m_engine.incarnation,
+                            .fence = m_stageFence,
+                            .map = load.map,
+                            .step = m_engine.nextStep,
+                            .record = {}}};
 }
 
 promise_refusal rank_switch_state::refusalOf(const switch_message &message) const
@@ -126,18 +126,18 @@
     const promise_refusal refusal = refusalOf(message);
     if (refusal == promise_refusal::none) {
         m_fence = message.fence;
-        m_engine.hold = step_hold{message.sequence, message.step, message.map};
+        m_engine.hold = step_hold {message.sequence, message.step, message.map};
     }
-    switch_actions actions{switch_message{.kind = switch_message_kind::promise,
-                                          .rank = m_rank,
-                                          .incarnation = m_engine.incarnation,
-                                          .fence = message.fence,
-                                          .sequence = message.sequence,
-                                          .epoch = m_engine.epoch,
-                                          .map = message.map,
-                                          .step = m_engine.nextStep,
-                                          .refusal = refusal,
-                                          .record = {}}};
+    switch_actions actions {switch_message {.kind = switch_message_kind::promise,
+                                            .rank = m_rank,
+                                            .incarnation = m_engine.incarnation,
+                                            .fence = message.fence,
+                                            .sequence = message.sequence,
+                                            .epoch = m_engine.epoch,
+                                            .map = message.map,
+                                            .step = m_engine.nextStep,
+                                            .refusal = refusal,
+                                            .record = {}}};
     if (refusal == promise_refusal::fence_unknown || refusal == promise_refusal::other_epoch) {
         actions.emplace_back(read());
     }
@@ -165,7 +165,7 @@
     }
     if (!m_engine.joined && !m_engine.replaced && answer.tag == m_readTag) {
         m_joinBase = answer.record;
-        return {load_request{answer.record.map, answer.record.previousMap}};
+        return {load_request {answer.record.map, answer.record.previousMap}};
     }
     return {};
 }
--- a/src/expert_map/rebalance_decider.cpp
+++ b/src/expert_map/rebalance_decider.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::chrono::hours limitPeriod{1};
+constexpr std::chrono::hours limitPeriod {1};
 
 } // namespace
 
@@ -66,10 +66,10 @@
         return decision;
     }
     const double drift = input.estimator.driftTime().count();
-    const planner_limits limits{m_settings.slots,           left,
-                                m_settings.maxLoadsPerRank, minGainPerLoad(input, *load, drift),
-                                m_settings.expertBytes,     m_settings.storeBytesPerSecond,
-                                input.queueSeconds};
+    const planner_limits limits {m_settings.slots,           left,
+                                 m_settings.maxLoadsPerRank, minGainPerLoad(input, *load, drift),
+                                 m_settings.expertBytes,     m_settings.storeBytesPerSecond,
+                                 input.queueSeconds};
     decision.plan = planPlacement(input.current, *load, input.speeds, limits);
     const auto &plan = decision.plan;
     decision.gainShare = plan.loadBefore > 0 ? input.expertShare * (1 - plan.loadAfter / plan.loadBefore) : 0.0;
--- a/src/expert_map/rebalance_decider.h
+++ b/src/expert_map/rebalance_decider.h
@@ -28,8 +28,8 @@
     // overestimated. In trials of bench/expert_map_bench with one seed, 8 moved 12% to 62% more bytes for at most 0.4%
     // more net tokens, and 20 lost up to 1.4% of them.
     double payback = 12; ///< Gain over cost that a plan, and each of its loads, must bring.
-    std::chrono::duration<double> minInterval{5};
-    std::chrono::duration<double> maxReportAge{15};
+    std::chrono::duration<double> minInterval {5};
+    std::chrono::duration<double> maxReportAge {15};
 
     friend bool operator==(const rebalance_settings &, const rebalance_settings &) = default;
 };
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -2,7 +2,9 @@
 
 #include "base/scope_guard.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <csignal>
 #include <cstring>
 #include <netinet/in.h>
@@ -59,6 +61,16 @@
     return headers;
 }
 
+/**
+ * @returns whether libmicrohttpd writes this header itself. It refuses such a header from its caller, and ulfius then
+ *          leaves out every header after it.
+ */
+bool isServerHeader(std::string_view name)
+{
+    constexpr std::array<std::string_view, 4> names {"Content-Length", "Transfer-Encoding", "Connection", "Date"};
+    return std::ranges::any_of(names, [name](std::string_view each) { return headerNamesEqual(each, name); });
+}
+
 http_request readRequest(const _u_request &request, std::size_t bodyLimit)
 {
     http_request copy;
@@ -180,6 +192,9 @@
     received.connection = m_connections.find(received.peer);
     const http_reply reply = m_handler.handle(received);
     for (const auto &[name, value] : reply.headers) {
+        if (isServerHeader(name)) {
+            continue;
+        }
         u_map_put(response->map_header, name.c_str(), value.c_str());
     }
     if (reply.stream == nullptr) {
--- a/src/store/claim_record.cpp
+++ b/src/store/claim_record.cpp
@@ -33,7 +33,7 @@
 
 result<claim_record> claim_record::parse(const std::string &text)
 {
-    const error malformed{errc::protocol_violation, "claim.parse", {}, "not a claim record"};
+    const error malformed {errc::protocol_violation, "claim.parse", {}, "not a claim record"};
     const json object = json::parse(text, nullptr, false);
     if (!object.is_object()) {
         return malformed;
--- a/src/store/claim_registry.cpp
+++ b/src/store/claim_registry.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr const char *claimStep = "claim.create";
-constexpr std::chrono::milliseconds settlePause{20};
+constexpr std::chrono::milliseconds settlePause {20};
 
 } // namespace
 
@@ -45,7 +45,7 @@
 
 result<claim_outcome> claim_registry::claim(const claim_request &request)
 {
-    held_claim claim{
+    held_claim claim {
         storeKey(request), 0, {claim_state::started, request.fingerprint, {}, m_incarnation.incarnation(), {}}};
     {
         const std::scoped_lock lock(m_mutex);
@@ -63,7 +63,7 @@
         const auto written = m_store.compareAndSwap(claim.key, expected, value, lease.value());
         if (written) {
             claim.modRevision = written.value();
-            return claim_outcome{claim_verdict::claimed, std::move(claim), {}};
+            return claim_outcome {claim_verdict::claimed, std::move(claim), {}};
         }
         error problem = written.error();
         if (problem.code == errc::not_found) {
@@ -78,7 +78,7 @@
                 }
                 if (stored.value().mark == claim.record.mark) {
                     claim.modRevision = entry.value()->modRevision;
-                    return claim_outcome{claim_verdict::claimed, std::move(claim), {}};
+                    return claim_outcome {claim_verdict::claimed, std::move(claim), {}};
                 }
                 if (stored.value().state != claim_state::released) {
                     return judge(request, stored.value());
@@ -106,42 +106,42 @@
         released.record.state = claim_state::released;
         m_settler.settleLater(std::move(released));
     }
-    return error{errc::unavailable, claimStep, reason.peer, "the key could not be claimed: " + reason.toString()};
+    return error {errc::unavailable, claimStep, reason.peer, "the key could not be claimed: " + reason.toString()};
 }
 
 result<claim_outcome> claim_registry::judge(const claim_request &request, const claim_record &record)
 {
     if (record.fingerprint != request.fingerprint) {
-        return claim_outcome{claim_verdict::fingerprint_differs, {}, {}};
+        return claim_outcome {claim_verdict::fingerprint_differs, {}, {}};
     }
     if (record.state == claim_state::finished) {
-        return claim_outcome{claim_verdict::finished, {}, record.answer};
+        return claim_outcome {claim_verdict::finished, {}, record.answer};
     }
     if (record.state == claim_state::finished_without_answer) {
-        return claim_outcome{claim_verdict::unknown, {}, {}};
+        return claim_outcome {claim_verdict::unknown, {}, {}};
     }
     if (record.owner == m_incarnation.incarnation()) {
-        return claim_outcome{claim_verdict::in_progress, {}, {}};
+        return claim_outcome {claim_verdict::in_progress, {}, {}};
     }
     const auto alive = m_incarnation.alive(record.owner);
     if (!alive) {
-        return error{errc::unavailable, claimStep, alive.error().peer, alive.error().detail};
+        return error {errc::unavailable, claimStep, alive.error().peer, alive.error().detail};
     }
     if (alive.value()) {
-        return claim_outcome{claim_verdict::in_progress, {}, {}};
+        return claim_outcome {claim_verdict::in_progress, {}, {}};
     }
     // The owner may have finished the claim just before it died.
     const auto entry = m_store.get(storeKey(request));
     if (!entry) {
-        return error{errc::unavailable, claimStep, entry.error().peer, entry.error().detail};
+        return error {errc::unavailable, claimStep, entry.error().peer, entry.error().detail};
     }
     if (entry.value()) {
         const auto stored = claim_record::parse(entry.value()->value);
         if (stored && stored.value().state == claim_state::finished && stored.value().mark == record.mark) {
-            return claim_outcome{claim_verdict::finished, {}, stored.value().answer};
+            return claim_outcome {claim_verdict::finished, {}, stored.value().answer};
         }
     }
-    return claim_outcome{claim_verdict::unknown, {}, {}};
+    return claim_outcome {claim_verdict::unknown, {}, {}};
 }
 
 result<void> claim_registry::finish(const held_claim &claim, const http_answer &answer)
--- a/src/store/claim_registry.h
+++ b/src/store/claim_registry.h
@@ -50,7 +50,7 @@
 {
 public:
     /** Bytes of a response body that a claim keeps. */
-    static constexpr std::size_t answerLimit = std::size_t{256} * 1024;
+    static constexpr std::size_t answerLimit = std::size_t {256} * 1024;
 
     /**
      * @param store must outlive this object
@@ -89,7 +89,7 @@
     const std::chrono::milliseconds m_settleTime;
     rotating_lease m_lease;
     claim_settler m_settler;
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     std::mt19937_64 m_random;
 };
 
--- a/src/store/claim_settler.cpp
+++ b/src/store/claim_settler.cpp
@@ -7,11 +7,11 @@
 namespace {
 
 constexpr const char *settleStep = "claim.settle";
-constexpr std::chrono::milliseconds retryInterval{500};
+constexpr std::chrono::milliseconds retryInterval {500};
 constexpr int attemptLimit = 4;
 
 // Answers that wait for the store; beyond this only the fact that the request ran is kept.
-constexpr std::size_t pendingBytesLimit = std::size_t{16} * 1024 * 1024;
+constexpr std::size_t pendingBytesLimit = std::size_t {16} * 1024 * 1024;
 
 } // namespace
 
@@ -38,7 +38,7 @@
         return settled;
     }
     settleLater(std::move(claim));
-    return error{errc::unavailable, settleStep, settled.error().peer, settled.error().detail};
+    return error {errc::unavailable, settleStep, settled.error().peer, settled.error().detail};
 }
 
 void claim_settler::settleLater(held_claim claim)
@@ -71,7 +71,7 @@
         if (claim.record.state == claim_state::released) {
             return 0; // Written all the same, so that a delayed write of the claim fails.
         }
-        return error{errc::stale, settleStep, {}, "the claim is not in the store any more"};
+        return error {errc::stale, settleStep, {}, "the claim is not in the store any more"};
     }
     const auto stored = claim_record::parse(entry.value()->value);
     if (stored && stored.value().state == claim_state::released && claim.modRevision == 0) {
@@ -80,7 +80,7 @@
     }
     if (!stored || stored.value().mark != claim.record.mark) {
         done = claim.record.state == claim_state::released;
-        return error{errc::stale, settleStep, {}, "the key is claimed by another request"};
+        return error {errc::stale, settleStep, {}, "the key is claimed by another request"};
     }
     done = stored.value().state != claim_state::started;
     return entry.value()->modRevision;
@@ -91,7 +91,7 @@
     const std::string value = claim.record.serialize();
     std::int64_t version = claim.modRevision;
     bool versionKnown = version != 0;
-    error last{errc::unavailable, settleStep, {}, {}};
+    error last {errc::unavailable, settleStep, {}, {}};
     for (int count = 0; count < attemptLimit; ++count) {
         if (!versionKnown) {
             bool done = false;
--- a/src/store/claim_settler.h
+++ b/src/store/claim_settler.h
@@ -61,7 +61,7 @@
 
     platform_store &m_store;
     rotating_lease &m_lease;
-    mutable ranked_mutex m_mutex{lock_rank::store};
+    mutable ranked_mutex m_mutex {lock_rank::store};
     std::condition_variable_any m_wake;
     std::deque<held_claim> m_pending;
     std::size_t m_pendingBytes = 0; ///< Of answers.
--- a/src/store/grouping_store.cpp
+++ b/src/store/grouping_store.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // Below etcd's default limit of 1.5 MiB for a request.
-constexpr std::size_t groupBytesLimit = std::size_t{1000} * 1000;
+constexpr std::size_t groupBytesLimit = std::size_t {1000} * 1000;
 
 } // namespace
 
@@ -19,7 +19,7 @@
 result<std::int64_t> grouping_store::compareAndSwap(const std::string &key, std::int64_t expectedModRevision,
                                                     const std::string &value, lease_id lease)
 {
-    waiting_write own{{key, expectedModRevision, value, lease}, std::nullopt};
+    waiting_write own {{key, expectedModRevision, value, lease}, std::nullopt};
     std::unique_lock lock(m_mutex);
     m_waiting.push_back(&own);
     while (!own.answer) {
--- a/src/store/grouping_store.h
+++ b/src/store/grouping_store.h
@@ -45,7 +45,7 @@
     std::vector<waiting_write *> takeGroup();
 
     platform_store &m_store;
-    ranked_mutex m_mutex{lock_rank::store};
+    ranked_mutex m_mutex {lock_rank::store};
     std::condition_variable_any m_answered;
     std::deque<waiting_write *> m_waiting;
     bool m_sending = false;
--- a/src/store/incarnation_lease.cpp
+++ b/src/store/incarnation_lease.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds retryInterval{500};
+constexpr std::chrono::milliseconds retryInterval {500};
 
 } // namespace
 
--- a/src/store/incarnation_lease.h
+++ b/src/store/incarnation_lease.h
@@ -53,8 +53,8 @@
     platform_store &m_store;
     const std::string m_incarnation;
     const std::chrono::seconds m_timeToLive;
-    std::atomic<lease_id> m_lease{0};
-    ranked_mutex m_mutex{lock_rank::store};
+    std::atomic<lease_id> m_lease {0};
+    ranked_mutex m_mutex {lock_rank::store};
     std::condition_variable_any m_stopChanged;
     bool m_stopping = false;
     std::thread m_thread;
--- a/src/store/rotating_lease.h
+++ b/src/store/rotating_lease.h
@@ -30,7 +30,7 @@
     platform_store &m_store;
     const std::chrono::seconds m_keyLifetime;
     const std::chrono::seconds m_period;
-    ranked_mutex m_mutex{lock_rank::leaf};
+    ranked_mutex m_mutex {lock_rank::leaf};
     lease_id m_lease = 0;
     time_point m_usableUntil;
 };
--- a/src/tool/admin_client.cpp
+++ b/src/tool/admin_client.cpp
@@ -29,8 +29,8 @@
     auto response = exchange(method, target, body);
     m_reached = m_reached || response;
     if (!response && method != "GET") {
-        return error{errc::outcome_unknown, sendStep, m_server,
-                     "no answer to the change; read the configuration before trying again"};
+        return error {errc::outcome_unknown, sendStep, m_server,
+                      "no answer to the change; read the configuration before trying again"};
     }
     return response;
 }
@@ -38,14 +38,14 @@
 result<admin_response> admin_client::exchange(const std::string &method, const std::string &target,
                                               const std::string &body)
 {
-    _u_request request{};
-    _u_response response{};
+    _u_request request {};
+    _u_response response {};
     if (ulfius_init_request(&request) != U_OK) {
-        return error{errc::unavailable, sendStep, m_server, "ulfius_init_request failed"};
+        return error {errc::unavailable, sendStep, m_server, "ulfius_init_request failed"};
     }
     const scope_guard cleanRequest([&] { ulfius_clean_request(&request); });
     if (ulfius_init_response(&response) != U_OK) {
-        return error{errc::unavailable, sendStep, m_server, "ulfius_init_response failed"};
+        return error {errc::unavailable, sendStep, m_server, "ulfius_init_response failed"};
     }
     const scope_guard cleanResponse([&] { ulfius_clean_response(&response); });
     ulfius_set_request_properties(&request, U_OPT_HTTP_VERB, method.c_str(), U_OPT_HTTP_URL,
@@ -59,7 +59,7 @@
                                       U_OPT_NONE);
     }
     if (ulfius_send_http_request(&request, &response) != U_OK) {
-        return error{errc::unavailable, sendStep, m_server, "no answer"};
+        return error {errc::unavailable, sendStep, m_server, "no answer"};
     }
     admin_response copy;
     copy.status = static_cast<int>(response.status);
--- a/src/tool/tool_options.h
+++ b/src/tool/tool_options.h
@@ -17,7 +17,7 @@
     bool settings = false; ///< check reads a settings file.
     std::optional<std::int64_t> baseRevision; ///< Only apply.
     std::int64_t limit = 20; ///< Only history.
-    std::chrono::seconds timeout{10};
+    std::chrono::seconds timeout {10};
 };
 
 } // namespace bronzechute
--- a/src/tool/verb_apply.cpp
+++ b/src/tool/verb_apply.cpp
@@ -22,7 +22,7 @@
         if (!current) {
             return code;
         }
-        base = current->value("revision", std::int64_t{0});
+        base = current->value("revision", std::int64_t {0});
     }
     return context.change("PUT", "/admin/v1/configuration?base_revision=" + std::to_string(*base), *text);
 }
--- a/src/tool/verb_context.cpp
+++ b/src/tool/verb_context.cpp
@@ -126,7 +126,7 @@
               << ", expected " << textAt(problem, "expected") << "\n";
     }
     printChanges(diff, m_out);
-    const std::string revision = std::to_string(reply->value("revision", std::int64_t{0}));
+    const std::string revision = std::to_string(reply->value("revision", std::int64_t {0}));
     m_out << (diff.empty()           ? "no change; revision " + revision + " stays in force"
                   : m_options.dryRun ? "dry run; revision " + revision + " stays in force"
                                      : "revision " + revision + " is in force")
--- a/src/tool/verb_history.cpp
+++ b/src/tool/verb_history.cpp
@@ -21,7 +21,7 @@
         for (const nlohmann::json &change : diff) {
             changes += (changes.empty() ? "" : ", ") + change.value("path", "");
         }
-        rows.push_back({std::to_string(each.value("revision", std::int64_t{0})), each.value("at", ""),
+        rows.push_back({std::to_string(each.value("revision", std::int64_t {0})), each.value("at", ""),
                         each.value("author", ""), changes});
     }
     context.printTable(rows);
--- a/tests/expert_map/naive_protocol_test.cpp
+++ b/tests/expert_map/naive_protocol_test.cpp
@@ -23,8 +23,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, naive_protocol,
-                         testing::Values(naive_row{"check_overlooks_a_late_command", 0},
-                                         naive_row{"check_overlooks_a_lost_command", 1}),
+                         testing::Values(naive_row {"check_overlooks_a_late_command", 0},
+                                         naive_row {"check_overlooks_a_lost_command", 1}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 } // namespace
--- a/tests/expert_map/naive_world.h
+++ b/tests/expert_map/naive_world.h
@@ -72,7 +72,7 @@
 
     std::uint64_t digest() const
     {
-        std::vector<std::uint64_t> words{static_cast<std::uint64_t>(m_drops)};
+        std::vector<std::uint64_t> words {static_cast<std::uint64_t>(m_drops)};
         for (const auto &rank : m_ranks) {
             words.push_back(rank.nextStep * 4 + (rank.commanded ? 2 : 0) + (rank.commandInFlight ? 1 : 0));
         }
--- a/tests/expert_map/order_explorer.h
+++ b/tests/expert_map/order_explorer.h
@@ -32,7 +32,7 @@
         double orders;
     };
     exploration report;
-    std::vector<entry> layer{{initial, 1.0}};
+    std::vector<entry> layer {{initial, 1.0}};
     while (!layer.empty() && report.depth < depthLimit && layer.size() <= layerLimit) {
         std::unordered_map<std::uint64_t, std::size_t> seen;
         std::vector<entry> next;
--- a/tests/expert_map/rebalance_test.cpp
+++ b/tests/expert_map/rebalance_test.cpp
@@ -78,13 +78,13 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, placement_planner,
-                         testing::Values(plan_row{"memory_exceeded_at_4_ranks", 4, 18, 1000, 1000, true},
-                                         plan_row{"memory_exceeded_at_16_ranks", 16, 5, 1000, 1000, true},
-                                         plan_row{"memory_exceeded_at_32_ranks", 32, 3, 1000, 1000, true},
-                                         plan_row{"expert_lost_without_spare_copies", 32, 2, 1000, 1000, true},
-                                         plan_row{"load_limit_exceeded", 32, 3, 6, 1000, true},
-                                         plan_row{"staging_memory_of_a_rank_exceeded", 32, 3, 1000, 2, true},
-                                         plan_row{"moves_without_allowance", 32, 3, 0, 0, false}),
+                         testing::Values(plan_row {"memory_exceeded_at_4_ranks", 4, 18, 1000, 1000, true},
+                                         plan_row {"memory_exceeded_at_16_ranks", 16, 5, 1000, 1000, true},
+                                         plan_row {"memory_exceeded_at_32_ranks", 32, 3, 1000, 1000, true},
+                                         plan_row {"expert_lost_without_spare_copies", 32, 2, 1000, 1000, true},
+                                         plan_row {"load_limit_exceeded", 32, 3, 6, 1000, true},
+                                         plan_row {"staging_memory_of_a_rank_exceeded", 32, 3, 1000, 2, true},
+                                         plan_row {"moves_without_allowance", 32, 3, 0, 0, false}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 struct decision_row
@@ -108,7 +108,7 @@
 TEST_P(rebalance_decider_test, givesTheReason)
 {
     const auto &row = GetParam();
-    const time_point now{std::chrono::hours(10)};
+    const time_point now {std::chrono::hours(10)};
     rebalance_settings settings;
     settings.slots = row.balanced ? 2 : 3;
     settings.maxLoadsPerRank = 1000;
@@ -136,29 +136,29 @@
 INSTANTIATE_TEST_SUITE_P(
     rows, rebalance_decider_test,
     testing::Values(
-        decision_row{.name = "gain_not_taken", .expected = rebalance_reason::rebalance},
-        decision_row{
+        decision_row {.name = "gain_not_taken", .expected = rebalance_reason::rebalance},
+        decision_row {
             .name = "operator_pause_ignored", .expected = rebalance_reason::paused_by_operator, .paused = true},
-        decision_row{.name = "acts_on_old_reports", .expected = rebalance_reason::no_reports, .reportAgeSeconds = 60},
-        decision_row{
+        decision_row {.name = "acts_on_old_reports", .expected = rebalance_reason::no_reports, .reportAgeSeconds = 60},
+        decision_row {
             .name = "rebalances_in_a_row", .expected = rebalance_reason::too_soon, .lastRebalanceSecondsAgo = 3},
-        decision_row{.name = "hourly_limit_ignored",
-                     .expected = rebalance_reason::move_limit,
-                     .lastRebalanceSecondsAgo = 600,
-                     .lastLoads = 200},
-        decision_row{.name = "hourly_limit_never_ends",
-                     .expected = rebalance_reason::rebalance,
-                     .lastRebalanceSecondsAgo = 3700,
-                     .lastLoads = 200},
-        decision_row{.name = "moves_for_nothing", .expected = rebalance_reason::balanced, .balanced = true},
-        decision_row{
+        decision_row {.name = "hourly_limit_ignored",
+                      .expected = rebalance_reason::move_limit,
+                      .lastRebalanceSecondsAgo = 600,
+                      .lastLoads = 200},
+        decision_row {.name = "hourly_limit_never_ends",
+                      .expected = rebalance_reason::rebalance,
+                      .lastRebalanceSecondsAgo = 3700,
+                      .lastLoads = 200},
+        decision_row {.name = "moves_for_nothing", .expected = rebalance_reason::balanced, .balanced = true},
+        decision_row {
             .name = "loads_cost_more_than_they_gain", .expected = rebalance_reason::balanced, .storeRate = 0.005},
-        decision_row{
+        decision_row {
             .name = "queue_of_the_store_ignored", .expected = rebalance_reason::does_not_pay, .queueSeconds = 1799},
-        decision_row{.name = "drift_before_the_loads_end_ignored",
-                     .expected = rebalance_reason::does_not_pay,
-                     .queueSeconds = 300,
-                     .drifting = true}),
+        decision_row {.name = "drift_before_the_loads_end_ignored",
+                      .expected = rebalance_reason::does_not_pay,
+                      .queueSeconds = 300,
+                      .drifting = true}),
     [](const auto &row) { return std::string(row.param.name); });
 
 TEST(expert_load_estimator, lateReportDoesNotUndoANewerOne)
@@ -198,42 +198,42 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, straggler_detector_test,
-                         testing::Values(straggler_row{"hot_expert_taken_for_a_slow_machine",
-                                                       {2, 1, 1, 1},
-                                                       {200, 100, 100, 100},
-                                                       100,
-                                                       straggler_verdict::hot_experts,
-                                                       1},
-                                         straggler_row{"slow_machine_taken_for_a_hot_expert",
-                                                       {1.25, 1, 1, 1},
-                                                       {100, 100, 100, 100},
-                                                       100,
-                                                       straggler_verdict::slow_shift_load,
-                                                       0.8},
-                                         straggler_row{"slow_machine_with_few_tokens_overlooked",
-                                                       {1.25, 1, 1, 1},
-                                                       {50, 100, 100, 100},
-                                                       100,
-                                                       straggler_verdict::slow_replace,
-                                                       0.4},
-                                         straggler_row{"replaced_for_a_short_stall",
-                                                       {2, 1, 1, 1},
-                                                       {100, 100, 100, 100},
-                                                       10,
-                                                       straggler_verdict::slow_shift_load,
-                                                       0.5},
-                                         straggler_row{"all_replaced_for_a_common_cause",
-                                                       {2, 2, 1, 1, 1, 1, 1, 1},
-                                                       {1, 1, 1, 1, 1, 1, 1, 1},
-                                                       100,
-                                                       straggler_verdict::slow_tell_operator,
-                                                       0.5},
-                                         straggler_row{"missing_report_read_as_slow",
-                                                       {0, 1, 1, 1},
-                                                       {0, 100, 100, 100},
-                                                       100,
-                                                       straggler_verdict::normal,
-                                                       1}),
+                         testing::Values(straggler_row {"hot_expert_taken_for_a_slow_machine",
+                                                        {2, 1, 1, 1},
+                                                        {200, 100, 100, 100},
+                                                        100,
+                                                        straggler_verdict::hot_experts,
+                                                        1},
+                                         straggler_row {"slow_machine_taken_for_a_hot_expert",
+                                                        {1.25, 1, 1, 1},
+                                                        {100, 100, 100, 100},
+                                                        100,
+                                                        straggler_verdict::slow_shift_load,
+                                                        0.8},
+                                         straggler_row {"slow_machine_with_few_tokens_overlooked",
+                                                        {1.25, 1, 1, 1},
+                                                        {50, 100, 100, 100},
+                                                        100,
+                                                        straggler_verdict::slow_replace,
+                                                        0.4},
+                                         straggler_row {"replaced_for_a_short_stall",
+                                                        {2, 1, 1, 1},
+                                                        {100, 100, 100, 100},
+                                                        10,
+                                                        straggler_verdict::slow_shift_load,
+                                                        0.5},
+                                         straggler_row {"all_replaced_for_a_common_cause",
+                                                        {2, 2, 1, 1, 1, 1, 1, 1},
+                                                        {1, 1, 1, 1, 1, 1, 1, 1},
+                                                        100,
+                                                        straggler_verdict::slow_tell_operator,
+                                                        0.5},
+                                         straggler_row {"missing_report_read_as_slow",
+                                                        {0, 1, 1, 1},
+                                                        {0, 100, 100, 100},
+                                                        100,
+                                                        straggler_verdict::normal,
+                                                        1}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 } // namespace
--- a/tests/expert_map/state_digest.h
+++ b/tests/expert_map/state_digest.h
@@ -23,7 +23,7 @@
     void add(const map_record &record)
     {
         for (const auto word : {record.sequence, record.fence, record.owner, record.epoch, record.map,
-                                record.previousMap, record.firstStep, std::uint64_t{record.members.size()}}) {
+                                record.previousMap, record.firstStep, std::uint64_t {record.members.size()}}) {
             add(word);
         }
         words.insert(words.end(), record.members.begin(), record.members.end());
@@ -31,7 +31,7 @@
 
     void add(const switch_message &message)
     {
-        for (const auto word : {static_cast<std::uint64_t>(message.kind), std::uint64_t{message.rank},
+        for (const auto word : {static_cast<std::uint64_t>(message.kind), std::uint64_t {message.rank},
                                 message.incarnation, message.fence, message.sequence, message.epoch, message.map,
                                 message.step, static_cast<std::uint64_t>(message.refusal)}) {
             add(word);
@@ -60,12 +60,12 @@
     void add(const rank_switch_state &rank)
     {
         const auto &engine = rank.m_engine;
-        for (const auto word : {engine.incarnation, std::uint64_t{engine.joined} * 2 + std::uint64_t{engine.replaced},
+        for (const auto word : {engine.incarnation, std::uint64_t {engine.joined} * 2 + std::uint64_t {engine.replaced},
                                 engine.joinSequence, engine.epoch, engine.map, engine.previousMap, engine.firstStep,
                                 engine.nextStep, engine.staged, engine.hold ? engine.hold->sequence : 0,
                                 engine.hold ? engine.hold->lastStep : 0, engine.hold ? engine.hold->map : 0,
                                 rank.m_groupStep.value_or(0), rank.m_fence.value_or(0), rank.m_sequence, rank.m_nextTag,
-                                rank.m_readTag, rank.m_stageFence, std::uint64_t{rank.m_joinBase.has_value()}}) {
+                                rank.m_readTag, rank.m_stageFence, std::uint64_t {rank.m_joinBase.has_value()}}) {
             add(word);
         }
         if (rank.m_joinBase) {
@@ -77,7 +77,7 @@
     {
         for (const auto word :
              {coordinator.m_owner, coordinator.m_margin, static_cast<std::uint64_t>(coordinator.m_phase),
-              std::uint64_t{coordinator.m_cancelling}, coordinator.m_target, coordinator.m_attempt,
+              std::uint64_t {coordinator.m_cancelling}, coordinator.m_target, coordinator.m_attempt,
               coordinator.m_acquireAbove, coordinator.m_lastStep, coordinator.m_nextTag}) {
             add(word);
         }
--- a/tests/expert_map/switch_world.cpp
+++ b/tests/expert_map/switch_world.cpp
@@ -44,14 +44,14 @@
         return;
     }
     const auto &request = std::get<store_request>(call.payload);
-    store_answer answer{request.tag, store_outcome::read, record};
+    store_answer answer {request.tag, store_outcome::read, record};
     if (request.write) {
         const bool accepted = request.record.sequence == record.sequence + 1;
         if (accepted) {
             record = request.record;
         }
         answer = {request.tag, accepted ? store_outcome::written : store_outcome::conflict,
-                  accepted ? record : map_record{}};
+                  accepted ? record : map_record {}};
     }
     if (answersLost) {
         return;
--- a/tests/expert_map/switch_world.h
+++ b/tests/expert_map/switch_world.h
@@ -119,7 +119,7 @@
     std::vector<std::uint64_t> m_slotStep; ///< The next step that the group expects of each rank.
     std::uint64_t m_nextIncarnation = 100;
     std::uint64_t m_margin;
-    std::vector<map_id> m_targets{11, 22}; ///< By coordinator.
+    std::vector<map_id> m_targets {11, 22}; ///< By coordinator.
     step_check m_check;
 };
 
--- a/tests/expert_map/switch_world_digest.cpp
+++ b/tests/expert_map/switch_world_digest.cpp
@@ -35,7 +35,7 @@
         state_digest part;
         part.add(static_cast<std::uint64_t>(item.to) * 64 + item.node * 16 + item.coordinator * 2
                  + (item.callerIsRank ? 1 : 0));
-        part.add(std::uint64_t{item.payload.index()});
+        part.add(std::uint64_t {item.payload.index()});
         std::visit([&](const auto &payload) { part.add(payload); }, item.payload);
         items.push_back(part.value());
     }
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -135,6 +135,32 @@
                                 "too large"}),
     [](const auto &row) { return std::string(row.param.name); });
 
+/** Answers with a header that the server writes itself, before another one. */
+class own_length_handler : public http_handler
+{
+public:
+    http_reply handle(const http_request &) override
+    {
+        return {200, {{"Content-Length", "2"}, {"X-After", "kept"}}, "ok", nullptr};
+    }
+};
+
+TEST(http_server, keepsHeadersAfterAContentLength)
+{
+    own_length_handler handler;
+    auto server = http_server::start({}, handler);
+    ASSERT_TRUE(server);
+    CURL *curl = curl_easy_init();
+    std::string received;
+    curl_easy_setopt(curl, CURLOPT_URL, ("http://127.0.0.1:" + std::to_string(server.value()->port())).c_str());
+    curl_easy_setopt(curl, CURLOPT_HEADER, 1L);
+    curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, appendBody);
+    curl_easy_setopt(curl, CURLOPT_WRITEDATA, &received);
+    EXPECT_EQ(curl_easy_perform(curl), CURLE_OK);
+    curl_easy_cleanup(curl);
+    EXPECT_NE(received.find("X-After: kept"), std::string::npos) << received;
+}
+
 TEST(http_server, refusesNewConnectionsOnceQuiesced)
 {
     scripted_handler handler;
--- a/tests/policy/adaptive_limiter_test.cpp
+++ b/tests/policy/adaptive_limiter_test.cpp
@@ -73,106 +73,106 @@
 INSTANTIATE_TEST_SUITE_P(
     rows, limiter_table,
     testing::Values(
-        limiter_row{"starts_warm", [](driver &) {}, 1, 1, true},
-        limiter_row{"proof_does_not_double", [](driver &d) { d.rounds(1, fast); }, 2, 2, true},
-        limiter_row{"answers_of_one_round_double_repeatedly", [](driver &d) { d.rounds(3, fast); }, 8, 8, true},
-        limiter_row{"never_becomes_warm", [](driver &d) { d.rounds(4, fast); }, 16, 17, false},
-        limiter_row{"slow_answer_counts_as_proof", [](driver &d) { d.rounds(5, slow); }, 1, 1, true},
-        limiter_row{"failure_counts_as_proof", [](driver &d) { d.rounds(5, fast, answer_outcome::failed); }, 1, 1,
-                    true},
-        limiter_row{"cancellation_counts_as_proof", [](driver &d) { d.rounds(5, fast, answer_outcome::cancelled); }, 1,
-                    1, true},
-        limiter_row{"failure_keeps_cap",
-                    [](driver &d) {
-                        d.rounds(3, fast);
-                        d.run(1, fast, answer_outcome::failed);
-                    },
-                    4, 4, true},
-        limiter_row{"one_answer_proves_a_high_cap",
-                    [](driver &d) {
-                        d.rounds(2, fast);
-                        for (int each = 0; each < 4; ++each) {
-                            d.limiter.onStarted(d.now);
-                        }
-                        d.now += milliseconds(480);
-                        d.limiter.onFinished(
-                            d.now, {.firstToken = milliseconds(100), .service = milliseconds(480), .tokens = 20});
-                    },
-                    4, 4, true},
-        limiter_row{"idle_engine_proves_a_high_cap",
-                    [](driver &d) {
-                        d.rounds(2, fast);
-                        d.run(1, fast);
-                        d.run(1, fast);
-                    },
-                    4, 4, true},
-        limiter_row{"restart_stays_warm",
-                    [](driver &d) {
-                        d.report("first");
-                        d.rounds(8, fast);
-                        d.report("second");
-                    },
-                    1, 1, true},
-        limiter_row{"first_report_or_lost_report_makes_cold",
-                    [](driver &d) {
-                        d.rounds(8, fast);
-                        d.report("first");
-                        d.limiter.onLoadReport(d.now, {});
-                        d.report("first");
-                    },
-                    16, 32, false},
-        limiter_row{"drop_in_speed_stays_warm",
-                    [](driver &d) {
-                        d.rounds(8, fast);
-                        d.run(3, slow);
-                    },
-                    1, 1, true},
-        limiter_row{"one_slow_answer_makes_cold",
-                    [](driver &d) {
-                        d.rounds(8, fast);
-                        d.run(1, slow);
-                    },
-                    16, 32, false},
-        limiter_row{"answer_from_before_the_mark_is_proof",
-                    [](driver &d) {
-                        d.rounds(8, fast);
-                        d.limiter.onStarted(d.now);
-                        d.limiter.markCold(d.now + milliseconds(10));
-                        d.now += milliseconds(480);
-                        d.limiter.onFinished(
-                            d.now, {.firstToken = milliseconds(100), .service = milliseconds(480), .tokens = 20});
-                    },
-                    1, 1, true},
-        limiter_row{"slower_for_good_stays_cold_for_ever",
-                    [](driver &d) {
-                        d.rounds(8, fast);
-                        d.run(3, milliseconds(62));
-                        d.rounds(30, milliseconds(62));
-                    },
-                    4, 32, false},
-        limiter_row{"slow_calls_of_a_service_make_cold",
-                    [](driver &d) {
-                        const auto call = [&d](milliseconds service) {
-                            d.limiter.onStarted(d.now);
-                            d.now += service;
-                            d.limiter.onFinished(d.now, {.firstToken = service, .service = service, .tokens = 1});
-                        };
-                        d.rounds(8, fast);
-                        call(milliseconds(500));
-                        call(milliseconds(500));
-                        call(milliseconds(500));
-                    },
-                    16, 32, false},
-        limiter_row{"grows_above_maximum", [](driver &d) { d.rounds(500, fast); }, 32, 32, false},
-        limiter_row{"engine_queue_does_not_lower",
-                    [](driver &d) {
-                        d.rounds(500, fast);
-                        for (int report = 0; report < 10; ++report) {
-                            d.now += milliseconds(1000);
-                            d.report("first", 10, 10);
-                        }
-                    },
-                    10, 12, false}),
+        limiter_row {"starts_warm", [](driver &) {}, 1, 1, true},
+        limiter_row {"proof_does_not_double", [](driver &d) { d.rounds(1, fast); }, 2, 2, true},
+        limiter_row {"answers_of_one_round_double_repeatedly", [](driver &d) { d.rounds(3, fast); }, 8, 8, true},
+        limiter_row {"never_becomes_warm", [](driver &d) { d.rounds(4, fast); }, 16, 17, false},
+        limiter_row {"slow_answer_counts_as_proof", [](driver &d) { d.rounds(5, slow); }, 1, 1, true},
+        limiter_row {"failure_counts_as_proof", [](driver &d) { d.rounds(5, fast, answer_outcome::failed); }, 1, 1,
+                     true},
+        limiter_row {"cancellation_counts_as_proof", [](driver &d) { d.rounds(5, fast, answer_outcome::cancelled); }, 1,
+                     1, true},
+        limiter_row {"failure_keeps_cap",
+                     [](driver &d) {
+                         d.rounds(3, fast);
+                         d.run(1, fast, answer_outcome::failed);
+                     },
+                     4, 4, true},
+        limiter_row {"one_answer_proves_a_high_cap",
+                     [](driver &d) {
+                         d.rounds(2, fast);
+                         for (int each = 0; each < 4; ++each) {
+                             d.limiter.onStarted(d.now);
+                         }
+                         d.now += milliseconds(480);
+                         d.limiter.onFinished(
+                             d.now, {.firstToken = milliseconds(100), .service = milliseconds(480), .tokens = 20});
+                     },
+                     4, 4, true},
+        limiter_row {"idle_engine_proves_a_high_cap",
+                     [](driver &d) {
+                         d.rounds(2, fast);
+                         d.run(1, fast);
+                         d.run(1, fast);
+                     },
+                     4, 4, true},
+        limiter_row {"restart_stays_warm",
+                     [](driver &d) {
+                         d.report("first");
+                         d.rounds(8, fast);
+                         d.report("second");
+                     },
+                     1, 1, true},
+        limiter_row {"first_report_or_lost_report_makes_cold",
+                     [](driver &d) {
+                         d.rounds(8, fast);
+                         d.report("first");
+                         d.limiter.onLoadReport(d.now, {});
+                         d.report("first");
+                     },
+                     16, 32, false},
+        limiter_row {"drop_in_speed_stays_warm",
+                     [](driver &d) {
+                         d.rounds(8, fast);
+                         d.run(3, slow);
+                     },
+                     1, 1, true},
+        limiter_row {"one_slow_answer_makes_cold",
+                     [](driver &d) {
+                         d.rounds(8, fast);
+                         d.run(1, slow);
+                     },
+                     16, 32, false},
+        limiter_row {"answer_from_before_the_mark_is_proof",
+                     [](driver &d) {
+                         d.rounds(8, fast);
+                         d.limiter.onStarted(d.now);
+                         d.limiter.markCold(d.now + milliseconds(10));
+                         d.now += milliseconds(480);
+                         d.limiter.onFinished(
+                             d.now, {.firstToken = milliseconds(100), .service = milliseconds(480), .tokens = 20});
+                     },
+                     1, 1, true},
+        limiter_row {"slower_for_good_stays_cold_for_ever",
+                     [](driver &d) {
+                         d.rounds(8, fast);
+                         d.run(3, milliseconds(62));
+                         d.rounds(30, milliseconds(62));
+                     },
+                     4, 32, false},
+        limiter_row {"slow_calls_of_a_service_make_cold",
+                     [](driver &d) {
+                         const auto call = [&d](milliseconds service) {
+                             d.limiter.onStarted(d.now);
+                             d.now += service;
+                             d.limiter.onFinished(d.now, {.firstToken = service, .service = service, .tokens = 1});
+                         };
+                         d.rounds(8, fast);
+                         call(milliseconds(500));
+                         call(milliseconds(500));
+                         call(milliseconds(500));
+                     },
+                     16, 32, false},
+        limiter_row {"grows_above_maximum", [](driver &d) { d.rounds(500, fast); }, 32, 32, false},
+        limiter_row {"engine_queue_does_not_lower",
+                     [](driver &d) {
+                         d.rounds(500, fast);
+                         for (int report = 0; report < 10; ++report) {
+                             d.now += milliseconds(1000);
+                             d.report("first", 10, 10);
+                         }
+                     },
+                     10, 12, false}),
     [](const auto &row) { return std::string(row.param.name); });
 
 // Guards against a limit outside 1..maximum after any sequence of events.
--- /dev/null
+++ b/tests/process/request_faults_test.cpp
@@ -0,0 +1,340 @@
+#include "standins/http_fetch.h"
+#include "standins/local_system.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <future>
+
+namespace bronzechute::standins {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** The example's configuration with a deadline for orders that the rows can outwait. */
+std::string configurationWithDeadline(const std::string &deadlineMs)
+{
+    std::string text = local_system::exampleConfiguration();
+    const std::string example = "deadline_ms: 10000";
+    text.replace(text.find(example), example.size(), "deadline_ms: " + deadlineMs);
+    return text;
+}
+
+int ordersRun(local_system &system, const std::string &service, const std::string &text)
+{
+    const auto stats = nlohmann::json::parse(system.stats(service), nullptr, false);
+    return stats.is_object() ? stats["orders_by_text"].value(text, 0) : 0;
+}
+
+void setFaults(local_system &system, const std::string &process, const std::string &faults,
+               const std::string &key = "http")
+{
+    const fetch_answer answer = postJson(system.process(process).url(key) + "/standin/faults", faults);
+    ASSERT_EQ(answer.status, 200) << answer.body;
+}
+
+/** What a fault row may end as. */
+enum ending : unsigned { answered = 1, not_run = 2, unknown = 4, cut = 8 };
+
+unsigned endingOf(const fetch_answer &answer)
+{
+    if (answer.code != CURLE_OK || answer.status == 0) {
+        return cut;
+    }
+    const std::string outcome = findHeader(answer.headers, "X-Bronzechute-Outcome").value_or("");
+    return outcome == "answered" ? answered : outcome == "not_run" ? not_run : unknown;
+}
+
+struct order_fault_row
+{
+    const char *name; ///< The failure that the row guards against.
+    std::vector<std::string> serviceFlags;
+    std::string deadlineMs;
+    std::function<void(local_system &)> before; ///< Before the order is sent; may be empty.
+    std::function<void(local_system &)> during; ///< While the service works on it; may be empty.
+    std::function<void(local_system &)> after; ///< After the caller has its answer; may be empty.
+    unsigned endings; ///< Those that are allowed.
+};
+
+class order_faults : public testing::TestWithParam<order_fault_row>
+{
+};
+
+TEST_P(order_faults, runAnOrderAtMostOnceAndTellTheTruth)
+{
+    const order_fault_row &row = GetParam();
+    local_system system;
+    system.startStore();
+    system.startService("office-1", "buda", row.serviceFlags);
+    system.forward("office-1");
+    system.startEntry("entry-1", "buda");
+    system.apply(configurationWithDeadline(row.deadlineMs));
+    ASSERT_TRUE(system.waitReady("entry-1", 1));
+    if (row.before) {
+        row.before(system);
+    }
+    auto order = std::async(std::launch::async, [&] { return system.order("entry-1", "envelopes", {}, 60s); });
+    if (row.during) {
+        ASSERT_TRUE(eventuallyTrue(
+            [&] { return nlohmann::json::parse(system.stats("office-1.engine")).value("active", 0) > 0; }));
+        row.during(system);
+    }
+    const fetch_answer answer = order.get();
+    if (row.after) {
+        row.after(system);
+    }
+    const unsigned end = endingOf(answer);
+    EXPECT_TRUE(end & row.endings) << "ended as " << end << ": " << answer.status << " " << answer.body;
+    // A late copy would run within the deadline of the order; the service's own work is added to it.
+    std::this_thread::sleep_for(2500ms);
+    const int runs = ordersRun(system, "office-1.engine", "envelopes");
+    EXPECT_LE(runs, 1);
+    if (end == not_run) {
+        EXPECT_EQ(runs, 0) << "the caller was told that the order was not run: " << answer.body;
+    }
+    if (end == answered) {
+        EXPECT_EQ(runs, 1);
+    }
+}
+
+const auto killEndpoint = [](local_system &system) {
+    system.process("office-1").kill();
+};
+const auto restartEndpoint = [](local_system &system) {
+    system.process("office-1").kill();
+    system.restartEndpoint("office-1");
+};
+const auto freezeEndpoint = [](local_system &system) {
+    system.process("office-1").freeze();
+};
+const auto thawEndpoint = [](local_system &system) {
+    system.process("office-1").thaw();
+};
+const auto silenceConnection = [](local_system &system) {
+    setFaults(system, "office-1.forwarder", R"({"silence_open": true})");
+};
+const std::vector<std::string> slowWork {"--work_ms", "1500"};
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, order_faults,
+    testing::Values(
+        order_fault_row {"plain_order_not_answered", {}, "5000", {}, {}, {}, answered},
+        order_fault_row {
+            "endpoint_killed_while_working_reported_as_not_run", slowWork, "5000", {}, killEndpoint, {}, unknown},
+        order_fault_row {"order_doubled_by_endpoint_restart", slowWork, "5000", {}, restartEndpoint, {}, unknown},
+        order_fault_row {
+            "order_runs_after_frozen_endpoint_thaws", {}, "2000", freezeEndpoint, {}, thawEndpoint, unknown | not_run},
+        order_fault_row {"frozen_while_working_loses_the_answer",
+                         slowWork,
+                         "8000",
+                         {},
+                         [](local_system &system) {
+                             freezeEndpoint(system);
+                             std::this_thread::sleep_for(1s);
+                             thawEndpoint(system);
+                         },
+                         {},
+                         answered},
+        order_fault_row {
+            "silent_connection_before_the_order_doubles_it", {}, "8000", silenceConnection, {}, {}, answered | not_run},
+        order_fault_row {"silent_connection_during_the_order_loses_the_answer",
+                         {"--work_ms", "4000"},
+                         "12000",
+                         {},
+                         silenceConnection,
+                         {},
+                         answered},
+        order_fault_row {"silent_connection_and_restart_double_the_order",
+                         slowWork,
+                         "8000",
+                         {},
+                         [](local_system &system) {
+                             silenceConnection(system);
+                             restartEndpoint(system);
+                         },
+                         {},
+                         unknown},
+        order_fault_row {"service_killed_before_reported_as_unknown",
+                         {},
+                         "3000",
+                         [](local_system &system) { system.process("office-1.engine").kill(); },
+                         {},
+                         {},
+                         not_run},
+        order_fault_row {
+            "service_that_never_answers_holds_the_caller",
+            {},
+            "2000",
+            [](local_system &system) { setFaults(system, "office-1.engine", R"({"never_answer": true})"); },
+            {},
+            {},
+            unknown},
+        order_fault_row {"frozen_service_holds_the_caller",
+                         {},
+                         "2000",
+                         [](local_system &system) { system.process("office-1.engine").freeze(); },
+                         {},
+                         [](local_system &system) { system.process("office-1.engine").thaw(); },
+                         unknown | not_run},
+        order_fault_row {"killed_entry_doubles_the_order",
+                         slowWork,
+                         "5000",
+                         {},
+                         [](local_system &system) { system.process("entry-1").kill(); },
+                         {},
+                         cut},
+        order_fault_row {"frozen_entry_doubles_the_order",
+                         slowWork,
+                         "5000",
+                         {},
+                         [](local_system &system) {
+                             system.process("entry-1").freeze();
+                             std::this_thread::sleep_for(4s);
+                             system.process("entry-1").thaw();
+                         },
+                         {},
+                         answered | unknown},
+        order_fault_row {"endpoint_stopped_gracefully_cuts_the_order",
+                         slowWork,
+                         "5000",
+                         {},
+                         [](local_system &system) { system.process("office-1").signal(SIGTERM); },
+                         {},
+                         answered},
+        order_fault_row {"entry_stopped_gracefully_cuts_the_order",
+                         slowWork,
+                         "5000",
+                         {},
+                         [](local_system &system) { system.process("entry-1").signal(SIGTERM); },
+                         {},
+                         answered}),
+    [](const auto &row) { return std::string(row.param.name); });
+
+/** @returns the text of a streamed completion. */
+std::string streamedText(const std::string &body)
+{
+    std::string text;
+    std::size_t start = 0;
+    while ((start = body.find("data: {", start)) != std::string::npos) {
+        const std::size_t end = body.find("\n\n", start);
+        const auto event = nlohmann::json::parse(body.substr(start + 6, end - start - 6), nullptr, false);
+        if (event.is_object() && event.contains("choices") && !event["choices"].empty()
+            && event["choices"][0]["delta"].contains("content")) {
+            text += event["choices"][0]["delta"]["content"].get<std::string>();
+        }
+        start += 6;
+    }
+    return text;
+}
+
+struct stream_fault_row
+{
+    const char *name; ///< The failure that the row guards against.
+    std::function<void(local_system &)> during; ///< After the first tokens; may be empty.
+    bool whole; ///< Whether the caller gets the whole answer; a visible cut otherwise.
+};
+
+class stream_faults : public testing::TestWithParam<stream_fault_row>
+{
+};
+
+TEST_P(stream_faults, neverEndCleanlyOnAPartialAnswer)
+{
+    constexpr int tokens = 150;
+    local_system system;
+    system.startStore();
+    system.startModel("model-1", "buda", {"--step_ms", "30"});
+    system.forward("model-1");
+    system.startEntry("entry-1", "buda");
+    system.apply(local_system::exampleConfiguration());
+    ASSERT_TRUE(system.waitReady("entry-1", 1));
+    auto stream = std::async(std::launch::async, [&] { return system.complete("entry-1", tokens, true); });
+    ASSERT_TRUE(
+        eventuallyTrue([&] { return nlohmann::json::parse(system.stats("model-1.engine")).value("tokens", 0) >= 10; }));
+    if (GetParam().during) {
+        GetParam().during(system);
+    }
+    const fetch_answer answer = stream.get();
+    if (!GetParam().whole) {
+        EXPECT_NE(answer.code, CURLE_OK) << "a cut answer ended cleanly";
+        EXPECT_EQ(answer.body.find("[DONE]"), std::string::npos);
+        return;
+    }
+    ASSERT_EQ(answer.code, CURLE_OK) << answer.body;
+    EXPECT_NE(answer.body.find("[DONE]"), std::string::npos);
+    fetch_request direct;
+    direct.url = system.url("model-1.engine") + "/v1/chat/completions";
+    direct.method = "POST";
+    direct.body =
+        R"({"model":"iroda-nyelv","messages":[{"role":"user","content":"hello"}],"max_tokens":150,"stream":true})";
+    EXPECT_EQ(streamedText(answer.body), streamedText(fetch(direct).body));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, stream_faults,
+    testing::Values(
+        stream_fault_row {"undisturbed_stream_differs_from_direct", {}, true},
+        stream_fault_row {"endpoint_killed_seen_as_end", [](local_system &system) { system.process("model-1").kill(); },
+                          false},
+        stream_fault_row {"engine_killed_seen_as_end",
+                          [](local_system &system) { system.process("model-1.engine").kill(); }, false},
+        stream_fault_row {
+            "engine_cut_seen_as_end",
+            [](local_system &system) { setFaults(system, "model-1.engine", R"({"cut_after_tokens": 30})"); }, false},
+        stream_fault_row {
+            "silent_connection_loses_tokens",
+            [](local_system &system) { setFaults(system, "model-1.forwarder", R"({"silence_open": true})"); }, true},
+        stream_fault_row {"cut_connection_loses_tokens",
+                          [](local_system &system) { setFaults(system, "model-1.forwarder", R"({"cut_open": true})"); },
+                          true},
+        stream_fault_row {"delayed_connection_loses_tokens",
+                          [](local_system &system) { setFaults(system, "model-1.forwarder", R"({"delay_ms": 300})"); },
+                          true},
+        stream_fault_row {"endpoint_stopped_gracefully_cuts_the_stream",
+                          [](local_system &system) { system.process("model-1").signal(SIGTERM); }, true},
+        stream_fault_row {"entry_stopped_gracefully_cuts_the_stream",
+                          [](local_system &system) { system.process("entry-1").signal(SIGTERM); }, true},
+        stream_fault_row {"frozen_endpoint_loses_tokens",
+                          [](local_system &system) {
+                              system.process("model-1").freeze();
+                              std::this_thread::sleep_for(1s);
+                              system.process("model-1").thaw();
+                          },
+                          true},
+        stream_fault_row {"cut_connection_and_killed_endpoint_seen_as_end",
+                          [](local_system &system) {
+                              setFaults(system, "model-1.forwarder", R"({"cut_open": true})");
+                              system.process("model-1").kill();
+                          },
+                          false}),
+    [](const auto &row) { return std::string(row.param.name); });
+
+TEST(stream_cancel, stopsTheEngineWhenTheCallerLeaves)
+{
+    local_system system;
+    system.startStore();
+    system.startModel("model-1", "buda", {"--step_ms", "30"});
+    system.startEntry("entry-1", "buda");
+    system.apply(local_system::exampleConfiguration());
+    ASSERT_TRUE(system.waitReady("entry-1", 1));
+    fetch_request request;
+    request.url = system.url("entry-1") + "/v1/chat/completions";
+    request.method = "POST";
+    request.headers = {{"Authorization", "Bearer example-office-key"}};
+    request.timeout = 500ms;
+    for (const char *stream : {"true", "false"}) {
+        request.body = std::string(R"({"model":"iroda-nyelv","messages":[{"role":"user","content":"x"}],)")
+            + R"("max_tokens":2000,"stream":)" + stream + "}";
+        const int before = nlohmann::json::parse(system.stats("model-1.engine")).value("cancelled", 0);
+        const fetch_answer answer = fetch(request);
+        EXPECT_EQ(answer.code, CURLE_OPERATION_TIMEDOUT) << answer.status << " " << answer.body;
+        EXPECT_TRUE(eventuallyTrue([&] {
+            return nlohmann::json::parse(system.stats("model-1.engine")).value("cancelled", 0) > before;
+        })) << "stream: "
+            << stream;
+    }
+}
+
+} // namespace
+} // namespace bronzechute::standins
--- a/tests/standins/store_faults.h
+++ b/tests/standins/store_faults.h
@@ -11,9 +11,9 @@
 {
     bool outage = false; ///< Calls are refused with status 503; open watches end.
     bool outageCloses = false; ///< During an outage, connections are cut instead.
-    std::chrono::milliseconds delay{0}; ///< Before a call takes effect.
-    std::chrono::milliseconds answerDelay{0}; ///< After a call took effect.
-    std::chrono::milliseconds holdEvents{0}; ///< How late watches report changes.
+    std::chrono::milliseconds delay {0}; ///< Before a call takes effect.
+    std::chrono::milliseconds answerDelay {0}; ///< After a call took effect.
+    std::chrono::milliseconds holdEvents {0}; ///< How late watches report changes.
     int writesPerSecond = 0; ///< Writes over this rate wait; 0: no limit.
     int loseAnswers = 0; ///< The next writes take effect, but their answer is cut.
 
--- a/tests/store/claim_registry_test.cpp
+++ b/tests/store/claim_registry_test.cpp
@@ -60,14 +60,14 @@
 INSTANTIATE_TEST_SUITE_P(
     rows, claim_registry_claims,
     testing::Values(
-        claim_row{"key_claimed_twice", json::object(), true, claim_verdict::in_progress},
-        claim_row{"own_claim_not_recognised", {{"lose_answers", 1}}, true, claim_verdict::in_progress},
-        claim_row{"own_claim_not_recognised_twice", {{"lose_answers", 2}}, true, claim_verdict::in_progress},
-        claim_row{"run_during_outage", {{"outage", true}}, false, claim_verdict::claimed},
-        claim_row{
+        claim_row {"key_claimed_twice", json::object(), true, claim_verdict::in_progress},
+        claim_row {"own_claim_not_recognised", {{"lose_answers", 1}}, true, claim_verdict::in_progress},
+        claim_row {"own_claim_not_recognised_twice", {{"lose_answers", 2}}, true, claim_verdict::in_progress},
+        claim_row {"run_during_outage", {{"outage", true}}, false, claim_verdict::claimed},
+        claim_row {
             "run_on_closed_connection", {{"outage", true}, {"outage_closes", true}}, false, claim_verdict::claimed},
-        claim_row{"late_claim_blocks_the_key", {{"delay_ms", 700}}, false, claim_verdict::claimed},
-        claim_row{"slow_answers_block_the_key", {{"delay_answer_ms", 700}}, false, claim_verdict::claimed}),
+        claim_row {"late_claim_blocks_the_key", {{"delay_ms", 700}}, false, claim_verdict::claimed},
+        claim_row {"slow_answers_block_the_key", {{"delay_answer_ms", 700}}, false, claim_verdict::claimed}),
     [](const auto &row) { return std::string(row.param.name); });
 
 TEST(claim_registry, replacesALapsedLease)
@@ -90,8 +90,8 @@
 
 TEST(claim_registry, keysOfAccountsAreApart)
 {
-    claim_request first{"service", "a", "bc", "f"};
-    claim_request second{"service", "ab", "c", "f"};
+    claim_request first {"service", "a", "bc", "f"};
+    claim_request second {"service", "ab", "c", "f"};
     EXPECT_NE(claim_registry::storeKey(first), claim_registry::storeKey(second));
 }
 
@@ -118,7 +118,7 @@
     const auto outcome = first.registry->claim(requestFor("key"));
     ASSERT_TRUE(outcome);
     ASSERT_EQ(outcome.value().verdict, claim_verdict::claimed);
-    const http_answer answer{201, {{"Location", "/orders/1"}}, std::string(GetParam().bodyBytes, '\xC3')};
+    const http_answer answer {201, {{"Location", "/orders/1"}}, std::string(GetParam().bodyBytes, '\xC3')};
     fixture.server->inject(GetParam().faults);
     const auto settled = GetParam().finish ? first.registry->finish(outcome.value().claim, answer)
                                            : first.registry->release(outcome.value().claim);
@@ -137,19 +137,19 @@
 INSTANTIATE_TEST_SUITE_P(
     rows, claim_registry_settles,
     testing::Values(
-        settle_row{"answer_lost", json::object(), true, 100, false, claim_verdict::finished},
-        settle_row{"answer_lost_with_its_owner", json::object(), true, 100, true, claim_verdict::finished},
-        settle_row{
+        settle_row {"answer_lost", json::object(), true, 100, false, claim_verdict::finished},
+        settle_row {"answer_lost_with_its_owner", json::object(), true, 100, true, claim_verdict::finished},
+        settle_row {
             "answer_lost_with_the_store_answer", {{"lose_answers", 1}}, true, 100, false, claim_verdict::finished},
-        settle_row{"answer_lost_in_outage", {{"outage", true}}, true, 100, false, claim_verdict::finished},
-        settle_row{"late_answer_lost", {{"delay_ms", 500}}, true, 100, false, claim_verdict::finished},
-        settle_row{"large_answer_run_again", json::object(), true, std::size_t{300} * 1024, false,
-                   claim_verdict::unknown},
-        settle_row{"release_lost", json::object(), false, 0, false, claim_verdict::claimed},
-        settle_row{"release_lost_in_outage", {{"outage", true}}, false, 0, false, claim_verdict::claimed},
-        settle_row{
+        settle_row {"answer_lost_in_outage", {{"outage", true}}, true, 100, false, claim_verdict::finished},
+        settle_row {"late_answer_lost", {{"delay_ms", 500}}, true, 100, false, claim_verdict::finished},
+        settle_row {"large_answer_run_again", json::object(), true, std::size_t {300} * 1024, false,
+                    claim_verdict::unknown},
+        settle_row {"release_lost", json::object(), false, 0, false, claim_verdict::claimed},
+        settle_row {"release_lost_in_outage", {{"outage", true}}, false, 0, false, claim_verdict::claimed},
+        settle_row {
             "release_lost_with_the_store_answer", {{"lose_answers", 1}}, false, 0, false, claim_verdict::claimed},
-        settle_row{"late_release_lost", {{"delay_ms", 500}}, false, 0, false, claim_verdict::claimed}),
+        settle_row {"late_release_lost", {{"delay_ms", 500}}, false, 0, false, claim_verdict::claimed}),
     [](const auto &row) { return std::string(row.param.name); });
 
 TEST(claim_registry, claimOfADeadOwnerIsUnknown)
@@ -186,7 +186,7 @@
     RecordProperty("seed", GetParam());
     store_fixture fixture(100ms);
     std::vector<std::atomic<int>> claimed(keyCount);
-    std::atomic<bool> done{false};
+    std::atomic<bool> done {false};
     std::thread faults([&] {
         std::mt19937_64 random(static_cast<std::uint64_t>(GetParam()));
         while (!done) {
--- a/tests/store/grouping_store_test.cpp
+++ b/tests/store/grouping_store_test.cpp
@@ -32,8 +32,8 @@
     grouping_store grouped(*fixture.store);
     fixture.server->inject(GetParam().faults);
     const std::string value(GetParam().valueBytes, 'v');
-    std::atomic<int> written{0};
-    std::atomic<int> shared{0};
+    std::atomic<int> written {0};
+    std::atomic<int> shared {0};
     std::vector<std::thread> writers;
     writers.reserve(static_cast<std::size_t>(GetParam().writers));
     for (int index = 0; index < GetParam().writers; ++index) {
@@ -52,10 +52,10 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, grouping_store_writes,
-                         testing::Values(group_row{"lone_write_waits", json::object(), 10, 1, true},
-                                         group_row{"answers_swapped", {{"delay_ms", 5}}, 10, 48, true},
-                                         group_row{"group_over_request_limit", {{"delay_ms", 5}}, 300000, 8, true},
-                                         group_row{"outage_seen_as_written", {{"outage", true}}, 10, 8, false}),
+                         testing::Values(group_row {"lone_write_waits", json::object(), 10, 1, true},
+                                         group_row {"answers_swapped", {{"delay_ms", 5}}, 10, 48, true},
+                                         group_row {"group_over_request_limit", {{"delay_ms", 5}}, 300000, 8, true},
+                                         group_row {"outage_seen_as_written", {{"outage", true}}, 10, 8, false}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 TEST(grouping_store, savesCallsUnderConcurrency)
@@ -67,7 +67,7 @@
     const auto before = fixture.server->stats()["writes"].get<int>();
     fixture.server->inject({{"delay_ms", 20}});
     constexpr int claimCount = 32;
-    std::atomic<int> claimed{0};
+    std::atomic<int> claimed {0};
     std::vector<std::thread> callers;
     callers.reserve(claimCount);
     for (int index = 0; index < claimCount; ++index) {
--- a/tests/tool/tool_fixture.h
+++ b/tests/tool/tool_fixture.h
@@ -30,7 +30,7 @@
         return reply;
     }
 
-    std::atomic<bool> broken{false};
+    std::atomic<bool> broken {false};
 
 private:
     class broken_body : public body_source
@@ -87,7 +87,7 @@
     }
 
     admin_fixture m_fixture;
-    breaking_handler m_handler{m_fixture.api()};
+    breaking_handler m_handler {m_fixture.api()};
     std::unique_ptr<http_server> m_server;
     tool_options m_options;
     std::string m_keyFile;
