policy: full cold endpoints take requests when nothing else is left

Cause: with every endpoint cold, a burst larger than the sum of the caps was refused by the entry, although the endpoint processes can queue it without giving their engines more than the cap.

Change: a cold endpoint at its cap is selected only when no other endpoint is left. The engine is protected by the endpoint process in either case.

Ruled out: treating full cold endpoints like others, because requests would wait behind a small cap while warm endpoints have room.

Conclusion: a small installation with little traffic, whose endpoints stay cold for long, no longer refuses bursts.

--- a/src/policy/load_aware_chooser.cpp
+++ b/src/policy/load_aware_chooser.cpp
@@ -45,6 +45,7 @@
     double limits = 0;
     double services = 0;
     int servicesKnown = 0;
+    bool onlyFull = true; // Whether all options so far are full cold endpoints.
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const endpoint_candidate &candidate = candidates[index];
         if (!mayTake(candidate, request)) {
@@ -54,10 +55,17 @@
             return index; // A probe is due; without a request sent to it the endpoint would never return.
         }
         const int load = estimatedLoad(candidate, m_settings.entries);
-        // A cold engine fails when it gets more than its cap, so a cold endpoint is not used as overflow.
-        if (candidate.cold && load >= candidate.limit) {
+        // A request would wait behind the cap of a full cold endpoint, so these are kept for when nothing else is left.
+        const bool full = candidate.cold && load >= candidate.limit;
+        if (full && !onlyFull) {
             continue;
         }
+        if (!full && onlyFull) {
+            m_options.clear();
+            limits = services = 0;
+            servicesKnown = 0;
+            onlyFull = false;
+        }
         limits += std::max(1, candidate.limit);
         services += candidate.meanServiceMs;
         servicesKnown += candidate.meanServiceMs > 0 ? 1 : 0;
--- a/tests/policy/load_aware_chooser_test.cpp
+++ b/tests/policy/load_aware_chooser_test.cpp
@@ -65,6 +65,13 @@
                                    b.inFlight = 100;
                                },
                                {"b"}},
+                    choice_row{"burst_refused_while_all_are_cold",
+                               [](auto &a, auto &b) {
+                                   a.cold = b.cold = true;
+                                   a.limit = b.limit = a.inFlight = b.inFlight = 1;
+                                   a.queued = 1;
+                               },
+                               {"b"}},
                     choice_row{"own_requests_since_status_ignored_on_cold",
                                [](auto &a, auto &) {
                                    a.cold = true;
