--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -40,6 +40,7 @@
     add("own_hash", [](auto &kind) { kind.commonHash = false; });
     add("entries_1", [](auto &kind) { kind.chooser.entries = 1; });
     add("bound_1.0", [](auto &kind) { kind.chooser.affinityBound = 1.0; });
+    add("queue_for_prefix", [](auto &kind) { kind.chooser.roomBelow = 0; });
     add("bound_1.1", [](auto &kind) { kind.chooser.affinityBound = 1.1; });
     add("slack_0.3", [](auto &kind) { kind.chooser.affinitySlack = 0.3; });
     add("bound_1.5", [](auto &kind) { kind.chooser.affinityBound = 1.5; });
--- a/src/policy/load_aware_chooser.cpp
+++ b/src/policy/load_aware_chooser.cpp
@@ -117,10 +117,12 @@
     const option *best = nullptr;
     std::pair<double, std::uint64_t> bestKey;
     for (const option &each : m_options) {
-        if (each.cost > bound) {
+        const endpoint_candidate &candidate = candidates[each.index];
+        // While the pool has room, a cached prefix is not worth a wait in a queue.
+        const bool waits = meanCost < m_settings.roomBelow && each.load > candidate.limit;
+        if (waits || each.cost > bound) {
             continue;
         }
-        const endpoint_candidate &candidate = candidates[each.index];
         const std::pair key(candidate.affinity, mix(prefix ^ candidate.nameHash));
         if (!best || key > bestKey) {
             best = &each;
--- a/src/policy/load_aware_chooser.h
+++ b/src/policy/load_aware_chooser.h
@@ -18,7 +18,8 @@
  * limit has grown, although the engines are equal.
  *
  * A request with a prefix goes to the endpoint of the highest affinity or, for equal affinity, of the highest
- * rendezvous hash of prefix and name, among those whose cost is under the bound; so entries that share no state agree.
+ * rendezvous hash of prefix and name, among those whose cost is under the bound and, while
+ * the pool has room, that have no queue; so entries that share no state agree.
  * Otherwise the cheapest of a few random candidates is taken, which keeps entries with the same lagging view from all
  * selecting the same endpoint.
  */
--- a/src/policy/load_aware_settings.h
+++ b/src/policy/load_aware_settings.h
@@ -12,6 +12,7 @@
     int samples = 3; ///< Candidates compared for a request without a prefix.
     double affinityBound = 1.25; ///< An endpoint keeps a prefix up to this multiple of the mean cost...
     double affinitySlack = 0.1; ///< ...plus this, so that an idle pool does not scatter prefixes.
+    double roomBelow = 0.9; ///< Below this mean cost the pool has room, and no prefix is worth a wait in a queue.
     double remotePenalty = 0.5; ///< Added to the cost of endpoints in another data centre.
 };
 
--- a/tests/policy/load_aware_chooser_test.cpp
+++ b/tests/policy/load_aware_chooser_test.cpp
@@ -174,5 +174,20 @@
     }
 }
 
+// Guards against a prefix that queues at its endpoint while others are idle.
+TEST(load_aware_affinity, doesNotQueueForAPrefixWhileThePoolHasRoom)
+{
+    const auto all = names(8);
+    auto candidates = pool(all);
+    candidates[0].affinity = 1;
+    candidates[0].limit = 1;
+    candidates[0].inFlight = 1;
+    const std::vector<std::uint64_t> chain{42};
+    const choice_request request{.localDataCentre = "buda", .prefixChain = chain, .tried = {}};
+    load_aware_chooser chooser({.affinityBound = 100});
+    std::mt19937_64 random(1);
+    EXPECT_NE(chooser.choose(candidates, request, random), 0U);
+}
+
 } // namespace
 } // namespace bronzechute
