store: list of VMs that outlives outages of the store

Entries need the list of live and leaving VMs of the platform also while the store is out. vm_list follows the prefix by a watch and keeps the last known list; an unreadable value leaves the previous state of its VM and is counted, rather than dropping the VM.

--- /dev/null
+++ b/src/store/vm_list.cpp
@@ -0,0 +1,68 @@
+#include "store/vm_list.h"
+
+#include "store/store_paths.h"
+
+#include <mutex>
+
+namespace bronzechute {
+
+vm_list::vm_list(platform_store &store, std::function<void(const snapshot &)> onChanged)
+    : m_onChanged(std::move(onChanged))
+{
+    m_watch = store.watch(store_paths::vms, [this](const store_event &event) { onEvent(event); });
+}
+
+vm_list::snapshot vm_list::current() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_current;
+}
+
+std::optional<time_point> vm_list::lastReport() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_lastReport;
+}
+
+std::int64_t vm_list::unreadable() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_unreadable;
+}
+
+void vm_list::onEvent(const store_event &event)
+{
+    snapshot changed;
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_lastReport = boot_clock::now();
+        if (event.deleted) {
+            if (m_byKey.erase(event.entry.key) == 0) {
+                return;
+            }
+        } else {
+            auto read = vm::parse(event.entry.value);
+            if (!read) {
+                ++m_unreadable;
+                return;
+            }
+            const auto known = m_byKey.find(event.entry.key);
+            if (known != m_byKey.end() && known->second == read.value()) {
+                return; // Repeated after the watch reconnected.
+            }
+            m_byKey.insert_or_assign(event.entry.key, std::move(read.value()));
+        }
+        auto list = std::make_shared<std::vector<vm>>();
+        list->reserve(m_byKey.size());
+        for (const auto &[key, entry] : m_byKey) {
+            list->push_back(entry);
+        }
+        m_current = std::move(list);
+        changed = m_current;
+    }
+    if (m_onChanged) {
+        m_onChanged(changed);
+    }
+}
+
+} // namespace bronzechute
--- a/tests/store/claim_registry_test.cpp
+++ b/tests/store/claim_registry_test.cpp
@@ -70,6 +70,24 @@
         claim_row{"slow_answers_block_the_key", {{"delay_answer_ms", 700}}, false, claim_verdict::claimed}),
     [](const auto &row) { return std::string(row.param.name); });
 
+// The write of a refused claim arrives at the store after the claim was given up and settled.
+TEST(claim_registry, delayedWriteOfARefusedClaimHasNoEffect)
+{
+    store_fixture fixture(callTimeout);
+    claiming_entry first(*fixture.store, "first", 1);
+    claiming_entry second(*fixture.store, "second", 2);
+    ASSERT_TRUE(eventually([&] { return first.incarnation->registered() && second.incarnation->registered(); }));
+    ASSERT_TRUE(becomes(*first.registry, requestFor("earlier"), claim_verdict::claimed));
+    fixture.server->inject({{"delay_ms", 900}});
+    ASSERT_FALSE(first.registry->claim(requestFor("key")));
+    fixture.server->inject(noFaults);
+    ASSERT_TRUE(eventually([&] {
+        const json stats = fixture.server->stats();
+        return first.registry->pending() == 0 && stats["calls"]["txn"] == stats["writes"];
+    }));
+    EXPECT_TRUE(becomes(*second.registry, requestFor("key"), claim_verdict::claimed));
+}
+
 TEST(claim_registry, replacesALapsedLease)
 {
     store_fixture fixture;
