--- a/tests/backend/http_back_end_faults_test.cpp
+++ b/tests/backend/http_back_end_faults_test.cpp
@@ -127,6 +127,8 @@
                   "", errc::timed_out, true},
         fault_row{"slow_answer_taken_for_silence", server_action::send_slowly, lengthHead + "abcd", 5s, 20s, "hbe",
                   "abcd", std::nullopt, true},
+        fault_row{"chunk_split_by_the_network_damaged", server_action::send_slowly,
+                  chunkedHead + "2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n", 10s, 20s, "hbe", "abcde", std::nullopt, true},
         fault_row{"interim_head_taken_for_the_answer", server_action::send_and_close,
                   "HTTP/1.1 100 Continue\r\n\r\n" + lengthHead + "abcd", 10s, 20s, "hbe", "abcd", std::nullopt, true},
         fault_row{"trailer_taken_for_a_head", server_action::send_and_close,
