entry: follow the platform's list of VMs

Cause: endpoint processes that settings do not name have to be found, and leaving ones have to lose new work.

Change: entry_role passes the list of VMs in the store to the membership table and dials what it names.

--- a/bench/relay_bench.cpp
+++ b/bench/relay_bench.cpp
@@ -64,7 +64,7 @@
     path.name = name;
     for (int count = 0; count < FLAGS_loops; ++count) {
         path.receivers.push_back(std::make_unique<http_back_end>(
-            http_back_end_options{http_back_end_options::kind::service, url}, std::make_shared<transfer_loop>()));
+            http_back_end_options {http_back_end_options::kind::service, url}, std::make_shared<transfer_loop>()));
     }
     return path;
 }
@@ -79,7 +79,7 @@
         const std::size_t colon = header.find(':');
         request.headers.emplace_back(header.substr(0, colon), header.substr(std::min(colon + 2, header.size())));
     }
-    request.body = nlohmann::json{
+    request.body = nlohmann::json {
         {"model", FLAGS_model},
         {"messages", {{{"role", "user"}, {"content", content}}}},
         {"max_tokens", FLAGS_tokens},
@@ -101,7 +101,7 @@
     for (int count = 0; count < FLAGS_streams; ++count) {
         schedule.emplace(std::chrono::milliseconds(offset(random)), "stream " + std::to_string(random()));
     }
-    std::atomic<int> running{0};
+    std::atomic<int> running {0};
     const time_point begin = boot_clock::now();
     for (const auto &[when, content] : schedule) {
         std::this_thread::sleep_for(begin + when - boot_clock::now());
@@ -109,7 +109,7 @@
             startStream(path, content, running);
         }
     }
-    constexpr std::chrono::milliseconds interval{20};
+    constexpr std::chrono::milliseconds interval {20};
     // Each stream ends by itself, at the latest by its deadline.
     while (running > 0) {
         std::this_thread::sleep_for(interval);
@@ -245,7 +245,7 @@
         std::fprintf(stderr, "relay_bench: --direct and --through are required; counts must be positive\n");
         return 2;
     }
-    const std::uint64_t seed = FLAGS_seed != 0 ? FLAGS_seed : std::random_device{}();
+    const std::uint64_t seed = FLAGS_seed != 0 ? FLAGS_seed : std::random_device {}();
     std::printf("seed %llu\n", static_cast<unsigned long long>(seed));
     std::mt19937_64 random(seed);
     std::map<std::string, pid_t> pids;
--- a/bench/step_clock_phase.h
+++ b/bench/step_clock_phase.h
@@ -44,7 +44,7 @@
 
 private:
     std::chrono::nanoseconds m_step;
-    std::chrono::nanoseconds m_phase{0};
+    std::chrono::nanoseconds m_phase {0};
 };
 
 } // namespace bronzechute::bench
--- a/src/base/request_id.h
+++ b/src/base/request_id.h
@@ -18,7 +18,8 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    friend auto operator<=>(const request_id &, const request_id &) = default;
+    friend auto operator<=>(const request_id &, const request_id &) =
+        default; // NOLINT(modernize-use-nullptr): false finding in the generated comparison
 
     static request_id generate(std::mt19937_64 &random);
 
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -82,6 +82,20 @@
     return role;
 }
 
+void entry_role::onVmList(const vm_list::snapshot &vms)
+{
+    std::vector<listed_vm> endpoints;
+    for (const vm &each : *vms) {
+        if (each.role == vm_role::endpoint) {
+            endpoints.push_back({each.name, each.address, each.state == vm_state::leaving});
+        }
+    }
+    m_directory.onVmList(endpoints, boot_clock::now());
+    for (const listed_vm &endpoint : m_directory.known()) {
+        m_hub->dial(endpoint.name, endpoint.address);
+    }
+}
+
 result<void> entry_role::startAdmin()
 {
     if (!m_settings.listen.admin || m_store == nullptr) {
@@ -138,12 +152,14 @@
         return;
     }
     m_watcher = std::make_unique<configuration_watcher>(*m_store, m_configuration, std::random_device {}());
+    m_vmList = std::make_unique<vm_list>(*m_store, [this](const vm_list::snapshot &vms) { onVmList(vms); });
 }
 
 entry_role::~entry_role()
 {
     m_server.reset();
     m_adminServer.reset();
+    m_vmList.reset();
     m_watcher.reset();
     m_configuration.unsubscribe(m_subscription);
     m_hub.reset();
--- a/src/entry/entry_role.h
+++ b/src/entry/entry_role.h
@@ -22,6 +22,7 @@
 #include "store/configuration_watcher.h"
 #include "store/incarnation_lease.h"
 #include "store/platform_store.h"
+#include "store/vm_list.h"
 
 #include <atomic>
 #include <memory>
@@ -52,9 +53,10 @@
 
     void connectStore();
 
-    /** Follows the configuration in the store. */
+    /** Follows the configuration and the list of VMs in the store. */
     void followStore();
     result<void> startAdmin();
+    void onVmList(const vm_list::snapshot &vms);
     void onAnswerFrame(const link_ptr &connection, const frame &message);
     http_reply listModels(const http_request &request);
     request_id newRequestId(const http_request &request);
@@ -77,6 +79,7 @@
     std::unique_ptr<incarnation_lease> m_incarnationLease;
     std::unique_ptr<claim_registry> m_claims;
     std::unique_ptr<idempotency_guard> m_guard;
+    std::unique_ptr<vm_list> m_vmList;
     int m_subscription = 0;
     std::unique_ptr<configuration_repository> m_repository;
     std::unique_ptr<admin_api> m_admin;
--- a/src/expert_map/rebalance_decider.cpp
+++ b/src/expert_map/rebalance_decider.cpp
@@ -69,10 +69,10 @@
     const double batch =
         m_settings.maxLoadSeconds * m_settings.storeBytesPerSecond / static_cast<double>(m_settings.expertBytes);
     const double allowed = std::min(static_cast<double>(left), std::max(2.0, batch));
-    const planner_limits limits{m_settings.slots,           static_cast<std::size_t>(allowed),
-                                m_settings.maxLoadsPerRank, minGainPerLoad(input, *load, drift),
-                                m_settings.expertBytes,     m_settings.storeBytesPerSecond,
-                                input.queueSeconds};
+    const planner_limits limits {m_settings.slots,           static_cast<std::size_t>(allowed),
+                                 m_settings.maxLoadsPerRank, minGainPerLoad(input, *load, drift),
+                                 m_settings.expertBytes,     m_settings.storeBytesPerSecond,
+                                 input.queueSeconds};
     decision.plan = planPlacement(input.current, *load, input.speeds, limits);
     const auto &plan = decision.plan;
     decision.gainShare = plan.loadBefore > 0 ? input.expertShare * (1 - plan.loadAfter / plan.loadBefore) : 0.0;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -10,9 +10,10 @@
 #include <memory>
 #include <string>
 
-struct _u_instance;
-struct _u_request;
-struct _u_response;
+// Types of ulfius.
+struct _u_instance; // NOLINT(bugprone-reserved-identifier)
+struct _u_request; // NOLINT(bugprone-reserved-identifier)
+struct _u_response; // NOLINT(bugprone-reserved-identifier)
 
 namespace bronzechute {
 
@@ -21,7 +22,7 @@
 {
     std::string address = "127.0.0.1"; ///< IPv4 address.
     std::uint16_t port = 0; ///< 0: the kernel chooses.
-    std::size_t bodyLimit = 4 * 1024 * 1024; ///< Bytes; larger bodies set http_request::bodyTooLarge.
+    std::size_t bodyLimit = std::size_t {4} * 1024 * 1024; ///< Bytes; larger bodies set http_request::bodyTooLarge.
     std::string tlsCertificate; ///< PEM text; empty: no TLS.
     std::string tlsKey; ///< PEM text.
 };
--- a/src/store/vm.cpp
+++ b/src/store/vm.cpp
@@ -49,8 +49,8 @@
     if (state != "live" && state != "leaving") {
         return malformed("found state \"" + state + "\", expected live or leaving");
     }
-    return vm{name, address, role == "entry" ? vm_role::entry : vm_role::endpoint, dataCentre,
-              state == "live" ? vm_state::live : vm_state::leaving};
+    return vm {name, address, role == "entry" ? vm_role::entry : vm_role::endpoint, dataCentre,
+               state == "live" ? vm_state::live : vm_state::leaving};
 }
 
 } // namespace bronzechute
--- a/src/store/vm_list.h
+++ b/src/store/vm_list.h
@@ -45,7 +45,7 @@
     void onEvent(const store_event &event);
 
     const std::function<void(const snapshot &)> m_onChanged;
-    mutable ranked_mutex m_mutex{lock_rank::leaf};
+    mutable ranked_mutex m_mutex {lock_rank::leaf};
     std::map<std::string, vm> m_byKey;
     snapshot m_current = std::make_shared<const std::vector<vm>>();
     std::optional<time_point> m_lastReport;
--- a/tests/config/configuration_parser_test.cpp
+++ b/tests/config/configuration_parser_test.cpp
@@ -54,8 +54,8 @@
     EXPECT_EQ(parseConfiguration(toYaml(content)).content, content) << toYaml(content);
     EXPECT_EQ(parseConfiguration(toJson(content).dump()).content, content);
     EXPECT_EQ(parseConfigurationJson(toJson(content)).content, content);
-    const configuration_envelope envelope{7, "00112233445566778899aabbccddeeff", "root", "2026-12-04T02:00:00Z",
-                                          content};
+    const configuration_envelope envelope {7, "00112233445566778899aabbccddeeff", "root", "2026-12-04T02:00:00Z",
+                                           content};
     EXPECT_EQ(parseEnvelope(serializeEnvelope(envelope)).value(), envelope);
     const configuration_envelope none;
     EXPECT_EQ(parseEnvelope(serializeEnvelope(none)).value(), none);
@@ -107,28 +107,28 @@
 INSTANTIATE_TEST_SUITE_P(
     rows, configuration_problems,
     testing::Values(
-        problem_row{"empty_document_accepted", "", {"f: found 0 YAML documents, expected one YAML document"}},
-        problem_row{"second_document_ignored",
-                    "schema: 1\n---\nschema: 1\n",
-                    {"f: found 2 YAML documents, expected one YAML document"}},
-        problem_row{"malformed_yaml_without_line",
-                    "schema: 1\npools: [a\n",
-                    {"f:3: found malformed YAML (end of sequence flow not found), expected valid YAML"}},
-        problem_row{"invalid_utf8_reaches_json",
-                    "schema: 1 # \xff",
-                    {"f: found bytes that are not UTF-8, expected a YAML document in UTF-8"}},
-        problem_row{"schema_missing", "pools: []\n", {"f:1: schema: found nothing, expected 1"}},
-        problem_row{"other_schema_accepted", "schema: 2\n", {"f:1: schema: found \"2\", expected 1"}},
-        problem_row{"only_first_problem_reported",
-                    "schema: 1\nfoo: 1\naccounts:\n  - {name: a, share: 0}\n",
-                    {"f:2: foo: found an unknown key, expected accounts, classes, data_centres, endpoints, pools, "
-                     "schema, services or teams",
-                     "f:4: accounts[0].share: found \"0\", expected an integer from 1 to 1000000"}},
-        problem_row{"duplicate_key_overwrites_or_hides_the_rest",
-                    "schema: 1\nschema: 1\naccounts: [{name: a, share: 0}]\n",
-                    {"f:2: schema: found the key a second time, expected each key once",
-                     "f:3: accounts[0].share: found \"0\", expected an integer from 1 to 1000000"}},
-        problem_row{
+        problem_row {"empty_document_accepted", "", {"f: found 0 YAML documents, expected one YAML document"}},
+        problem_row {"second_document_ignored",
+                     "schema: 1\n---\nschema: 1\n",
+                     {"f: found 2 YAML documents, expected one YAML document"}},
+        problem_row {"malformed_yaml_without_line",
+                     "schema: 1\npools: [a\n",
+                     {"f:3: found malformed YAML (end of sequence flow not found), expected valid YAML"}},
+        problem_row {"invalid_utf8_reaches_json",
+                     "schema: 1 # \xff",
+                     {"f: found bytes that are not UTF-8, expected a YAML document in UTF-8"}},
+        problem_row {"schema_missing", "pools: []\n", {"f:1: schema: found nothing, expected 1"}},
+        problem_row {"other_schema_accepted", "schema: 2\n", {"f:1: schema: found \"2\", expected 1"}},
+        problem_row {"only_first_problem_reported",
+                     "schema: 1\nfoo: 1\naccounts:\n  - {name: a, share: 0}\n",
+                     {"f:2: foo: found an unknown key, expected accounts, classes, data_centres, endpoints, pools, "
+                      "schema, services or teams",
+                      "f:4: accounts[0].share: found \"0\", expected an integer from 1 to 1000000"}},
+        problem_row {"duplicate_key_overwrites_or_hides_the_rest",
+                     "schema: 1\nschema: 1\naccounts: [{name: a, share: 0}]\n",
+                     {"f:2: schema: found the key a second time, expected each key once",
+                      "f:3: accounts[0].share: found \"0\", expected an integer from 1 to 1000000"}},
+        problem_row {
             "duplicate_name_accepted",
             "schema: 1\naccounts:\n  - {name: a}\n  - {name: a}\n",
             {"f:4: accounts[1].name: found \"a\" a second time, expected a name of its own for each of accounts"}},
@@ -205,9 +205,9 @@
                     envelope_row {
                         "missing_mark_accepted", R"({"revision": 1, "author": "a", "at": "", "content": {}})",
                         "needs an integer \"revision\", texts \"mark\", \"author\" and \"at\", and \"content\""},
-                    envelope_row{"invalid_content_accepted",
-                                 R"({"revision": 1, "mark": "", "author": "a", "at": "", "content": {"schema": 3}})",
-                                 "content: schema: found \"3\", expected 1"}),
+                    envelope_row {"invalid_content_accepted",
+                                  R"({"revision": 1, "mark": "", "author": "a", "at": "", "content": {"schema": 3}})",
+                                  "content: schema: found \"3\", expected 1"}),
     [](const auto &row) { return std::string(row.param.name); });
 
 } // namespace
--- a/tests/expert_map/switch_exploration_test.cpp
+++ b/tests/expert_map/switch_exploration_test.cpp
@@ -51,36 +51,36 @@
 INSTANTIATE_TEST_SUITE_P(
     rows, switch_exploration,
     testing::Values(
-        exploration_row{"lost_message_splits_the_group", {.drops = 2, .rankTimeouts = 1}, beforePromises, 24},
-        exploration_row{"repeated_message_splits_the_group", {.duplicates = 2, .abandons = 1}, beforePromises, 24},
-        exploration_row{"replaced_rank_steps_on_the_map_before_a_commit", {.rankKills = 1}, beforePromises, 24},
-        exploration_row{"killed_rank_during_commit_joins_on_another_map", {.rankKills = 2}, beforeCommit, 24},
-        exploration_row{"restarted_endpoint_forgets_its_promise", {.endpointRestarts = 2}, beforePromises, 24},
-        exploration_row{"two_coordinators_commit_two_maps", {.takeovers = 1}, 0, 24},
-        exploration_row{"frozen_coordinator_commits_past_its_lease", {.takeovers = 1}, beforePromises, 24},
-        exploration_row{
+        exploration_row {"lost_message_splits_the_group", {.drops = 2, .rankTimeouts = 1}, beforePromises, 24},
+        exploration_row {"repeated_message_splits_the_group", {.duplicates = 2, .abandons = 1}, beforePromises, 24},
+        exploration_row {"replaced_rank_steps_on_the_map_before_a_commit", {.rankKills = 1}, beforePromises, 24},
+        exploration_row {"killed_rank_during_commit_joins_on_another_map", {.rankKills = 2}, beforeCommit, 24},
+        exploration_row {"restarted_endpoint_forgets_its_promise", {.endpointRestarts = 2}, beforePromises, 24},
+        exploration_row {"two_coordinators_commit_two_maps", {.takeovers = 1}, 0, 24},
+        exploration_row {"frozen_coordinator_commits_past_its_lease", {.takeovers = 1}, beforePromises, 24},
+        exploration_row {
             "frozen_coordinator_writes_after_takeover", {.takeovers = 1, .rankTimeouts = 2}, beforeCommit, 24},
-        exploration_row{"restarted_coordinator_repeats_its_commit", {.coordinatorKills = 2}, beforeCommit, 24},
-        exploration_row{"lost_store_answer_taken_as_failure",
-                        {.drops = 1, .abandons = 1, .coordinatorTimeouts = 2},
-                        beforeCommit,
-                        24},
-        exploration_row{
+        exploration_row {"restarted_coordinator_repeats_its_commit", {.coordinatorKills = 2}, beforeCommit, 24},
+        exploration_row {"lost_store_answer_taken_as_failure",
+                         {.drops = 1, .abandons = 1, .coordinatorTimeouts = 2},
+                         beforeCommit,
+                         24},
+        exploration_row {
             "repeated_store_write_applied_twice", {.duplicates = 2, .coordinatorTimeouts = 1}, beforeCommit, 24},
-        exploration_row{"group_restart_mixes_old_and_new_map", {.groupRestarts = 1}, beforeCommit, 24},
-        exploration_row{"all_faults_together",
-                        {.drops = 1,
-                         .duplicates = 1,
-                         .rankKills = 1,
-                         .endpointRestarts = 1,
-                         .coordinatorKills = 1,
-                         .takeovers = 1,
-                         .abandons = 1,
-                         .groupRestarts = 1,
-                         .rankTimeouts = 1,
-                         .coordinatorTimeouts = 1},
-                        beforePromises,
-                        24}),
+        exploration_row {"group_restart_mixes_old_and_new_map", {.groupRestarts = 1}, beforeCommit, 24},
+        exploration_row {"all_faults_together",
+                         {.drops = 1,
+                          .duplicates = 1,
+                          .rankKills = 1,
+                          .endpointRestarts = 1,
+                          .coordinatorKills = 1,
+                          .takeovers = 1,
+                          .abandons = 1,
+                          .groupRestarts = 1,
+                          .rankTimeouts = 1,
+                          .coordinatorTimeouts = 1},
+                         beforePromises,
+                         24}),
     [](const auto &row) { return std::string(row.param.name); });
 
 struct completion_row
@@ -122,8 +122,8 @@
 // Each row's last step is below the one from which a promise can be refused as too late: a refusal leads to a further
 // attempt, and without timeouts not every order of those ends.
 INSTANTIATE_TEST_SUITE_P(rows, switch_completion,
-                         testing::Values(completion_row{"switch_stops_before_the_commit", 0, 2, 1},
-                                         completion_row{"held_rank_does_not_step_onto_the_new_map", 16, 4, 2}),
+                         testing::Values(completion_row {"switch_stops_before_the_commit", 0, 2, 1},
+                                         completion_row {"held_rank_does_not_step_onto_the_new_map", 16, 4, 2}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 } // namespace
--- a/tests/harness/forwarder_test.cpp
+++ b/tests/harness/forwarder_test.cpp
@@ -40,12 +40,12 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, forwarder_fault,
-    testing::Values(forwarder_row{"bytes_lost", "{}", CURLE_OK, CURLE_OK},
-                    forwarder_row{"delay_breaks_requests", R"({"delay_ms": 50})", CURLE_OK, CURLE_OK},
-                    forwarder_row{"new_connections_silent_too", R"({"silent_after_bytes": 10, "next_connections": 1})",
-                                  CURLE_OPERATION_TIMEDOUT, CURLE_OK},
-                    forwarder_row{"silence_ends", R"({"silence_new": true})", CURLE_OPERATION_TIMEDOUT,
-                                  CURLE_OPERATION_TIMEDOUT}),
+    testing::Values(forwarder_row {"bytes_lost", "{}", CURLE_OK, CURLE_OK},
+                    forwarder_row {"delay_breaks_requests", R"({"delay_ms": 50})", CURLE_OK, CURLE_OK},
+                    forwarder_row {"new_connections_silent_too", R"({"silent_after_bytes": 10, "next_connections": 1})",
+                                   CURLE_OPERATION_TIMEDOUT, CURLE_OK},
+                    forwarder_row {"silence_ends", R"({"silence_new": true})", CURLE_OPERATION_TIMEDOUT,
+                                   CURLE_OPERATION_TIMEDOUT}),
     [](const auto &row) { return std::string(row.param.name); });
 
 // Guards against a refused connection that reaches the target all the same. Which error the client sees depends on
--- a/tests/harness/model_engine_test.cpp
+++ b/tests/harness/model_engine_test.cpp
@@ -16,7 +16,7 @@
 
 std::string completionBody(const std::string &prompt, int first, int last, int priority)
 {
-    return nlohmann::json{{"prompt", prompt}, {"resume_from", first}, {"max_tokens", last}, {"priority", priority}}
+    return nlohmann::json {{"prompt", prompt}, {"resume_from", first}, {"max_tokens", last}, {"priority", priority}}
         .dump();
 }
 
@@ -28,7 +28,8 @@
                                                             : "status " + std::to_string(answer.status);
 }
 
-template<typename Condition> bool eventually(Condition condition)
+template<typename Condition>
+bool eventually(Condition condition)
 {
     const time_point end = boot_clock::now() + 20s;
     while (!condition() && boot_clock::now() < end) {
@@ -57,11 +58,11 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, model_engine_completion,
-    testing::Values(completion_row{"wrong_text", completionBody("a", 0, 4, 0), answerText("a", 0, 4)},
-                    completion_row{"resumed_from_the_start", completionBody("a", 2, 4, 0), answerText("a", 2, 4)},
-                    completion_row{"nothing_to_generate", completionBody("a", 4, 4, 0), "status 400"},
-                    completion_row{"too_many_tokens", completionBody("a", 0, 1000000000, 0), "status 400"},
-                    completion_row{"not_json", "{", "status 400"}),
+    testing::Values(completion_row {"wrong_text", completionBody("a", 0, 4, 0), answerText("a", 0, 4)},
+                    completion_row {"resumed_from_the_start", completionBody("a", 2, 4, 0), answerText("a", 2, 4)},
+                    completion_row {"nothing_to_generate", completionBody("a", 4, 4, 0), "status 400"},
+                    completion_row {"too_many_tokens", completionBody("a", 0, 1000000000, 0), "status 400"},
+                    completion_row {"not_json", "{", "status 400"}),
     [](const auto &row) { return std::string(row.param.name); });
 
 // Guards against an engine that bears any load while cold, or never gets warm.
--- a/tests/policy/load_aware_chooser_test.cpp
+++ b/tests/policy/load_aware_chooser_test.cpp
@@ -51,71 +51,71 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, load_aware_choice,
-    testing::Values(choice_row{"one_of_two_equals_never_used", [](auto &, auto &) {}, {"a", "b"}},
-                    choice_row{"leaving_selected", [](auto &a, auto &) { a.state = serving_state::leaving; }, {"b"}},
-                    choice_row{"starting_selected", [](auto &a, auto &) { a.state = serving_state::starting; }, {"b"}},
-                    choice_row{"silent_selected", [](auto &a, auto &) { a.statusAge = milliseconds(2001); }, {"b"}},
-                    choice_row{"tried_selected_again", [](auto &a, auto &) { a.name = "tried"; }, {"b"}},
-                    choice_row{"ejected_selected", [](auto &a, auto &) { a.ejected = true; }, {"b"}},
-                    choice_row{"probe_never_sent", [](auto &a, auto &) { a.ejected = a.probeAllowed = true; }, {"a"}},
-                    choice_row{"full_cold_used_as_overflow",
-                               [](auto &a, auto &b) {
-                                   a.cold = true;
-                                   a.limit = a.inFlight = 1;
-                                   b.inFlight = 100;
-                               },
-                               {"b"}},
-                    choice_row{"burst_refused_while_all_are_cold",
-                               [](auto &a, auto &b) {
-                                   a.cold = b.cold = true;
-                                   a.limit = b.limit = a.inFlight = b.inFlight = 1;
-                                   a.queued = 1;
-                               },
-                               {"b"}},
-                    choice_row{"own_requests_since_status_ignored_on_cold",
-                               [](auto &a, auto &) {
-                                   a.cold = true;
-                                   a.limit = 1;
-                                   a.ownInFlight = 1;
-                               },
-                               {"b"}},
-                    choice_row{"slow_as_good_as_fast",
-                               [](auto &a, auto &b) {
-                                   a.meanServiceMs = 4000;
-                                   b.meanServiceMs = 1000;
-                                   a.inFlight = b.inFlight = 4;
-                               },
-                               {"b"}},
-                    choice_row{"higher_limit_attracts_more_than_equal_load",
-                               [](auto &a, auto &b) {
-                                   a.limit = 40;
-                                   a.inFlight = 6;
-                                   b.inFlight = 5;
-                               },
-                               {"b"}},
-                    choice_row{"queue_behind_limit_ignored",
-                               [](auto &a, auto &b) {
-                                   a.limit = 2;
-                                   a.inFlight = 2;
-                                   a.queued = 2;
-                                   b.limit = 40;
-                                   b.inFlight = 5;
-                               },
-                               {"b"}},
-                    choice_row{"requests_of_other_entries_since_status_ignored",
-                               [](auto &a, auto &b) {
-                                   a.ownInFlight = 2;
-                                   b.inFlight = 5;
-                               },
-                               {"b"}},
-                    choice_row{"remote_as_good_as_local", [](auto &a, auto &) { a.dataCentre = "pest"; }, {"b"}},
-                    choice_row{"remote_never_used",
-                               [](auto &a, auto &b) {
-                                   a.dataCentre = "pest";
-                                   b.inFlight = 9;
-                               },
-                               {"a"}},
-                    choice_row{
+    testing::Values(choice_row {"one_of_two_equals_never_used", [](auto &, auto &) {}, {"a", "b"}},
+                    choice_row {"leaving_selected", [](auto &a, auto &) { a.state = serving_state::leaving; }, {"b"}},
+                    choice_row {"starting_selected", [](auto &a, auto &) { a.state = serving_state::starting; }, {"b"}},
+                    choice_row {"silent_selected", [](auto &a, auto &) { a.statusAge = milliseconds(2001); }, {"b"}},
+                    choice_row {"tried_selected_again", [](auto &a, auto &) { a.name = "tried"; }, {"b"}},
+                    choice_row {"ejected_selected", [](auto &a, auto &) { a.ejected = true; }, {"b"}},
+                    choice_row {"probe_never_sent", [](auto &a, auto &) { a.ejected = a.probeAllowed = true; }, {"a"}},
+                    choice_row {"full_cold_used_as_overflow",
+                                [](auto &a, auto &b) {
+                                    a.cold = true;
+                                    a.limit = a.inFlight = 1;
+                                    b.inFlight = 100;
+                                },
+                                {"b"}},
+                    choice_row {"burst_refused_while_all_are_cold",
+                                [](auto &a, auto &b) {
+                                    a.cold = b.cold = true;
+                                    a.limit = b.limit = a.inFlight = b.inFlight = 1;
+                                    a.queued = 1;
+                                },
+                                {"b"}},
+                    choice_row {"own_requests_since_status_ignored_on_cold",
+                                [](auto &a, auto &) {
+                                    a.cold = true;
+                                    a.limit = 1;
+                                    a.ownInFlight = 1;
+                                },
+                                {"b"}},
+                    choice_row {"slow_as_good_as_fast",
+                                [](auto &a, auto &b) {
+                                    a.meanServiceMs = 4000;
+                                    b.meanServiceMs = 1000;
+                                    a.inFlight = b.inFlight = 4;
+                                },
+                                {"b"}},
+                    choice_row {"higher_limit_attracts_more_than_equal_load",
+                                [](auto &a, auto &b) {
+                                    a.limit = 40;
+                                    a.inFlight = 6;
+                                    b.inFlight = 5;
+                                },
+                                {"b"}},
+                    choice_row {"queue_behind_limit_ignored",
+                                [](auto &a, auto &b) {
+                                    a.limit = 2;
+                                    a.inFlight = 2;
+                                    a.queued = 2;
+                                    b.limit = 40;
+                                    b.inFlight = 5;
+                                },
+                                {"b"}},
+                    choice_row {"requests_of_other_entries_since_status_ignored",
+                                [](auto &a, auto &b) {
+                                    a.ownInFlight = 2;
+                                    b.inFlight = 5;
+                                },
+                                {"b"}},
+                    choice_row {"remote_as_good_as_local", [](auto &a, auto &) { a.dataCentre = "pest"; }, {"b"}},
+                    choice_row {"remote_never_used",
+                                [](auto &a, auto &b) {
+                                    a.dataCentre = "pest";
+                                    b.inFlight = 9;
+                                },
+                                {"a"}},
+                    choice_row {
                         "nothing_left_not_reported", [](auto &a, auto &b) { a.ejected = b.ejected = true; }, {""}}),
     [](const auto &row) { return std::string(row.param.name); });
 
@@ -182,8 +182,8 @@
     candidates[0].affinity = 1;
     candidates[0].limit = 1;
     candidates[0].inFlight = 1;
-    const std::vector<std::uint64_t> chain{42};
-    const choice_request request{.localDataCentre = "buda", .prefixChain = chain, .tried = {}};
+    const std::vector<std::uint64_t> chain {42};
+    const choice_request request {.localDataCentre = "buda", .prefixChain = chain, .tried = {}};
     load_aware_chooser chooser({.affinityBound = 100});
     std::mt19937_64 random(1);
     EXPECT_NE(chooser.choose(candidates, request, random), 0U);
--- a/tests/standins/store_state.cpp
+++ b/tests/standins/store_state.cpp
@@ -159,7 +159,7 @@
 
 json store_state::put(const json &request)
 {
-    txn({{"success", {json{{"request_put", request}}}}});
+    txn({{"success", {json {{"request_put", request}}}}});
     return {{"header", header()}};
 }
 
--- a/tests/store/vm_list_test.cpp
+++ b/tests/store/vm_list_test.cpp
@@ -15,7 +15,7 @@
 
 std::string valueFor(const std::string &name, const std::string &state = "live")
 {
-    return json{
+    return json {
         {"name", name}, {"address", "10.0.0.1"}, {"role", "endpoint"}, {"data_centre", "buda"}, {"state", state}}
         .dump();
 }
@@ -36,18 +36,18 @@
     const auto read = vm::parse(GetParam().value);
     ASSERT_EQ(static_cast<bool>(read), GetParam().valid);
     if (read) {
-        EXPECT_EQ(read.value(), (vm{"a", "10.0.0.1", vm_role::endpoint, "buda", vm_state::leaving}));
+        EXPECT_EQ(read.value(), (vm {"a", "10.0.0.1", vm_role::endpoint, "buda", vm_state::leaving}));
     } else {
         EXPECT_EQ(read.error().code, errc::protocol_violation);
     }
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, vm_parse,
-                         testing::Values(vm_row{"entry_not_read", valueFor("a", "leaving"), true},
-                                         vm_row{"unknown_state_taken_for_live", valueFor("a", "gone"), false},
-                                         vm_row{"missing_field_accepted", R"({"name": "a"})", false},
-                                         vm_row{"wrong_type_accepted", R"({"name": 1})", false},
-                                         vm_row{"no_json_accepted", "live", false}),
+                         testing::Values(vm_row {"entry_not_read", valueFor("a", "leaving"), true},
+                                         vm_row {"unknown_state_taken_for_live", valueFor("a", "gone"), false},
+                                         vm_row {"missing_field_accepted", R"({"name": "a"})", false},
+                                         vm_row {"wrong_type_accepted", R"({"name": 1})", false},
+                                         vm_row {"no_json_accepted", "live", false}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 struct vm_list_row
@@ -66,7 +66,7 @@
     const auto first = fixture.store->compareAndSwap("/platform/vms/a", 0, valueFor("a"));
     ASSERT_TRUE(first);
     ASSERT_TRUE(fixture.store->compareAndSwap("/platform/vms/b", 0, valueFor("b")));
-    std::atomic<std::size_t> shortest{100};
+    std::atomic<std::size_t> shortest {100};
     vm_list list(*fixture.store,
                  [&](const vm_list::snapshot &changed) { shortest = std::min(shortest.load(), changed->size()); });
     ASSERT_TRUE(eventually([&] { return list.current()->size() == 2; }));
@@ -84,9 +84,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(rows, vm_list_keeps,
-                         testing::Values(vm_list_row{"change_lost_without_fault", json::object()},
-                                         vm_list_row{"list_lost_in_outage", {{"outage", true}}},
-                                         vm_list_row{"list_frozen_by_silent_watch", {{"silence_watches", true}}}),
+                         testing::Values(vm_list_row {"change_lost_without_fault", json::object()},
+                                         vm_list_row {"list_lost_in_outage", {{"outage", true}}},
+                                         vm_list_row {"list_frozen_by_silent_watch", {{"silence_watches", true}}}),
                          [](const auto &row) { return std::string(row.param.name); });
 
 TEST(vm_list, removedVmVanishesAndUnreadableValueDoesNotRemoveOne)
