entry: read-your-writes for plain services, and spans by OpenTracing

Cause: (1) two order books that share nothing answer reads of the same account from different states, which is what the release clerks met last year. (2) the trace context was passed on, but no hop wrote a span.

Ways weighed for (1): affinity of an account to one worker alone (entries with different views of the pool choose different workers, and a dead worker is replaced by an older state in silence); a token with the version that the caller has seen (works through any entry, but only for callers that carry it). Chosen: both. The session names endpoint and version, travels in X-Bronzechute-Session, and entries tell each other the newest one of each account for callers that do not carry it. A read that would show an older state fails with stale_read.

Change: read_session, session_table, session_frame, the preference in endpoint_directory and the check in dispatcher; log_tracer, log_span and trace_span_context behind the OpenTracing interface, with spans entry.request, entry.attempt and endpoint.request.

The new rows were not run against the code before the change: it has no session header.

Conclusion: reads do not go back. Without the header, a read through another entry may overtake the note between entries by the time of one frame.

--- a/src/endpoint/endpoint_gate.cpp
+++ b/src/endpoint/endpoint_gate.cpp
@@ -18,14 +18,15 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
 }
 
-back_end_request makeBackEndRequest(const submit_frame &submit, const endpoint_settings &settings)
+back_end_request makeBackEndRequest(const submit_frame &submit, const endpoint_settings &settings,
+                                    const std::string &traceparent)
 {
     back_end_request request;
     request.method = submit.method;
     request.path = submit.path;
     request.headers = submit.headers;
     request.headers.emplace_back("X-Request-Id", submit.id.request.toString());
-    request.headers.emplace_back("traceparent", submit.traceparent);
+    request.headers.emplace_back("traceparent", traceparent);
     request.body = submit.body;
     request.priority = submit.priority;
     request.idleTimeout = settings.engineIdleTimeout;
@@ -42,6 +43,7 @@
     , m_engine(std::move(engine))
     , m_configuration(configuration)
     , m_metrics(metrics)
+    , m_tracer(std::make_shared<log_tracer>(std::random_device {}()))
     , m_limiter(std::move(limiter))
     , m_register(attemptRetention)
     , m_queue(queue_settings {static_cast<std::size_t>(settings.endpoint.queueLength)})
@@ -154,12 +156,16 @@
     if (!m_register.start(attempt.submit.id)) {
         return;
     }
-    auto request = std::make_shared<running_request>(attempt.submit, attempt.connection, *this);
+    auto span = startSpan(*m_tracer, "endpoint.request", attempt.submit.traceparent);
+    span->SetTag("request_id", attempt.submit.id.request.toString());
+    span->SetTag("account", attempt.submit.account);
+    const std::string traceparent = traceparentOf(*span);
+    auto request = std::make_shared<running_request>(attempt.submit, attempt.connection, *this, std::move(span));
     m_running.emplace(attempt.submit.id, request);
     ++m_active;
     m_limiter->onStarted(now);
     attempt.connection->send(accepted_frame {attempt.submit.id});
-    request->attach(m_engine->start(makeBackEndRequest(attempt.submit, m_settings.endpoint), request));
+    request->attach(m_engine->start(makeBackEndRequest(attempt.submit, m_settings.endpoint, traceparent), request));
 }
 
 void endpoint_gate::onRequestEnded(const attempt_id &id, const answer_sample &sample)
--- a/src/endpoint/endpoint_gate.h
+++ b/src/endpoint/endpoint_gate.h
@@ -4,6 +4,7 @@
 #include "base/ranked_mutex.h"
 #include "endpoint/running_request.h"
 #include "link/link_handler.h"
+#include "observe/log_tracer.h"
 #include "observe/metrics.h"
 #include "policy/admission_limiter.h"
 #include "policy/endpoint_status.h"
@@ -77,6 +78,7 @@
     const std::shared_ptr<back_end> m_engine;
     const configuration_holder &m_configuration;
     metrics_registry &m_metrics;
+    const std::shared_ptr<log_tracer> m_tracer;
 
     mutable ranked_mutex m_mutex {lock_rank::request_table};
     std::unique_ptr<admission_limiter> m_limiter;
--- a/src/endpoint/running_request.cpp
+++ b/src/endpoint/running_request.cpp
@@ -20,9 +20,11 @@
 
 } // namespace
 
-running_request::running_request(const submit_frame &submit, link_ptr connection, request_observer &observer)
+running_request::running_request(const submit_frame &submit, link_ptr connection, request_observer &observer,
+                                 std::unique_ptr<opentracing::Span> span)
     : m_submit(submit)
     , m_observer(observer)
+    , m_span(std::move(span))
     , m_startedAt(boot_clock::now())
     , m_connection(std::move(connection))
     , m_window(submit.id, submit.windowBytes)
@@ -111,6 +113,9 @@
         sample.tokens = m_events;
         sendTerminalLocked();
     }
+    m_span->SetTag("answered", outcome == answer_outcome::answered);
+    m_span->SetTag("events", static_cast<std::int64_t>(sample.tokens));
+    m_span->Finish();
     m_observer.onRequestEnded(m_submit.id, sample);
 }
 
--- a/src/endpoint/running_request.h
+++ b/src/endpoint/running_request.h
@@ -9,6 +9,8 @@
 #include "request/send_window.h"
 #include "wire/frame.h"
 
+#include <opentracing/span.h>
+
 #include <memory>
 #include <optional>
 #include <variant>
@@ -22,7 +24,9 @@
 class running_request final : public answer_sink
 {
 public:
-    running_request(const submit_frame &submit, link_ptr connection, request_observer &observer);
+    /** @param span of this request at the endpoint; finished when the answer ends */
+    running_request(const submit_frame &submit, link_ptr connection, request_observer &observer,
+                    std::unique_ptr<opentracing::Span> span);
 
     /** The back end has the request. */
     void attach(std::shared_ptr<transfer> handle);
@@ -67,6 +71,7 @@
 
     const submit_frame m_submit;
     request_observer &m_observer;
+    const std::unique_ptr<opentracing::Span> m_span;
     const time_point m_startedAt;
 
     mutable ranked_mutex m_mutex {lock_rank::request};
--- a/src/entry/caller_request.h
+++ b/src/entry/caller_request.h
@@ -2,6 +2,7 @@
 
 #include "config/endpoint_pool.h"
 #include "config/selector.h"
+#include "entry/read_session.h"
 #include "http/header_list.h"
 
 #include <chrono>
@@ -32,6 +33,7 @@
     bool resumeElsewhere = false;
     bool readYourWrites = false;
     std::string service; ///< Only for kind service.
+    std::optional<read_session> session; ///< Newest state that the caller has seen; only with readYourWrites.
     std::optional<std::string> idempotencyKey;
 
     friend bool operator==(const caller_request &, const caller_request &) = default;
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/relay_stream.h"
 #include "observe/log.h"
+#include "observe/log_tracer.h"
 #include "request/window_size.h"
 
 #include <algorithm>
@@ -27,6 +28,14 @@
     return {503, code, message, {}, request_outcome::not_run, retryAfter};
 }
 
+/** The read ran, but showing its answer would take back what the caller has seen. */
+const api_error staleRead {503,
+                           "stale_read",
+                           "no endpoint in reach shows the state that this account has already seen",
+                           "X-Bronzechute-Session",
+                           request_outcome::unknown,
+                           std::chrono::seconds(1)};
+
 std::chrono::milliseconds remaining(const request_context &context)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(context.deadline - boot_clock::now());
@@ -105,7 +114,7 @@
     submit.deadlineMs = remaining(context).count();
     submit.startBeforeMs = connection->peerClockMs() + std::min(remaining(context), request.startBudget).count();
     submit.windowBytes = answerWindowBytes;
-    submit.traceparent = context.trace.toTraceparent();
+    submit.traceparent = traceparentOf(*context.attemptSpan);
     return submit;
 }
 
@@ -113,6 +122,8 @@
 {
     const std::string endpoint = connection->peer().node;
     context.tried.push_back(endpoint);
+    context.attemptSpan = startSpan(context.span->tracer(), "entry.attempt", traceparentOf(*context.span));
+    context.attemptSpan->SetTag("peer", endpoint);
     if (!context.pending->beginAttempt(makeSubmit(context, connection), connection)) {
         m_directory.onFailed(endpoint, boot_clock::now());
         return {attempt_end::tryNext,
@@ -194,8 +205,12 @@
     if (!context.request.streaming) {
         const auto end = collect(context, reply.body);
         if (end == relay_end::whole) {
-            reply.headers.emplace_back("X-Bronzechute-Outcome", std::string(toString(request_outcome::answered)));
+            const bool current = keepSession(context, reply);
             finishRelay(context, *end);
+            if (!current) {
+                return staleRead.toReply(id);
+            }
+            reply.headers.emplace_back("X-Bronzechute-Outcome", std::string(toString(request_outcome::answered)));
             return reply;
         }
         if (end) {
@@ -215,6 +230,24 @@
     return reply;
 }
 
+bool dispatcher::keepSession(const request_context &context, http_reply &reply)
+{
+    const caller_request &request = context.request;
+    if (!request.readYourWrites) {
+        return true;
+    }
+    const std::string version = findHeader(reply.headers, "X-Version").value_or("");
+    const auto shown = read_session::parse(context.pending->endpoint() + ";v=" + version);
+    const bool isRead = request.mayRepeat;
+    if (isRead && request.session && (!shown || shown->version < request.session->version)) {
+        return false;
+    }
+    if (shown) {
+        reply.headers.emplace_back("X-Bronzechute-Session", shown->toHeader());
+    }
+    return true;
+}
+
 std::optional<relay_end> dispatcher::collect(request_context &context, std::string &body)
 {
     std::string buffer(readBytes, '\0');
@@ -262,11 +295,17 @@
 {
     const time_point now = boot_clock::now();
     m_table.remove(context.pending->id());
+    if (context.attemptSpan != nullptr) {
+        context.attemptSpan->Finish();
+    }
+    context.span->SetTag("outcome", std::string(toString(outcome)));
+    context.span->SetTag("request_id", context.pending->id().toString());
+    context.span->Finish();
     m_metrics.count(outcome);
     m_metrics.duration.observe(now - context.arrivedAt);
     logLine(log_level::info, "request", "request ended",
             {{"request_id", context.pending->id().toString()},
-             {"trace_id", context.trace.traceId()},
+             {"trace_id", context.span->context().ToTraceID()},
              {"account", context.request.account},
              {"class", context.request.className},
              {"outcome", toString(outcome)},
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -48,6 +48,8 @@
 
     /** Reads the answer until its end or a limit. @returns nothing when there is more than the limit. */
     std::optional<relay_end> collect(request_context &context, std::string &body);
+    /** Adds the session header. @returns false when the answer shows an older state than the caller has seen. */
+    static bool keepSession(const request_context &context, http_reply &reply);
     void finishRelay(request_context &context, relay_end end);
     http_reply reportFailure(request_context &context, const api_error &failure);
     void finish(request_context &context, request_outcome outcome);
--- a/src/entry/endpoint_directory.cpp
+++ b/src/entry/endpoint_directory.cpp
@@ -9,10 +9,21 @@
 
 namespace bronzechute {
 
+namespace {
+
+std::unique_ptr<endpoint_chooser> makeChooser(const daemon_settings &settings)
+{
+    load_aware_settings chooserSettings;
+    chooserSettings.entries = static_cast<int>(settings.peers.size()) + 1;
+    return std::make_unique<load_aware_chooser>(chooserSettings);
+}
+
+} // namespace
+
 endpoint_directory::endpoint_directory(const daemon_settings &settings, const configuration_holder &configuration)
     : m_settings(settings)
     , m_configuration(configuration)
-    , m_chooser(std::make_unique<load_aware_chooser>())
+    , m_chooser(makeChooser(settings))
     , m_random(std::random_device {}())
 {
     std::vector<listed_vm> listed;
@@ -136,7 +147,14 @@
     choice.prefixChain = chain;
     choice.priority = request.priority;
     choice.tried = triedNames;
-    const auto chosen = m_chooser->choose(candidates, choice, m_random);
+    auto chosen = m_chooser->choose(candidates, choice, m_random);
+    if (request.session) {
+        // The endpoint that showed the caller its newest state is the surest to show it again.
+        const auto preferred = std::ranges::find(candidates, request.session->endpoint, &endpoint_candidate::name);
+        if (preferred != candidates.end() && std::ranges::count(tried, request.session->endpoint) == 0) {
+            chosen = static_cast<std::size_t>(preferred - candidates.begin());
+        }
+    }
     if (!chosen) {
         return nullptr;
     }
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -13,6 +13,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds drainInterval {20};
+constexpr const char *sessionHeader = "X-Bronzechute-Session";
+constexpr const char *versionHeader = "X-Version";
+
+/** Value of the session header by which a caller gives up its session, for example after a service lost its state. */
+constexpr const char *newSession = "new";
 
 } // namespace
 
@@ -21,6 +26,7 @@
     , m_self(self)
     , m_entryMetrics(m_metrics)
     , m_directory(settings, m_configuration)
+    , m_tracer(std::make_shared<log_tracer>(std::random_device {}()))
     , m_dispatcher(m_directory, m_pending, m_configuration, m_entryMetrics)
     , m_exchange(m_configuration, [this] { m_hub->announce(); })
     , m_health(m_metrics,
@@ -191,6 +197,8 @@
             {{"peer", connection->peer().node}, {"address", connection->address()}});
     m_exchange.onUp(connection);
     if (connection->peer().role != "endpoint") {
+        const std::scoped_lock lock(m_entriesMutex);
+        m_entries.push_back(connection);
         return;
     }
     m_directory.onUp(connection);
@@ -205,6 +213,10 @@
             {{"peer", connection->peer().node}, {"address", connection->address()}, {"reason", reason}});
     m_exchange.onDown(connection);
     m_directory.onDown(connection);
+    {
+        const std::scoped_lock lock(m_entriesMutex);
+        std::erase(m_entries, connection);
+    }
     for (const auto &pending : m_pending.all()) {
         pending->onDown(connection, boot_clock::now());
     }
@@ -223,6 +235,10 @@
         m_exchange.onPush(connection, *push);
         return;
     }
+    if (const auto *session = std::get_if<session_frame>(&message)) {
+        m_sessions.note(session->account, session->service, {session->endpoint, session->version}, boot_clock::now());
+        return;
+    }
     onAnswerFrame(connection, message);
 }
 
@@ -256,11 +272,41 @@
     return request_id::generate(m_random);
 }
 
-trace_context entry_role::traceOf(const http_request &request)
+std::optional<read_session> entry_role::sessionOf(const http_request &request, const caller_request &classified)
 {
-    const auto incoming = trace_context::parse(findHeader(request.headers, "traceparent").value_or(""));
-    const std::scoped_lock lock(m_randomMutex);
-    return incoming ? incoming->child(m_random) : trace_context::generate(m_random);
+    if (!classified.readYourWrites) {
+        return std::nullopt;
+    }
+    const std::string header = findHeader(request.headers, sessionHeader).value_or("");
+    if (header == newSession) {
+        m_sessions.forget(classified.account, classified.service);
+        return std::nullopt;
+    }
+    const auto carried = read_session::parse(header);
+    const auto known = m_sessions.find(classified.account, classified.service, boot_clock::now());
+    if (carried && known) {
+        return carried->version >= known->version ? carried : known;
+    }
+    return carried ? carried : known;
+}
+
+void entry_role::noteSession(const caller_request &request, http_reply &reply)
+{
+    if (!request.readYourWrites || !findHeader(reply.headers, versionHeader)) {
+        return;
+    }
+    const auto session = read_session::parse(findHeader(reply.headers, sessionHeader).value_or(""));
+    if (!session || !m_sessions.note(request.account, request.service, *session, boot_clock::now())) {
+        return;
+    }
+    std::vector<link_ptr> entries;
+    {
+        const std::scoped_lock lock(m_entriesMutex);
+        entries = m_entries;
+    }
+    for (const link_ptr &connection : entries) {
+        connection->send(session_frame {request.account, request.service, session->endpoint, session->version});
+    }
 }
 
 http_reply entry_role::handle(const http_request &request)
@@ -284,8 +330,12 @@
     context.client = request.connection;
     context.arrivedAt = boot_clock::now();
     context.deadline = context.arrivedAt + context.request.deadline;
-    context.trace = traceOf(request);
-    return m_guard->run(std::move(context));
+    context.request.session = sessionOf(request, context.request);
+    context.span = startSpan(*m_tracer, "entry.request", findHeader(request.headers, "traceparent").value_or(""));
+    const caller_request kept = context.request;
+    http_reply reply = m_guard->run(std::move(context));
+    noteSession(kept, reply);
+    return reply;
 }
 
 http_reply entry_role::listModels(const http_request &request)
--- a/src/entry/entry_role.h
+++ b/src/entry/entry_role.h
@@ -9,11 +9,13 @@
 #include "entry/idempotency_guard.h"
 #include "entry/pending_table.h"
 #include "entry/request_classifier.h"
+#include "entry/session_table.h"
 #include "http/http_server.h"
 #include "link/link_hub.h"
 #include "node/configuration_exchange.h"
 #include "node/health_handler.h"
 #include "node/node_role.h"
+#include "observe/log_tracer.h"
 #include "observe/metrics.h"
 #include "settings/daemon_settings.h"
 #include "store/claim_registry.h"
@@ -26,6 +28,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace bronzechute {
@@ -60,7 +63,10 @@
     void onAnswerFrame(const link_ptr &connection, const frame &message);
     http_reply listModels(const http_request &request);
     request_id newRequestId(const http_request &request);
-    trace_context traceOf(const http_request &request);
+    std::optional<read_session> sessionOf(const http_request &request, const caller_request &classified);
+
+    /** Remembers the state that the answer shows, tells the other entries and adds the session header. */
+    void noteSession(const caller_request &request, http_reply &reply);
 
     const daemon_settings m_settings;
     const hello_frame m_self;
@@ -69,6 +75,10 @@
     configuration_holder m_configuration;
     endpoint_directory m_directory;
     pending_table m_pending;
+    session_table m_sessions;
+    const std::shared_ptr<log_tracer> m_tracer;
+    ranked_mutex m_entriesMutex {lock_rank::link_table};
+    std::vector<link_ptr> m_entries; ///< Connections to other entries.
     dispatcher m_dispatcher;
     request_classifier m_classifier;
     configuration_exchange m_exchange;
--- a/src/entry/request_context.h
+++ b/src/entry/request_context.h
@@ -4,7 +4,8 @@
 #include "entry/caller_request.h"
 #include "entry/pending_request.h"
 #include "http/client_connection.h"
-#include "observe/trace_context.h"
+
+#include <opentracing/span.h>
 
 #include <memory>
 #include <string>
@@ -20,7 +21,8 @@
     std::shared_ptr<const client_connection> client; ///< May be null.
     time_point arrivedAt;
     time_point deadline;
-    trace_context trace;
+    std::shared_ptr<opentracing::Span> span; ///< Of the whole request.
+    std::shared_ptr<opentracing::Span> attemptSpan; ///< Of the attempt under way.
     std::vector<std::string> tried; ///< Endpoints that had an attempt.
 
     bool clientLeft() const
--- a/src/wire/frame_ids.h
+++ b/src/wire/frame_ids.h
@@ -26,6 +26,7 @@
     cancel = 12,
     cancelled = 13,
     resume = 14,
+    session = 15,
 };
 
 } // namespace bronzechute
--- a/tests/standins/local_system.cpp
+++ b/tests/standins/local_system.cpp
@@ -127,7 +127,8 @@
     m_endpoints[endpoint] = m_processes[name]->ready("tcp");
 }
 
-void local_system::startEntry(const std::string &name, const std::string &dataCentre)
+void local_system::startEntry(const std::string &name, const std::string &dataCentre,
+                              const std::vector<std::string> &peers)
 {
     std::string text = "role: entry\nnode: " + name + "\ndata_centre: " + dataCentre
         + "\nlisten: {http: 127.0.0.1:0, admin: 127.0.0.1:0, peers: 127.0.0.1:0}\nlog: {level: warn}\nstore: "
@@ -136,6 +137,10 @@
     for (const auto &[endpoint, address] : m_endpoints) {
         text += "    - {name: " + endpoint + ", address: \"" + address + "\"}\n";
     }
+    text += peers.empty() ? "" : "  peers:\n";
+    for (const std::string &peer : peers) {
+        text += "    - {name: " + peer + ", address: \"" + process(peer).ready("peers") + "\"}\n";
+    }
     m_processes[name] = startOrThrow("bronzechuted", {"--settings", writeSettings(name, text)});
 }
 
--- a/tests/standins/local_system.h
+++ b/tests/standins/local_system.h
@@ -45,8 +45,11 @@
     /** Starts an endpoint process again, at the same address and beside the same engine. */
     void restartEndpoint(const std::string &name);
 
-    /** Starts an entry that knows the endpoints started before it. */
-    void startEntry(const std::string &name, const std::string &dataCentre);
+    /**
+     * Starts an entry that knows the endpoints started before it.
+     * @param peers entries started before it, to which it connects
+     */
+    void startEntry(const std::string &name, const std::string &dataCentre, const std::vector<std::string> &peers = {});
 
     /** Accepts the document as the next revision, by the store. */
     void apply(const std::string &yaml);
--- a/tests/wire/frame_codec_test.cpp
+++ b/tests/wire/frame_codec_test.cpp
@@ -77,7 +77,8 @@
                     codec_row {"credit_lost", credit_frame {sampleId, 9}},
                     codec_row {"cancel_id_lost", cancel_frame {sampleId}},
                     codec_row {"started_flag_lost", cancelled_frame {sampleId, true}},
-                    codec_row {"resume_position_lost", resume_frame {sampleId, 77}}),
+                    codec_row {"resume_position_lost", resume_frame {sampleId, 77}},
+                    codec_row {"session_version_lost", session_frame {"office", "orders", "office-1", 42}}),
     [](const auto &row) { return std::string(row.param.name); });
 
 struct broken_row
