--- /dev/null
+++ b/tests/daemon/bad_settings_test.cpp
@@ -0,0 +1,162 @@
+#include "settings/daemon_settings.h"
+#include "standins/http_fetch.h"
+#include "standins/local_system.h"
+#include "standins/unused_port.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+namespace bronzechute::standins {
+namespace {
+
+constexpr int invalidSettings = 2;
+constexpr int unavailable = 4;
+
+const std::string entryHead = R"(role: entry
+node: e
+data_centre: buda
+)";
+const std::string listenLine = R"(listen: {http: "127.0.0.1:0", peers: "127.0.0.1:0"}
+)";
+const std::string storeLine = R"(store: {endpoints: ["http://127.0.0.1:1"]}
+)";
+
+/** A settings file in a directory of its own. */
+class settings_file
+{
+public:
+    explicit settings_file(const std::string &text)
+    {
+        std::string pattern = testing::TempDir() + "bad_settings_XXXXXX";
+        m_directory = mkdtemp(pattern.data());
+        std::ofstream(path()) << text;
+    }
+
+    ~settings_file()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(m_directory, ignored);
+    }
+
+    settings_file(const settings_file &) = delete;
+    settings_file &operator=(const settings_file &) = delete;
+
+    std::string path() const
+    {
+        return (m_directory / "settings.yaml").string();
+    }
+
+private:
+    std::filesystem::path m_directory;
+};
+
+/** Replaces each FILE by the path of the settings file. */
+std::string withPath(std::string text, const std::string &path)
+{
+    for (auto place = text.find("FILE"); place != std::string::npos; place = text.find("FILE", place + path.size())) {
+        text.replace(place, 4, path);
+    }
+    return text;
+}
+
+struct bad_settings_row
+{
+    const char *name; ///< The failure that the row guards against.
+    std::vector<std::string> arguments; ///< FILE stands for the path of the settings file.
+    std::string text; ///< Of the settings file.
+    int status;
+    std::string output; ///< Of the daemon, whole; FILE as above.
+};
+
+class bad_settings : public testing::TestWithParam<bad_settings_row>
+{
+};
+
+TEST_P(bad_settings, areRefusedWithMessageAndExitCode)
+{
+    const settings_file file(GetParam().text);
+    // The shell joins standard error, where the messages go, with standard output.
+    std::vector<std::string> arguments {"-c", "exec \"$@\" 2>&1", "sh", programPath("bronzechuted")};
+    for (const std::string &each : GetParam().arguments) {
+        arguments.push_back(withPath(each, file.path()));
+    }
+    auto daemon = child_process::start("/bin/sh", arguments);
+    ASSERT_TRUE(daemon) << daemon.error().toString();
+    EXPECT_EQ(daemon.value()->waitForExit(), GetParam().status);
+    daemon.value()->waitForLine("no such line"); // Returns at the end of the output.
+    EXPECT_EQ(daemon.value()->output(), withPath(GetParam().output, file.path()));
+}
+
+const std::vector<std::string> fromFile {"--settings", "FILE"};
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, bad_settings,
+    testing::Values(
+        bad_settings_row {
+            "unknown_setting_ignored", fromFile, entryHead + listenLine + storeLine + "drain_timeout: 5\n",
+            invalidSettings,
+            "bronzechuted: FILE:6: drain_timeout: found an unknown key, expected data_centre, drain_timeout_ms, "
+            "endpoint, entry, limits, listen, log, node, region, role or store\n"},
+        bad_settings_row {"wrong_type_replaced_by_default", fromFile,
+                          entryHead + listenLine + storeLine + "drain_timeout_ms: soon\n", invalidSettings,
+                          "bronzechuted: FILE:6: drain_timeout_ms: found \"soon\", expected an integer from 0 to "
+                          "3600000\n"},
+        bad_settings_row {"setting_of_the_other_role_ignored", fromFile,
+                          entryHead + listenLine + storeLine + "endpoint: {max_concurrency: 4}\n", invalidSettings,
+                          "bronzechuted: FILE:6: endpoint: found the key, expected no such key, because the role is "
+                          "entry\n"},
+        bad_settings_row {
+            "second_error_not_reported", fromFile,
+            entryHead + "listen: {http: nowhere, peers: \"127.0.0.1:0\"}\n" + storeLine + "log: {level: 7}\n",
+            invalidSettings,
+            "bronzechuted: FILE:4: listen.http: found \"nowhere\", expected an IPv4 address and port such "
+            "as 127.0.0.1:8080\n"
+            "bronzechuted: FILE:6: log.level: found \"7\", expected info, trace, debug, warn or error\n"},
+        bad_settings_row {"missing_file_starts_with_defaults",
+                          {"--settings", "FILE.absent"},
+                          "",
+                          invalidSettings,
+                          "bronzechuted: file.read: not found (FILE.absent): No such file or directory\n"},
+        bad_settings_row {"missing_flag_starts_with_defaults",
+                          {},
+                          "",
+                          invalidSettings,
+                          "bronzechuted: file.read: not found: No such file or directory\n"},
+        // 192.0.2.1 is reserved for documentation, so no interface has it.
+        bad_settings_row {
+            "unreachable_http_address_serves_nothing", fromFile,
+            entryHead + "listen: {http: \"192.0.2.1:0\", peers: \"127.0.0.1:0\"}\n" + storeLine, unavailable,
+            "bronzechuted: http.listen: peer unavailable (192.0.2.1:0): Cannot assign requested address\n"},
+        bad_settings_row {
+            "unreachable_admin_address_serves_nothing", fromFile,
+            entryHead + "listen: {http: \"127.0.0.1:0\", admin: \"192.0.2.1:0\", peers: \"127.0.0.1:0\"}\n" + storeLine,
+            unavailable,
+            "bronzechuted: http.listen: peer unavailable (192.0.2.1:0): Cannot assign requested address\n"},
+        bad_settings_row {"unreachable_peers_address_serves_nothing", fromFile,
+                          entryHead + "listen: {http: \"127.0.0.1:0\", peers: \"192.0.2.1:0\"}\n" + storeLine,
+                          unavailable, "bronzechuted: link.listen: peer unavailable (192.0.2.1:0): Address invalid\n"}),
+    [](const auto &row) { return std::string(row.param.name); });
+
+// Guards against an entry that ends, hangs or claims to be ready when the store is out at its start.
+TEST(unreachable_store, isNoErrorForAnEntry)
+{
+    const std::string store = "http://127.0.0.1:" + std::to_string(unusedPort());
+    const settings_file file(entryHead + listenLine + "store: {endpoints: [\"" + store + "\"]}\nlog: {level: error}\n");
+    auto daemon = child_process::startReady(programPath("bronzechuted"), {"--settings", file.path()});
+    ASSERT_TRUE(daemon) << daemon.error().toString();
+    const std::string url = daemon.value()->url();
+    EXPECT_EQ(fetch(url + "/health").status, 200);
+    const fetch_answer ready = fetch(url + "/ready");
+    EXPECT_EQ(ready.status, 503);
+    EXPECT_EQ(nlohmann::json::parse(ready.body, nullptr, false).value("revision", -1), 0) << ready.body;
+    EXPECT_EQ(postJson(url + "/v1/chat/completions", "{}", {{"Authorization", "Bearer any"}}).status, 401);
+    daemon.value()->signal(SIGTERM);
+    EXPECT_EQ(daemon.value()->waitForExit(), 0);
+}
+
+} // namespace
+} // namespace bronzechute::standins
--- a/utilities/example.sh
+++ b/utilities/example.sh
@@ -4,8 +4,11 @@
 set -euo pipefail
 top=$(cd "$(dirname "$0")/.." && pwd)
 example=$top/examples/two_data_centres
-"$top/utilities/build.sh"
 bin=$top/build
+"$top/utilities/setup.sh"
+cmake -S "$top" -B "$bin" -G Ninja > /dev/null
+# Tests and benches are not needed here and take most of the time of a first build.
+cmake --build "$bin" --target bronzechuted bronzechute store model_engine plain_service
 pids=()
 stop() {
     for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
@@ -26,7 +29,11 @@
 tool=("$bin/src/bronzechute" --server http://127.0.0.1:18192)
 for _ in $(seq 100); do "${tool[@]}" status > /dev/null 2>&1 && break; sleep 0.1; done
 "${tool[@]}" apply "$example/configuration.yaml"
-for _ in $(seq 100); do curl -sf http://127.0.0.1:18190/ready > /dev/null && break; sleep 0.1; done
+# The entry is ready with one usable endpoint; the requests below need the model's and the office's.
+for _ in $(seq 100); do
+    curl -sf http://127.0.0.1:18190/ready | grep -q '"usable_endpoints":4' && break
+    sleep 0.1
+done
 
 echo; echo "A streamed completion:"
 curl -sN http://127.0.0.1:18190/v1/chat/completions -H 'Authorization: Bearer example-office-key' \
