observe: samples of a family stay together on the metrics page

Cause: HELP and TYPE of all gauges came before their samples, which a strict Prometheus parser rejects. Conclusion: the page can be read by a strict parser.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -17,7 +17,10 @@
 using namespace bronzechute;
 
 /** Exit codes, documented in help/bronzechuted.md. */
-enum exit_code { exitDone = 0, exitUnfinished = 1, exitInvalidSettings = 2, exitUnavailable = 4 };
+constexpr int exitDone = 0;
+constexpr int exitUnfinished = 1;
+constexpr int exitInvalidSettings = 2;
+constexpr int exitUnavailable = 4;
 
 std::optional<daemon_settings> loadSettings(const std::string &path)
 {
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -126,7 +126,7 @@
     context.attemptSpan->SetTag("peer", endpoint);
     if (!context.pending->beginAttempt(makeSubmit(context, connection), connection)) {
         m_directory.onFailed(endpoint, boot_clock::now());
-        return {attempt_end::tryNext,
+        return {attempt_end::try_next,
                 notRun("endpoint_unreachable", "the connection to the endpoint is down", std::chrono::seconds(1))};
     }
     return awaitHead(context);
@@ -161,7 +161,7 @@
     const refused_frame refusal = context.pending->refusal();
     m_directory.onNeutral(context.pending->endpoint());
     std::chrono::milliseconds retryAfter(refusal.retryAfterMs);
-    return {attempt_end::tryNext,
+    return {attempt_end::try_next,
             notRun(std::string(toString(refusal.reason)), "the endpoint refused the request: " + refusal.detail,
                    retryAfter)};
 }
@@ -171,14 +171,14 @@
     const failed_frame failure = context.pending->failure();
     m_directory.onFailed(context.pending->endpoint(), boot_clock::now());
     const bool repeat = failure.outcome == request_outcome::not_run || context.request.mayRepeat;
-    return {repeat ? attempt_end::tryNext : attempt_end::settled,
+    return {repeat ? attempt_end::try_next : attempt_end::settled,
             unknownOutcome(502, "endpoint_failed", failure.step + ": " + failure.detail)};
 }
 
 dispatcher::attempt_result dispatcher::settleLost(request_context &context)
 {
     m_directory.onFailed(context.pending->endpoint(), boot_clock::now());
-    return {context.request.mayRepeat ? attempt_end::tryNext : attempt_end::settled,
+    return {context.request.mayRepeat ? attempt_end::try_next : attempt_end::settled,
             unknownOutcome(502, "endpoint_lost", "the endpoint process is out of reach")};
 }
 
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -27,12 +27,12 @@
     http_reply run(request_context context);
 
 private:
-    enum class attempt_end { answered, tryNext, settled };
+    enum class attempt_end { answered, try_next, settled };
 
     struct attempt_result
     {
         attempt_end end = attempt_end::settled;
-        api_error failure; ///< For tryNext, what to say when no other endpoint can be tried.
+        api_error failure; ///< For try_next, what to say when no other endpoint can be tried.
     };
 
     attempt_result tryEndpoint(request_context &context, const link_ptr &connection);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -19,7 +19,7 @@
 namespace {
 
 constexpr const char *listenStep = "http.listen";
-constexpr std::size_t streamBlockBytes = 16 * 1024;
+constexpr std::size_t streamBlockBytes = std::size_t {16} * 1024;
 constexpr unsigned int connectionIdleSeconds = 120;
 constexpr int listenBacklog = 1024;
 
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -30,6 +30,16 @@
     return text;
 }
 
+std::string familyHead(const std::string &name, const std::string &type, const std::string &help)
+{
+    return "# HELP " + name + " " + help + "\n# TYPE " + name + " " + type + "\n";
+}
+
+void appendSample(std::string &page, const std::string &series, const std::string &value)
+{
+    page.append(series).append(" ").append(value).append("\n");
+}
+
 } // namespace
 
 metric_histogram::metric_histogram()
@@ -98,34 +108,37 @@
 
 std::string metrics_registry::render() const
 {
+    struct gauge_family
+    {
+        std::string head;
+        std::string name;
+        std::map<std::string, std::function<double()>> gauges;
+    };
     std::string page;
-    std::vector<std::pair<std::string, std::function<double()>>> gauges;
+    std::vector<gauge_family> gaugeFamilies;
     {
         const std::scoped_lock lock(m_mutex);
         for (const auto &[name, each] : m_families) {
-            if (each.type == "gauge") {
+            const std::string head = familyHead(name, each.type, each.help);
+            if (!each.gauges.empty()) {
+                gaugeFamilies.push_back({head, name, each.gauges});
                 continue;
             }
-            page += "# HELP " + name + " " + each.help + "\n# TYPE " + name + " " + each.type + "\n";
+            page += head;
             for (const auto &[labels, counter] : each.counters) {
-                page += name + braces(labels) + " " + std::to_string(counter->value()) + "\n";
+                appendSample(page, name + braces(labels), std::to_string(counter->value()));
             }
             for (const auto &[labels, histogram] : each.histograms) {
                 histogram->render(name, labels, page);
             }
         }
-        for (const auto &[name, each] : m_families) {
-            for (const auto &[labels, read] : each.gauges) {
-                gauges.emplace_back(name + braces(labels), read);
-            }
-            if (each.type == "gauge") {
-                page += "# HELP " + name + " " + each.help + "\n# TYPE " + name + " gauge\n";
-            }
-        }
     }
     // Gauges lock tables of lower rank, so they are read without the registry's lock.
-    for (const auto &[name, read] : gauges) {
-        page += name + " " + number(read()) + "\n";
+    for (const gauge_family &family : gaugeFamilies) {
+        page += family.head;
+        for (const auto &[labels, read] : family.gauges) {
+            appendSample(page, family.name + braces(labels), number(read()));
+        }
     }
     return page;
 }
--- a/src/wire/attempt_id.h
+++ b/src/wire/attempt_id.h
@@ -15,7 +15,8 @@
     request_id request;
     std::uint32_t attempt = 0; ///< From 1, rising with each dispatch of the request.
 
-    friend auto operator<=>(const attempt_id &, const attempt_id &) = default;
+    friend auto operator<=>(const attempt_id &, const attempt_id &) =
+        default; // NOLINT(modernize-use-nullptr): false finding in the generated comparison
 
     MSGPACK_DEFINE_ARRAY(request.high, request.low, attempt)
 };
