link: switch off Nagle's algorithm between processes

Short plain requests through an entry took 91.8 ms at the median, beside 0.19 ms for direct calls in the same run. nng 1.5.2 streams leave Nagle's algorithm on unless told otherwise, so a frame that follows another one waits for a delayed acknowledgement on each direction of the hop. Polling at 100 ms was ruled out: the entry's waits wake on each frame.

Set NNG_OPT_TCP_NODELAY on the dialer and the listener.

The three tests of the link area pass with objects compiled by hand; the other tests were not run.

--- a/src/link/link_hub.cpp
+++ b/src/link/link_hub.cpp
@@ -35,6 +35,10 @@
     std::unique_ptr<link_hub> hub(new link_hub(options, handler));
     nng_aio_alloc(&hub->m_acceptAio, &link_hub::onAccepted, hub.get());
     int status = nng_stream_listener_alloc(&hub->m_listener, ("tcp://" + address).c_str());
+    if (status == 0) {
+        // Frames are small; with Nagle's algorithm each one would wait for the delayed acknowledgement of the last.
+        status = nng_stream_listener_set_bool(hub->m_listener, NNG_OPT_TCP_NODELAY, true);
+    }
     if (status == 0) {
         status = nng_stream_listener_listen(hub->m_listener);
     }
--- a/src/link/nng_dialer.cpp
+++ b/src/link/nng_dialer.cpp
@@ -14,7 +14,10 @@
 {
     nng_aio_alloc(&m_aio, &nng_dialer::onDialed, this);
     nng_aio_set_timeout(m_aio, static_cast<nng_duration>(options.connectTimeout.count()));
-    nng_stream_dialer_alloc(&m_dialer, ("tcp://" + m_address).c_str());
+    if (nng_stream_dialer_alloc(&m_dialer, ("tcp://" + m_address).c_str()) == 0) {
+        // Frames are small; with Nagle's algorithm each one would wait for the delayed acknowledgement of the last.
+        nng_stream_dialer_set_bool(m_dialer, NNG_OPT_TCP_NODELAY, true);
+    }
 }
 
 nng_dialer::~nng_dialer()
