entry: report a key whose order has an unknown outcome as unknown

Cause: the idempotency guard settled a claim only when the request was answered or proved not run. After an unknown outcome the record stayed "started" by a living entry, so every later request with the key got 409 in_progress with Retry-After, for as long as that entry lived.

Change: claim_registry::loseAnswer() keeps that the request may have run and that its answer is lost; the guard calls it for every outcome other than answered and not run. Running the order again is ruled out, because the endpoint process that had it was killed while the service worked.

--- a/src/entry/idempotency_guard.cpp
+++ b/src/entry/idempotency_guard.cpp
@@ -94,6 +94,9 @@
         if (const auto released = m_claims->release(claim); !released) {
             logLine(log_level::warn, "claims", "claim not released yet", {{"error", released.error().toString()}});
         }
+    } else if (const auto kept = m_claims->loseAnswer(claim); !kept) {
+        // Without this record the key would be reported as in progress for as long as this entry lives.
+        logLine(log_level::warn, "claims", "unknown outcome not kept yet", {{"error", kept.error().toString()}});
     }
     return reply;
 }
--- a/src/store/claim_registry.cpp
+++ b/src/store/claim_registry.cpp
@@ -156,6 +156,13 @@
     return m_settler.settle(std::move(finished));
 }
 
+result<void> claim_registry::loseAnswer(const held_claim &claim)
+{
+    held_claim lost = claim;
+    lost.record.state = claim_state::finished_without_answer;
+    return m_settler.settle(std::move(lost));
+}
+
 result<void> claim_registry::release(const held_claim &claim)
 {
     held_claim released = claim;
--- a/src/store/claim_registry.h
+++ b/src/store/claim_registry.h
@@ -68,6 +68,9 @@
      */
     result<void> finish(const held_claim &claim, const http_answer &answer);
 
+    /** Keeps that the request may have run and that its answer is lost. @returns as finish() does. */
+    result<void> loseAnswer(const held_claim &claim);
+
     /** Frees the key of a request that was proved not to have run. @returns as finish() does. */
     result<void> release(const held_claim &claim);
 
--- a/tests/standins/local_system.cpp
+++ b/tests/standins/local_system.cpp
@@ -9,6 +9,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <fstream>
 #include <random>
 #include <stdexcept>
@@ -18,7 +19,6 @@
 
 namespace {
 
-constexpr std::chrono::seconds patience {30};
 constexpr std::chrono::milliseconds pollInterval {10};
 
 std::unique_ptr<child_process> startOrThrow(const std::string &program, const std::vector<std::string> &arguments)
@@ -43,9 +43,9 @@
     return BRONZECHUTE_BIN_DIR + folder + name;
 }
 
-bool eventuallyTrue(const std::function<bool()> &condition)
+bool eventuallyTrue(const std::function<bool()> &condition, std::chrono::seconds limit)
 {
-    const auto deadline = std::chrono::steady_clock::now() + patience;
+    const auto deadline = std::chrono::steady_clock::now() + limit;
     while (!condition()) {
         if (std::chrono::steady_clock::now() > deadline) {
             return false;
@@ -127,16 +127,77 @@
     m_endpoints[endpoint] = m_processes[name]->ready("tcp");
 }
 
-void local_system::startEntry(const std::string &name, const std::string &dataCentre)
+void local_system::startEntry(const std::string &name, const std::string &dataCentre, const entry_links &links)
 {
+    const child_process &store = process(links.store);
+    const std::string storeUrl = store.url(store.ready("tcp").empty() ? "http" : "tcp");
     std::string text = "role: entry\nnode: " + name + "\ndata_centre: " + dataCentre
         + "\nlisten: {http: 127.0.0.1:0, admin: 127.0.0.1:0, peers: 127.0.0.1:0}\nlog: {level: warn}\nstore: "
           "{endpoints: [\""
-        + url("store") + "\"]}\nentry:\n  endpoints:\n";
-    for (const auto &[endpoint, address] : m_endpoints) {
-        text += "    - {name: " + endpoint + ", address: \"" + address + "\"}\n";
+        + storeUrl + "\"]}\nentry:\n";
+    const auto addList = [&text](const std::string &key, const std::map<std::string, std::string> &listed) {
+        text += listed.empty() ? "" : "  " + key + ":\n";
+        for (const auto &[listedName, listedAddress] : listed) {
+            text += "    - {name: " + listedName + ", address: \"" + listedAddress + "\"}\n";
+        }
+    };
+    std::map<std::string, std::string> endpoints = m_endpoints;
+    if (links.endpoints) {
+        std::erase_if(endpoints, [&](const auto &each) { return !std::ranges::count(*links.endpoints, each.first); });
+    }
+    addList("endpoints", endpoints);
+    std::map<std::string, std::string> peers;
+    for (const std::string &peer : links.peers) {
+        peers[peer] = process(peer).ready("peers");
+    }
+    addList("peers", peers);
+    m_settings[name] = writeSettings(name, text);
+    restartEntry(name);
+}
+
+void local_system::restartEntry(const std::string &name)
+{
+    m_processes[name] = startOrThrow("bronzechuted", {"--settings", m_settings.at(name)});
+}
+
+void local_system::forwardStore(const std::string &forwarder)
+{
+    const std::string target = url("store");
+    m_processes[forwarder] = startOrThrow("forwarder", {"--target_port", target.substr(target.rfind(':') + 1)});
+}
+
+void local_system::inject(const std::string &standin, const nlohmann::json &faults)
+{
+    const fetch_answer answer = postJson(url(standin) + "/standin/faults", faults.dump());
+    if (answer.status != 200) {
+        throw std::runtime_error(standin + " refused " + faults.dump() + ": " + answer.body);
     }
-    m_processes[name] = startOrThrow("bronzechuted", {"--settings", writeSettings(name, text)});
+}
+
+nlohmann::json local_system::health(const std::string &name)
+{
+    auto page = nlohmann::json::parse(fetch(url(name) + "/health").body, nullptr, false);
+    return page.is_object() ? page : nlohmann::json::object();
+}
+
+std::int64_t local_system::revision(const std::string &name)
+{
+    return health(name).value("revision", std::int64_t {-1});
+}
+
+fetch_answer local_system::admin(const std::string &entry, const std::string &method, const std::string &path,
+                                 const std::string &body)
+{
+    fetch_request request;
+    request.url = process(entry).url("admin") + "/admin/v1/" + path;
+    request.method = method;
+    request.body = body;
+    return fetch(request);
+}
+
+const std::string &local_system::address(const std::string &endpoint) const
+{
+    return m_endpoints.at(endpoint);
 }
 
 void local_system::apply(const std::string &yaml)
--- a/tests/standins/local_system.h
+++ b/tests/standins/local_system.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "standins/child_process.h"
+#include "standins/entry_links.h"
 #include "standins/fetch_answer.h"
 #include "standins/fetch_request.h"
 
+#include <nlohmann/json.hpp>
+
 #include <chrono>
 #include <filesystem>
 #include <functional>
@@ -17,8 +20,8 @@
 /** @returns the path of a program of this build, for example "bronzechuted" or "model_engine". */
 std::string programPath(const std::string &name);
 
-/** Waits until the condition holds, at most 30 s. @returns whether it did. */
-bool eventuallyTrue(const std::function<bool()> &condition);
+/** Waits until the condition holds, at most for the limit. @returns whether it did. */
+bool eventuallyTrue(const std::function<bool()> &condition, std::chrono::seconds limit = std::chrono::seconds(30));
 
 /**
  * A small system of separate processes on the loopback address: the store's stand-in, engines and plain services each
@@ -45,8 +48,11 @@
     /** Starts an endpoint process again, at the same address and beside the same engine. */
     void restartEndpoint(const std::string &name);
 
-    /** Starts an entry that knows the endpoints started before it. */
-    void startEntry(const std::string &name, const std::string &dataCentre);
+    /** Starts an entry; by default it knows the endpoints started before it. */
+    void startEntry(const std::string &name, const std::string &dataCentre, const entry_links &links = {});
+
+    /** Starts an entry again with its settings; its address changes. */
+    void restartEntry(const std::string &name);
 
     /** Accepts the document as the next revision, by the store. */
     void apply(const std::string &yaml);
@@ -60,6 +66,25 @@
     /** Routes the connections from entries to this endpoint through a forwarder named NAME.forwarder. */
     void forward(const std::string &endpoint);
 
+    /** Starts a forwarder in front of the store, for the links of an entry. */
+    void forwardStore(const std::string &forwarder);
+
+    /** Sets faults of a stand-in. */
+    void inject(const std::string &standin, const nlohmann::json &faults);
+
+    /** @returns the page /health of an entry or endpoint process; an empty object when it does not answer. */
+    nlohmann::json health(const std::string &name);
+
+    /** @returns the revision in force at an entry or endpoint process; -1 when it does not answer. */
+    std::int64_t revision(const std::string &name);
+
+    /** @returns the answer of an entry's administration API; the path begins after "/admin/v1/". */
+    fetch_answer admin(const std::string &entry, const std::string &method, const std::string &path,
+                       const std::string &body = {});
+
+    /** @returns the address that entries dial for an endpoint process. */
+    const std::string &address(const std::string &endpoint) const;
+
     /** @returns the base URL of an entry, engine or the store. */
     std::string url(const std::string &name);
 
@@ -84,7 +109,7 @@
     std::filesystem::path m_directory;
     std::map<std::string, std::unique_ptr<child_process>> m_processes;
     std::map<std::string, std::string> m_endpoints; ///< Address that entries dial, by name.
-    std::map<std::string, std::string> m_settings; ///< Settings file of each endpoint process.
+    std::map<std::string, std::string> m_settings; ///< Settings file of each entry and endpoint process.
 };
 
 } // namespace bronzechute::standins
