node: serve TLS when the settings say so; claims in groups; store alarms

A store that came back behind was counted and shown nowhere.

Change: makeServerOptions reads certificate and key for every server of a process and fails when it cannot; claims go through grouping_store; the counts of configuration_watcher are on the metrics page as bronzechute_store_alarms.

--- a/src/endpoint/endpoint_role.cpp
+++ b/src/endpoint/endpoint_role.cpp
@@ -1,5 +1,6 @@
 #include "endpoint/endpoint_role.h"
 
+#include "node/server_options.h"
 #include "observe/log.h"
 #include "policy/adaptive_limiter.h"
 
@@ -77,10 +78,11 @@
         return hub.error();
     }
     role->m_hub = std::move(hub.value());
-    http_server_options serverOptions;
-    serverOptions.address = settings.listen.http.host;
-    serverOptions.port = settings.listen.http.port;
-    auto server = http_server::start(serverOptions, role->m_health);
+    auto serverOptions = makeServerOptions(settings, settings.listen.http);
+    if (!serverOptions) {
+        return serverOptions.error();
+    }
+    auto server = http_server::start(serverOptions.value(), role->m_health);
     if (!server) {
         return server.error();
     }
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -1,7 +1,9 @@
 #include "entry/entry_role.h"
 
+#include "node/server_options.h"
 #include "observe/log.h"
 #include "store/etcd_store.h"
+#include "store/grouping_store.h"
 #include "store/store_configuration_repository.h"
 
 #include <mutex>
@@ -13,6 +15,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds drainInterval {20};
+constexpr std::size_t configurationLimit = std::size_t {1024} * 1024;
 constexpr const char *sessionHeader = "X-Bronzechute-Session";
 constexpr const char *versionHeader = "X-Version";
 
@@ -64,12 +67,12 @@
         return hub.error();
     }
     role->m_hub = std::move(hub.value());
-    http_server_options serverOptions;
-    serverOptions.address = settings.listen.http.host;
-    serverOptions.port = settings.listen.http.port;
-    serverOptions.bodyLimit = settings.bodyLimit;
+    auto serverOptions = makeServerOptions(settings, settings.listen.http);
+    if (!serverOptions) {
+        return serverOptions.error();
+    }
     role->connectStore();
-    auto server = http_server::start(serverOptions, *role);
+    auto server = http_server::start(serverOptions.value(), *role);
     if (!server) {
         return server.error();
     }
@@ -109,10 +112,13 @@
     }
     m_repository = std::make_unique<store_configuration_repository>(*m_store, std::random_device {}());
     m_admin = std::make_unique<admin_api>(*m_repository, *this);
-    http_server_options options;
-    options.address = m_settings.listen.admin->host;
-    options.port = m_settings.listen.admin->port;
-    auto server = http_server::start(options, *m_admin);
+    auto options = makeServerOptions(m_settings, *m_settings.listen.admin);
+    if (!options) {
+        return options.error();
+    }
+    // A configuration document may be as large as a value of the store.
+    options.value().bodyLimit = configurationLimit;
+    auto server = http_server::start(options.value(), *m_admin);
     if (!server) {
         return server.error();
     }
@@ -142,7 +148,8 @@
         m_store = std::make_unique<etcd_store>(options);
         m_incarnationLease =
             std::make_unique<incarnation_lease>(*m_store, m_self.node + "-" + std::to_string(m_self.incarnation));
-        m_claims = std::make_unique<claim_registry>(*m_store, *m_incarnationLease, std::random_device {}());
+        m_claimStore = std::make_unique<grouping_store>(*m_store);
+        m_claims = std::make_unique<claim_registry>(*m_claimStore, *m_incarnationLease, std::random_device {}());
     }
     m_guard = std::make_unique<idempotency_guard>(m_dispatcher, m_claims.get());
 }
@@ -158,6 +165,15 @@
         return;
     }
     m_watcher = std::make_unique<configuration_watcher>(*m_store, m_configuration, std::random_device {}());
+    const auto alarm = [this](const char *reason, std::int64_t configuration_watcher_counts::*count) {
+        m_metrics.gauge("bronzechute_store_alarms", "reason=\"" + std::string(reason) + "\"",
+                        "Times that the store's configuration was not what this process had accepted.",
+                        [this, count] { return static_cast<double>(m_watcher->counts().*count); });
+    };
+    alarm("behind", &configuration_watcher_counts::storeBehind);
+    alarm("diverged", &configuration_watcher_counts::storeDiverged);
+    alarm("unreadable", &configuration_watcher_counts::unreadable);
+    alarm("written_back", &configuration_watcher_counts::writtenBack);
     m_vmList = std::make_unique<vm_list>(*m_store, [this](const vm_list::snapshot &vms) { onVmList(vms); });
 }
 
--- a/src/entry/entry_role.h
+++ b/src/entry/entry_role.h
@@ -85,6 +85,7 @@
     health_handler m_health;
     std::unique_ptr<link_hub> m_hub;
     std::unique_ptr<platform_store> m_store;
+    std::unique_ptr<platform_store> m_claimStore; ///< Groups the writes of concurrent claims.
     std::unique_ptr<configuration_watcher> m_watcher;
     std::unique_ptr<incarnation_lease> m_incarnationLease;
     std::unique_ptr<claim_registry> m_claims;
