--- a/tests/standins/local_system.cpp
+++ b/tests/standins/local_system.cpp
@@ -136,9 +136,12 @@
           "{endpoints: [\""
         + storeUrl + "\"]}\nentry:\n";
     const auto addList = [&text](const std::string &key, const std::map<std::string, std::string> &listed) {
-        text += listed.empty() ? "" : "  " + key + ":\n";
+        if (!listed.empty()) {
+            text.append("  ").append(key).append(":\n");
+        }
         for (const auto &[listedName, listedAddress] : listed) {
-            text += "    - {name: " + listedName + ", address: \"" + listedAddress + "\"}\n";
+            text.append("    - {name: ").append(listedName).append(", address: \"").append(listedAddress);
+            text.append("\"}\n");
         }
     };
     std::map<std::string, std::string> endpoints = m_endpoints;
