policy: measure each cold start against the warm speed before it

Cause: while cold, a slow answer raised the remembered warm pace, so that an engine that has become slower for good is accepted as warm. The raised pace survived a ramp that was cut short. Data centres that went out and in again wore it down until answers of a cold engine counted as proof: in second_leave_within_the_ramp_skips_the_next_ramp the cap grew to 8 and the cold engine fell over ("fall_overs Which is: 1").

Change: the raised pace is kept apart and starts from the warm pace at each cold start; it replaces the warm pace only once the engine is warm. Noise of the machine is ruled out by the new row of the limiter's table, which without the change fails with "actual: 8 vs 1".

--- a/src/policy/adaptive_limiter.cpp
+++ b/src/policy/adaptive_limiter.cpp
@@ -71,12 +71,12 @@
     }
 }
 
-bool adaptive_limiter::meetsTargets(const answer_sample &sample, double pace) const
+bool adaptive_limiter::meetsTargets(const answer_sample &sample, double pace, std::optional<double> reference) const
 {
     if (sample.tokens > 1) {
         return sample.firstToken <= m_settings.firstTokenTarget && pace <= seconds(m_settings.tokenTarget);
     }
-    return !m_warmPace || pace <= *m_warmPace * m_settings.serviceFactor;
+    return !reference || pace <= *reference * m_settings.serviceFactor;
 }
 
 void adaptive_limiter::onCold(time_point now, const answer_sample &sample, double pace)
@@ -85,10 +85,11 @@
         changeCap(now, std::max(1, m_cap / 2));
         return;
     }
-    const bool atWarmSpeed = meetsTargets(sample, pace) && (!m_warmPace || pace <= *m_warmPace * m_settings.warmFactor);
+    const bool atWarmSpeed = meetsTargets(sample, pace, m_coldReference)
+        && (!m_coldReference || pace <= *m_coldReference * m_settings.warmFactor);
     if (!atWarmSpeed) {
-        if (m_warmPace) {
-            m_warmPace = std::min(*m_warmPace * paceRelaxation, pace);
+        if (m_coldReference) {
+            m_coldReference = std::min(*m_coldReference * paceRelaxation, pace);
         }
         return;
     }
@@ -103,9 +104,7 @@
     if (m_cap >= static_cast<int>(m_adaptive)) {
         m_cold = false;
         m_drops = 0;
-        if (!m_warmPace) {
-            m_warmPace = pace;
-        }
+        m_warmPace = m_coldReference.value_or(pace);
     }
 }
 
@@ -123,7 +122,7 @@
     }
     m_drops = 0;
     m_warmPace = m_warmPace ? *m_warmPace + smoothing * (pace - *m_warmPace) : pace;
-    m_missShare += smoothing * ((meetsTargets(sample, pace) ? 0.0 : 1.0) - m_missShare);
+    m_missShare += smoothing * ((meetsTargets(sample, pace, m_warmPace) ? 0.0 : 1.0) - m_missShare);
     if (m_missShare > m_settings.missShare) {
         decrease(now);
     }
@@ -169,6 +168,8 @@
     m_cold = true;
     m_drops = 0;
     m_missShare = 0;
+    // A ramp that is cut short must not leave the next one a slower pace to be measured against.
+    m_coldReference = m_warmPace;
     changeCap(now, 1);
 }
 
--- a/src/policy/adaptive_limiter.h
+++ b/src/policy/adaptive_limiter.h
@@ -34,7 +34,7 @@
     }
 
 private:
-    bool meetsTargets(const answer_sample &sample, double pace) const;
+    bool meetsTargets(const answer_sample &sample, double pace, std::optional<double> reference) const;
     void onCold(time_point now, const answer_sample &sample, double pace);
     void onWarm(time_point now, const answer_sample &sample, double pace);
     void decrease(time_point now);
@@ -51,6 +51,7 @@
     double m_missShare = 0; ///< Smoothed share of answers that miss a target.
     int m_drops = 0; ///< Consecutive answers far below warm speed.
     std::optional<double> m_warmPace; ///< Smoothed seconds a token (or a call) of the warm engine.
+    std::optional<double> m_coldReference; ///< m_warmPace, raised by the slow answers of this cold start.
     time_point m_capChangedAt {};
     time_point m_decreasedAt {};
     std::string m_startId;
--- a/tests/policy/adaptive_limiter_test.cpp
+++ b/tests/policy/adaptive_limiter_test.cpp
@@ -78,6 +78,15 @@
         limiter_row {"answers_of_one_round_double_repeatedly", [](driver &d) { d.rounds(3, fast); }, 8, 8, true},
         limiter_row {"never_becomes_warm", [](driver &d) { d.rounds(4, fast); }, 16, 17, false},
         limiter_row {"slow_answer_counts_as_proof", [](driver &d) { d.rounds(5, slow); }, 1, 1, true},
+        limiter_row {"ramps_cut_short_wear_down_the_warm_speed",
+                     [](driver &d) {
+                         d.rounds(4, fast);
+                         for (int each = 0; each < 4; ++each) {
+                             d.limiter.markCold(d.now);
+                             d.rounds(3, 3 * fast);
+                         }
+                     },
+                     1, 1, true},
         limiter_row {"failure_counts_as_proof", [](driver &d) { d.rounds(5, fast, answer_outcome::failed); }, 1, 1,
                      true},
         limiter_row {"cancellation_counts_as_proof", [](driver &d) { d.rounds(5, fast, answer_outcome::cancelled); }, 1,
