policy: learn the warm speed from the engine after a restart

A restarted endpoint process has lost the warm speed, takes the cold engine's 20 ms steps as warm because they meet the target of 66 ms, doubles its cap, and the engine falls over at 5 requests.

Ruled out: requests of the killed process that still run at the engine; the row waits 500 ms and the engine notices within 200 ms. Asking two rounds for each cap would slow down every first start and change rows that hold.

Change: the probe reads vllm:time_per_output_token_seconds; while cold and without a warm speed of its own, the limiter measures proofs against the engine's mean, once it covers 200 tokens. Two rows guard both sides.

So it is mended in part only: the mean holds earlier cold steps.

Conclusion: two faults at once (cold engine, restarted process) can still overload an engine; a speed that outlives the process is needed.

--- a/src/backend/back_end.h
+++ b/src/backend/back_end.h
@@ -54,6 +54,8 @@
     double running = 0; ///< Requests in the running batch.
     double waiting = 0; ///< Requests queued in the engine.
     double cacheUsage = 0; ///< Share of the KV cache in use, 0..1.
+    double tokens = 0; ///< Tokens generated since the engine started; 0 when it does not tell.
+    double meanTokenSeconds = 0; ///< Mean time between tokens since the engine started; 0 when it does not tell.
 
     friend bool operator==(const back_end_load &, const back_end_load &) = default;
 };
--- a/src/backend/http_back_end.cpp
+++ b/src/backend/http_back_end.cpp
@@ -80,6 +80,10 @@
     load.waiting = page.sum("vllm:num_requests_waiting").value_or(0);
     // Newer engines name the cache after its content.
     load.cacheUsage = page.sum("vllm:gpu_cache_usage_perc").value_or(page.sum("vllm:kv_cache_usage_perc").value_or(0));
+    load.tokens = page.sum("vllm:time_per_output_token_seconds_count").value_or(0);
+    if (load.tokens > 0) {
+        load.meanTokenSeconds = page.sum("vllm:time_per_output_token_seconds_sum").value_or(0) / load.tokens;
+    }
     return load;
 }
 
--- a/src/policy/adaptive_limiter.cpp
+++ b/src/policy/adaptive_limiter.cpp
@@ -22,6 +22,7 @@
 
 constexpr double smoothing = 0.05; // Weight of one answer in the warm pace: about the last 20 answers count.
 constexpr double decreaseFactor = 0.9;
+constexpr double learnedTokens = 200; // Fewer tokens may all come from a cold engine.
 // While cold, a slow answer raises the remembered pace by this factor, so that an engine that has become slower for
 // good is accepted as warm after a few answers instead of staying at the cap for ever.
 constexpr double paceRelaxation = 1.1;
@@ -158,6 +159,10 @@
             markCold(now);
         }
     }
+    // An endpoint process that was started again knows no warm speed, but the engine beside it may remember one.
+    if (m_cold && !m_coldReference && load.tokens >= learnedTokens) {
+        m_coldReference = load.meanTokenSeconds;
+    }
     // The engine queues what its batch cannot hold; waiting here instead keeps the order fair and cancellable.
     if (!m_cold && load.waiting > std::max(1.0, 0.1 * load.running)) {
         decrease(now);
--- a/tests/backend/http_back_end_probe_test.cpp
+++ b/tests/backend/http_back_end_probe_test.cpp
@@ -70,6 +70,9 @@
                    {true, "1.79635095847e+09", 0, 0, 0}},
         probe_row {"cache_not_read", pageHead + "vllm:gpu_cache_usage_perc 0.25\n", {true, "", 0, 0, 0.25}},
         probe_row {"newer_cache_name_not_read", pageHead + "vllm:kv_cache_usage_perc 0.5\n", {true, "", 0, 0, 0.5}},
+        probe_row {"token_time_not_read",
+                   pageHead + "vllm:time_per_output_token_seconds_sum 2\nvllm:time_per_output_token_seconds_count 4\n",
+                   {true, "", 0, 0, 0, 4, 0.5}},
         probe_row {"error_page_seen_as_reachable", "HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n", {}},
         probe_row {"silence_seen_as_reachable", "", {}}),
     [](const auto &row) { return std::string(row.param.name); });
--- a/tests/policy/adaptive_limiter_test.cpp
+++ b/tests/policy/adaptive_limiter_test.cpp
@@ -79,6 +79,18 @@
         limiter_row {"never_becomes_warm", [](driver &d) { d.rounds(4, fast); }, 16, 17, false},
         limiter_row {"engine_at_the_target_stays_cold", [](driver &d) { d.rounds(6, milliseconds(67)); }, 17, 32,
                      false},
+        limiter_row {"warm_speed_lost_with_the_process",
+                     [](driver &d) {
+                         d.limiter.onLoadReport(d.now, {true, "", 0, 0, 0, 1000, 0.01});
+                         d.rounds(3, milliseconds(40));
+                     },
+                     1, 1, true},
+        limiter_row {"speed_learned_from_a_few_tokens",
+                     [](driver &d) {
+                         d.limiter.onLoadReport(d.now, {true, "", 0, 0, 0, 10, 0.01});
+                         d.rounds(1, milliseconds(40));
+                     },
+                     2, 2, true},
         limiter_row {"slow_answer_counts_as_proof", [](driver &d) { d.rounds(5, slow); }, 1, 1, true},
         limiter_row {"ramps_cut_short_wear_down_the_warm_speed",
                      [](driver &d) {
--- a/tests/standins/engine_batch.cpp
+++ b/tests/standins/engine_batch.cpp
@@ -157,11 +157,13 @@
         return;
     }
     ++m_stats.steps;
+    const double stepSeconds = std::chrono::duration<double>(stepTime()).count();
     std::erase_if(m_running, [&](const auto &sequence) {
         if (now < sequence->prefillDone) {
             return false;
         }
         ++m_stats.tokens;
+        m_stats.tokenSeconds += stepSeconds;
         if (!sequence->addToken()) {
             return false;
         }
--- a/tests/standins/engine_batch_stats.h
+++ b/tests/standins/engine_batch_stats.h
@@ -13,6 +13,7 @@
     std::uint64_t cancelled = 0; ///< The client left before the end.
     std::uint64_t tokens = 0;
     std::uint64_t steps = 0;
+    double tokenSeconds = 0; ///< Time of the step, summed over all tokens.
     std::uint64_t fallOvers = 0;
     std::uint64_t cachedPrompts = 0; ///< Prompts of which a prefix was cached.
     std::size_t running = 0;
--- a/tests/standins/model_engine.cpp
+++ b/tests/standins/model_engine.cpp
@@ -135,6 +135,9 @@
     std::string page = sample("vllm:num_requests_running", labels, static_cast<double>(lagged.running));
     page += sample("vllm:num_requests_waiting", labels, static_cast<double>(lagged.waiting));
     page += sample("vllm:gpu_cache_usage_perc", labels, lagged.cacheUsage);
+    page += "# TYPE vllm:time_per_output_token_seconds histogram\n";
+    page += "vllm:time_per_output_token_seconds_sum" + labels + " " + std::to_string(lagged.tokenSeconds) + "\n";
+    page += "vllm:time_per_output_token_seconds_count" + labels + " " + std::to_string(lagged.tokens) + "\n";
     page += "# TYPE process_start_time_seconds gauge\nprocess_start_time_seconds " + m_startTime + "\n";
     return {200, {{"Content-Type", "text/plain; version=0.0.4"}}, page, nullptr};
 }
