entry: compare endpoints by the time to the head of an answer

Cause: read-through. (1) The circuit breaker compares a pace between peers, but was given the whole time of an answer, whose length is the caller's choice: an endpoint that happened to serve long answers looked slow.

Change: the pace is the time from the attempt to the head of its answer; base/sha256 and clockMilliseconds serve all; the fault tests use local_system::inject; an unused parameter is gone.

Ruled out: dividing by tokens, which the entry does not count. For whole completions the head comes at the end, so that a mix of both still differs.

The effect on ejections under load was not measured.

Conclusion: behaviour of the relay is unchanged otherwise.

--- a/src/admin/authorization.cpp
+++ b/src/admin/authorization.cpp
@@ -1,6 +1,6 @@
 #include "admin/authorization.h"
 
-#include "config/key_hash.h"
+#include "base/sha256.h"
 #include "config/text_check.h"
 
 #include <algorithm>
@@ -41,7 +41,7 @@
     if (!header.starts_with(scheme)) {
         return error {errc::permission_denied, authenticateStep, "", "the header Authorization: Bearer KEY is missing"};
     }
-    const std::string hash = keyHash(trimmed(std::string_view(header).substr(scheme.size())));
+    const std::string hash = sha256Hex(trimmed(std::string_view(header).substr(scheme.size())));
     for (const operator_team &team : content.teams) {
         if (contains(team.keyHashes, hash)) {
             return admin_caller {team, false};
--- a/src/base/boot_clock.cpp
+++ b/src/base/boot_clock.cpp
@@ -11,4 +11,9 @@
     return time_point(std::chrono::seconds(reading.tv_sec) + std::chrono::nanoseconds(reading.tv_nsec));
 }
 
+std::int64_t clockMilliseconds(time_point reading)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(reading.time_since_epoch()).count();
+}
+
 } // namespace bronzechute
--- a/src/base/boot_clock.h
+++ b/src/base/boot_clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace bronzechute {
 
@@ -22,4 +23,7 @@
 
 using time_point = boot_clock::time_point;
 
+/** @returns the reading in whole milliseconds, as frames between processes carry it. */
+std::int64_t clockMilliseconds(time_point reading);
+
 } // namespace bronzechute
--- a/src/endpoint/endpoint_gate.cpp
+++ b/src/endpoint/endpoint_gate.cpp
@@ -13,11 +13,6 @@
 
 constexpr double serviceTimeSmoothing = 0.1;
 
-std::int64_t clockMilliseconds(time_point now)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
-}
-
 back_end_request makeBackEndRequest(const submit_frame &submit, const endpoint_settings &settings,
                                     const std::string &traceparent)
 {
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -122,6 +122,7 @@
 {
     const std::string endpoint = connection->peer().node;
     context.tried.push_back(endpoint);
+    context.attemptAt = boot_clock::now();
     context.attemptSpan = startSpan(context.span->tracer(), "entry.attempt", traceparentOf(*context.span));
     context.attemptSpan->SetTag("peer", endpoint);
     if (!context.pending->beginAttempt(makeSubmit(context, connection), connection)) {
@@ -197,7 +198,8 @@
 {
     const response_head_frame head = context.pending->head();
     const std::string id = context.pending->id().toString();
-    m_metrics.firstByte.observe(boot_clock::now() - context.arrivedAt);
+    context.headAt = boot_clock::now();
+    m_metrics.firstByte.observe(context.headAt - context.arrivedAt);
     http_reply reply;
     reply.status = head.status;
     reply.headers = head.headers;
@@ -275,7 +277,8 @@
     const std::string endpoint = context.pending->endpoint();
     switch (end) {
     case relay_end::whole:
-        m_directory.onAnswered(endpoint, context.request, now - context.arrivedAt, now);
+        // The length of an answer is the caller's choice, so the whole time would not compare between endpoints.
+        m_directory.onAnswered(endpoint, context.headAt - context.attemptAt, now);
         break;
     case relay_end::endpoint_failed:
     case relay_end::deadline:
--- a/src/entry/endpoint_directory.cpp
+++ b/src/entry/endpoint_directory.cpp
@@ -175,8 +175,7 @@
     view.inFlightAtStatus = std::min(view.inFlightAtStatus, view.inFlight);
 }
 
-void endpoint_directory::onAnswered(const std::string &endpoint, const caller_request &, std::chrono::nanoseconds pace,
-                                    time_point now)
+void endpoint_directory::onAnswered(const std::string &endpoint, std::chrono::nanoseconds pace, time_point now)
 {
     const std::scoped_lock lock(m_mutex);
     endedLocked(endpoint);
--- a/src/entry/endpoint_directory.h
+++ b/src/entry/endpoint_directory.h
@@ -43,9 +43,8 @@
      */
     link_ptr choose(const caller_request &request, const std::vector<std::string> &tried, time_point now);
 
-    /** The attempt was answered. @param pace time of the answer, for the comparison between endpoints */
-    void onAnswered(const std::string &endpoint, const caller_request &request, std::chrono::nanoseconds pace,
-                    time_point now);
+    /** The attempt was answered. @param pace time that compares between the endpoints of a pool */
+    void onAnswered(const std::string &endpoint, std::chrono::nanoseconds pace, time_point now);
 
     /** The endpoint failed or was out of reach. */
     void onFailed(const std::string &endpoint, time_point now);
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -282,7 +282,7 @@
     return heartbeat;
 }
 
-request_id entry_role::newRequestId(const http_request &)
+request_id entry_role::newRequestId()
 {
     const std::scoped_lock lock(m_randomMutex);
     return request_id::generate(m_random);
@@ -333,7 +333,7 @@
     if (request.path == "/v1/models") {
         return listModels(request);
     }
-    const request_id id = newRequestId(request);
+    const request_id id = newRequestId();
     const configuration_ptr current = m_configuration.current();
     auto classified = m_classifier.classify(request, current->content);
     if (const auto *failure = std::get_if<api_error>(&classified)) {
@@ -359,7 +359,7 @@
     const configuration_ptr current = m_configuration.current();
     const auto authenticated = m_classifier.authenticate(request, current->content);
     if (const auto *failure = std::get_if<api_error>(&authenticated)) {
-        return failure->toReply(newRequestId(request).toString());
+        return failure->toReply(newRequestId().toString());
     }
     std::set<std::string> names;
     for (const endpoint_pool &pool : current->content.pools) {
--- a/src/entry/entry_role.h
+++ b/src/entry/entry_role.h
@@ -62,7 +62,7 @@
     void onVmList(const vm_list::snapshot &vms);
     void onAnswerFrame(const link_ptr &connection, const frame &message);
     http_reply listModels(const http_request &request);
-    request_id newRequestId(const http_request &request);
+    request_id newRequestId();
     std::optional<read_session> sessionOf(const http_request &request, const caller_request &classified);
 
     /** Remembers the state that the answer shows, tells the other entries and adds the session header. */
--- a/src/entry/idempotency_guard.cpp
+++ b/src/entry/idempotency_guard.cpp
@@ -1,6 +1,6 @@
 #include "entry/idempotency_guard.h"
 
-#include "entry/request_classifier.h"
+#include "base/sha256.h"
 #include "observe/log.h"
 
 namespace bronzechute {
--- a/src/entry/request_classifier.cpp
+++ b/src/entry/request_classifier.cpp
@@ -1,13 +1,12 @@
 #include "entry/request_classifier.h"
 
+#include "base/sha256.h"
 #include "request/attempt_limits.h"
 
 #include <nlohmann/json.hpp>
-#include <openssl/sha.h>
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
 
 namespace bronzechute {
 
@@ -89,19 +88,6 @@
 
 } // namespace
 
-std::string sha256Hex(const std::string &text)
-{
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
-    SHA256(reinterpret_cast<const unsigned char *>(text.data()), text.size(), digest.data());
-    std::string hex;
-    for (const unsigned char byte : digest) {
-        std::array<char, 3> digits {};
-        std::snprintf(digits.data(), digits.size(), "%02x", byte);
-        hex += digits.data();
-    }
-    return hex;
-}
-
 std::variant<const client_account *, api_error> request_classifier::authenticate(const http_request &request,
                                                                                  const configuration &content) const
 {
--- a/src/entry/request_classifier.h
+++ b/src/entry/request_classifier.h
@@ -29,7 +29,4 @@
                                                             const client_account &account) const;
 };
 
-/** @returns the SHA-256 of the text as 64 lower-case hexadecimal digits. */
-std::string sha256Hex(const std::string &text);
-
 } // namespace bronzechute
--- a/src/entry/request_context.h
+++ b/src/entry/request_context.h
@@ -21,6 +21,8 @@
     std::shared_ptr<const client_connection> client; ///< May be null.
     time_point arrivedAt;
     time_point deadline;
+    time_point attemptAt; ///< When the attempt under way was sent.
+    time_point headAt; ///< When the head of its answer came.
     std::shared_ptr<opentracing::Span> span; ///< Of the whole request.
     std::shared_ptr<opentracing::Span> attemptSpan; ///< Of the attempt under way.
     std::vector<std::string> tried; ///< Endpoints that had an attempt.
--- a/src/link/nng_link.cpp
+++ b/src/link/nng_link.cpp
@@ -9,11 +9,6 @@
 
 constexpr std::size_t retainedBytes = std::size_t {1024} * 1024;
 
-std::int64_t clockMilliseconds(time_point now)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
-}
-
 } // namespace
 
 nng_link::nng_link(nng_stream *stream, std::string address, const link_options &options, link_handler &handler,
--- a/tests/process/request_faults_test.cpp
+++ b/tests/process/request_faults_test.cpp
@@ -10,6 +10,7 @@
 namespace bronzechute::standins {
 namespace {
 
+using namespace nlohmann::literals;
 using namespace std::chrono_literals;
 
 /** The example's configuration with a deadline for orders that the rows can outwait. */
@@ -27,13 +28,6 @@
     return stats.is_object() ? stats["orders_by_text"].value(text, 0) : 0;
 }
 
-void setFaults(local_system &system, const std::string &process, const std::string &faults,
-               const std::string &key = "http")
-{
-    const fetch_answer answer = postJson(system.process(process).url(key) + "/standin/faults", faults);
-    ASSERT_EQ(answer.status, 200) << answer.body;
-}
-
 /** What a fault row may end as. */
 enum ending : unsigned { answered = 1, not_run = 2, unknown = 4, cut = 8 };
 
@@ -112,7 +106,7 @@
     system.process("office-1").thaw();
 };
 const auto silenceConnection = [](local_system &system) {
-    setFaults(system, "office-1.forwarder", R"({"silence_open": true})");
+    system.inject("office-1.forwarder", R"({"silence_open": true})"_json);
 };
 const std::vector<std::string> slowWork {"--work_ms", "1500"};
 
@@ -166,7 +160,7 @@
             "service_that_never_answers_holds_the_caller",
             {},
             "2000",
-            [](local_system &system) { setFaults(system, "office-1.engine", R"({"never_answer": true})"); },
+            [](local_system &system) { system.inject("office-1.engine", R"({"never_answer": true})"_json); },
             {},
             {},
             unknown},
@@ -281,15 +275,15 @@
                           [](local_system &system) { system.process("model-1.engine").kill(); }, false},
         stream_fault_row {
             "engine_cut_seen_as_end",
-            [](local_system &system) { setFaults(system, "model-1.engine", R"({"cut_after_tokens": 30})"); }, false},
+            [](local_system &system) { system.inject("model-1.engine", R"({"cut_after_tokens": 30})"_json); }, false},
         stream_fault_row {
             "silent_connection_loses_tokens",
-            [](local_system &system) { setFaults(system, "model-1.forwarder", R"({"silence_open": true})"); }, true},
-        stream_fault_row {"cut_connection_loses_tokens",
-                          [](local_system &system) { setFaults(system, "model-1.forwarder", R"({"cut_open": true})"); },
-                          true},
+            [](local_system &system) { system.inject("model-1.forwarder", R"({"silence_open": true})"_json); }, true},
+        stream_fault_row {
+            "cut_connection_loses_tokens",
+            [](local_system &system) { system.inject("model-1.forwarder", R"({"cut_open": true})"_json); }, true},
         stream_fault_row {"delayed_connection_loses_tokens",
-                          [](local_system &system) { setFaults(system, "model-1.forwarder", R"({"delay_ms": 300})"); },
+                          [](local_system &system) { system.inject("model-1.forwarder", R"({"delay_ms": 300})"_json); },
                           true},
         stream_fault_row {"endpoint_stopped_gracefully_cuts_the_stream",
                           [](local_system &system) { system.process("model-1").signal(SIGTERM); }, true},
@@ -304,7 +298,7 @@
                           true},
         stream_fault_row {"cut_connection_and_killed_endpoint_seen_as_end",
                           [](local_system &system) {
-                              setFaults(system, "model-1.forwarder", R"({"cut_open": true})");
+                              system.inject("model-1.forwarder", R"({"cut_open": true})"_json);
                               system.process("model-1").kill();
                           },
                           false}),
--- a/tests/standins/admin_fixture.cpp
+++ b/tests/standins/admin_fixture.cpp
@@ -1,7 +1,7 @@
 #include "standins/admin_fixture.h"
 
+#include "base/sha256.h"
 #include "config/configuration_parser.h"
-#include "config/key_hash.h"
 
 #include <stdexcept>
 
@@ -33,7 +33,7 @@
                              "data_centres: [{name: obuda, state: in_service}]\n"
                              "teams:\n"
                              "  - {name: root, operator: true, key_hashes: ["
-        + keyHash("rootkey") + "]}\n  - {name: drafters, pools: [p], classes: [c], key_hashes: [" + keyHash("teamkey")
+        + sha256Hex("rootkey") + "]}\n  - {name: drafters, pools: [p], classes: [c], key_hashes: [" + sha256Hex("teamkey")
         + "]}\n";
     return parseConfiguration(yaml).content.value();
 }
