--- a/src/endpoint/running_request.cpp
+++ b/src/endpoint/running_request.cpp
@@ -31,7 +31,7 @@
 {
 }
 
-void running_request::attach(std::shared_ptr<transfer> handle)
+void running_request::attach(const std::shared_ptr<transfer> &handle)
 {
     bool cancelNow = false;
     {
--- a/src/endpoint/running_request.h
+++ b/src/endpoint/running_request.h
@@ -29,7 +29,7 @@
                     std::unique_ptr<opentracing::Span> span);
 
     /** The back end has the request. */
-    void attach(std::shared_ptr<transfer> handle);
+    void attach(const std::shared_ptr<transfer> &handle);
 
     void onHead(int status, const header_list &headers) override;
     bool onBytes(std::string_view bytes) override;
--- a/tests/standins/admin_fixture.cpp
+++ b/tests/standins/admin_fixture.cpp
@@ -33,8 +33,8 @@
                              "data_centres: [{name: obuda, state: in_service}]\n"
                              "teams:\n"
                              "  - {name: root, operator: true, key_hashes: ["
-        + sha256Hex("rootkey") + "]}\n  - {name: drafters, pools: [p], classes: [c], key_hashes: [" + sha256Hex("teamkey")
-        + "]}\n";
+        + sha256Hex("rootkey") + "]}\n  - {name: drafters, pools: [p], classes: [c], key_hashes: ["
+        + sha256Hex("teamkey") + "]}\n";
     return parseConfiguration(yaml).content.value();
 }
 
