--- a/tests/process/whole_path_test.cpp
+++ b/tests/process/whole_path_test.cpp
@@ -127,7 +127,8 @@
                       "max_tokens"},
         rejected_row {"missing_prompt_forwarded", "/v1/completions", officeKey, R"({"model":"iroda-nyelv"})", 400,
                       "prompt"},
-        rejected_row {"oversized_body_forwarded", chat, officeKey, std::string(2 * 1024 * 1024, ' '), 413, "body"},
+        rejected_row {"oversized_body_forwarded", chat, officeKey, std::string(std::size_t {2} * 1024 * 1024, ' '), 413,
+                      "body"},
         rejected_row {"unknown_path_forwarded", "/nothing", officeKey, "{}", 404, "path"}),
     [](const auto &row) { return std::string(row.param.name); });
 
