http: read errno before the error that carries it is built

Ruled out: the address; the same call failed with both texts.

Change: the reason is copied right after the failed call.

Conclusion: the message names the cause. The expected text is unchanged.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -116,7 +116,9 @@
     if (bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0
         || listen(descriptor, listenBacklog) != 0
         || getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length) != 0) {
-        return error {errc::unavailable, listenStep, peer, std::strerror(errno)};
+        // Read before the error is built: its allocations may change errno.
+        const int reason = errno;
+        return error {errc::unavailable, listenStep, peer, std::strerror(reason)};
     }
     server->m_port = ntohs(address.sin_port);
 
