entry: forget the connections of replaced VMs; dead state removed

Ruled out: forgetting on each heartbeat; the list of VMs is what changes.

Left as found: start() of the two roles and the interfaces of etcd_store and grouping_store are alike in shape only.

--- a/bench/capacity_requests.h
+++ b/bench/capacity_requests.h
@@ -49,7 +49,7 @@
         const double begin = usage_meter::processorSeconds();
         for (int index = 0; index < count; ++index) {
             data_frame data {{request.id(), 1}, static_cast<std::uint64_t>(index), std::string(180, 't')};
-            request.onFrame(connection, data);
+            request.onFrame(data);
             request.read(buffer, sizeof buffer, std::chrono::milliseconds(0));
         }
         relay.emplace_back(count, usage_meter::processorSeconds() - begin);
--- a/src/entry/endpoint_directory.cpp
+++ b/src/entry/endpoint_directory.cpp
@@ -43,11 +43,16 @@
     return endpoints;
 }
 
-void endpoint_directory::onVmList(std::span<const listed_vm> vms, time_point now)
+std::vector<std::string> endpoint_directory::onVmList(std::span<const listed_vm> vms, time_point now)
 {
     const std::scoped_lock lock(m_mutex);
     m_members.onVmList(now, vms);
-    m_members.forgetOld(now);
+    std::vector<std::string> forgotten = m_members.forgetOld(now);
+    for (const std::string &name : forgotten) {
+        m_views.erase(name);
+        m_breaker.forget(name);
+    }
+    return forgotten;
 }
 
 void endpoint_directory::onUp(const link_ptr &connection)
--- a/src/entry/endpoint_directory.h
+++ b/src/entry/endpoint_directory.h
@@ -31,7 +31,8 @@
     /** @returns the endpoints to keep connections to, by name and address. */
     std::vector<listed_vm> known() const;
 
-    void onVmList(std::span<const listed_vm> vms, time_point now);
+    /** @returns the endpoints that no source has mentioned for a long time: their connections are not needed. */
+    std::vector<std::string> onVmList(std::span<const listed_vm> vms, time_point now);
     void onUp(const link_ptr &connection);
     void onHeartbeat(const link_ptr &connection, const endpoint_status &status, time_point now);
     void onDown(const link_ptr &connection);
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -99,7 +99,9 @@
             endpoints.push_back({each.name, each.address, each.state == vm_state::leaving});
         }
     }
-    m_directory.onVmList(endpoints, boot_clock::now());
+    for (const std::string &forgotten : m_directory.onVmList(endpoints, boot_clock::now())) {
+        m_hub->forget(forgotten);
+    }
     for (const listed_vm &endpoint : m_directory.known()) {
         m_hub->dial(endpoint.name, endpoint.address);
     }
@@ -255,10 +257,10 @@
         m_sessions.note(session->account, session->service, {session->endpoint, session->version}, boot_clock::now());
         return;
     }
-    onAnswerFrame(connection, message);
+    onAnswerFrame(message);
 }
 
-void entry_role::onAnswerFrame(const link_ptr &connection, const frame &message)
+void entry_role::onAnswerFrame(const frame &message)
 {
     const auto idOf = [](const auto &each) -> std::optional<request_id> {
         if constexpr (requires { each.id.request; }) {
@@ -271,7 +273,7 @@
         return;
     }
     if (const auto pending = m_pending.find(*id)) {
-        pending->onFrame(connection, message);
+        pending->onFrame(message);
     }
 }
 
--- a/src/entry/entry_role.h
+++ b/src/entry/entry_role.h
@@ -60,7 +60,7 @@
     void followStore();
     result<void> startAdmin();
     void onVmList(const vm_list::snapshot &vms);
-    void onAnswerFrame(const link_ptr &connection, const frame &message);
+    void onAnswerFrame(const frame &message);
     http_reply listModels(const http_request &request);
     request_id newRequestId();
     std::optional<read_session> sessionOf(const http_request &request, const caller_request &classified);
--- a/src/entry/pending_request.cpp
+++ b/src/entry/pending_request.cpp
@@ -37,7 +37,6 @@
     m_detachedSince.reset();
     m_gapSince.reset();
     m_ready.clear();
-    m_creditedSequence = 0;
     m_uncreditedBytes = 0;
     m_lost = false;
     m_corrupt = false;
@@ -45,7 +44,7 @@
     return connection->send(submit);
 }
 
-void pending_request::onFrame(const link_ptr &, const frame &message)
+void pending_request::onFrame(const frame &message)
 {
     const std::scoped_lock lock(m_mutex);
     acceptLocked(message);
@@ -178,8 +177,7 @@
     if (m_uncreditedBytes >= creditBytes || (finished && !m_finalCreditSent)) {
         m_uncreditedBytes = 0;
         m_finalCreditSent = finished;
-        m_creditedSequence = m_assembler->nextSequence();
-        m_connection->send(credit_frame {m_attempt, m_creditedSequence});
+        m_connection->send(credit_frame {m_attempt, m_assembler->nextSequence()});
     }
 }
 
--- a/src/entry/pending_request.h
+++ b/src/entry/pending_request.h
@@ -33,7 +33,7 @@
     bool beginAttempt(submit_frame submit, const link_ptr &connection);
 
     /** A frame for this request arrived. */
-    void onFrame(const link_ptr &connection, const frame &message);
+    void onFrame(const frame &message);
 
     /** The connection is down; the attempt waits for a fresh one to the same process. */
     void onDown(const link_ptr &connection, time_point now);
@@ -91,7 +91,6 @@
     std::optional<time_point> m_detachedSince;
     std::optional<time_point> m_gapSince;
     std::string m_ready; ///< Bytes in order that the caller has not been given.
-    std::uint64_t m_creditedSequence = 0;
     std::size_t m_uncreditedBytes = 0; ///< Bytes given to the caller since the last credit.
     bool m_lost = false;
     bool m_corrupt = false;
