tests: keep the port of an endpoint process reserved

Cause: the harness asked the kernel for a free port, closed the socket and let an endpoint process listen there later, so that another test's process could take the port in between. Ruled out: the session table and the frames between entries (no run failed after the start of the processes), late heartbeats, and the probe of the service. Change: reserved_port keeps a bound socket with SO_REUSEADDR for the life of the system under test. The kernel then gives the port to nobody else, while nng, which sets SO_REUSEADDR, may listen on it again and again. Tests that need an address where nothing listens use it too. unusedPort() is gone.

--- a/tests/backend/http_back_end_faults_test.cpp
+++ b/tests/backend/http_back_end_faults_test.cpp
@@ -1,7 +1,7 @@
 #include "backend/http_back_end.h"
 #include "recording_sink.h"
 #include "standins/raw_server.h"
-#include "standins/unused_port.h"
+#include "standins/reserved_port.h"
 
 #include <gtest/gtest.h>
 
@@ -77,9 +77,9 @@
 {
     const fault_row &row = GetParam();
     standins::raw_server server([&row](raw_connection &connection, int) { serve(connection, row); });
-    const std::string url = row.action == server_action::refuse_connection
-        ? "http://127.0.0.1:" + std::to_string(standins::unusedPort())
-        : server.url();
+    const standins::reserved_port unreachable;
+    const std::string url =
+        row.action == server_action::refuse_connection ? "http://" + unreachable.address() : server.url();
     http_back_end service({http_back_end_options::kind::service, url}, std::make_shared<transfer_loop>());
     back_end_request request;
     request.method = "POST";
@@ -139,7 +139,8 @@
 
 TEST(back_end_fault, errorsNameTheServer)
 {
-    const std::string url = "http://127.0.0.1:" + std::to_string(standins::unusedPort());
+    const standins::reserved_port unreachable;
+    const std::string url = "http://" + unreachable.address();
     http_back_end service({http_back_end_options::kind::service, url}, std::make_shared<transfer_loop>());
     const auto sink = std::make_shared<standins::recording_sink>();
     service.start({"GET", "/a", {}, ""}, sink);
--- a/tests/daemon/bad_settings_test.cpp
+++ b/tests/daemon/bad_settings_test.cpp
@@ -1,7 +1,7 @@
 #include "settings/daemon_settings.h"
 #include "standins/http_fetch.h"
 #include "standins/local_system.h"
-#include "standins/unused_port.h"
+#include "standins/reserved_port.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -144,7 +144,8 @@
 // Guards against an entry that ends, hangs or claims to be ready when the store is out at its start.
 TEST(unreachable_store, isNoErrorForAnEntry)
 {
-    const std::string store = "http://127.0.0.1:" + std::to_string(unusedPort());
+    const reserved_port unreachable;
+    const std::string store = "http://" + unreachable.address();
     const settings_file file(entryHead + listenLine + "store: {endpoints: [\"" + store + "\"]}\nlog: {level: error}\n");
     auto daemon = child_process::startReady(programPath("bronzechuted"), {"--settings", file.path()});
     ASSERT_TRUE(daemon) << daemon.error().toString();
--- a/tests/http/curl_http_client_test.cpp
+++ b/tests/http/curl_http_client_test.cpp
@@ -1,7 +1,7 @@
 #include "http/curl_http_client.h"
 #include "http/http_server.h"
 #include "http/http_stream_reader.h"
-#include "standins/unused_port.h"
+#include "standins/reserved_port.h"
 
 #include <gtest/gtest.h>
 
@@ -116,12 +116,12 @@
 TEST_P(curl_http_client_calls, tellWhetherTheRequestMayHaveArrived)
 {
     running_server running;
+    const standins::reserved_port unreachable;
     curl_http_client client(4, 1024);
     const client_row &row = GetParam();
     http_call call;
     call.method = "POST";
-    call.url =
-        row.listening ? running.url(row.path) : "http://127.0.0.1:" + std::to_string(standins::unusedPort()) + row.path;
+    call.url = row.listening ? running.url(row.path) : "http://" + unreachable.address() + row.path;
     call.body = row.body;
     call.timeout = 300ms;
     const auto answer = client.perform(call);
--- a/tests/standins/local_system.cpp
+++ b/tests/standins/local_system.cpp
@@ -3,7 +3,7 @@
 #include "config/configuration_parser.h"
 #include "settings/daemon_settings.h"
 #include "standins/http_fetch.h"
-#include "standins/unused_port.h"
+#include "standins/reserved_port.h"
 #include "store/etcd_store.h"
 #include "store/store_configuration_repository.h"
 
@@ -30,11 +30,6 @@
     return std::move(started.value());
 }
 
-std::string loopback(std::uint16_t port)
-{
-    return "127.0.0.1:" + std::to_string(port);
-}
-
 } // namespace
 
 std::string programPath(const std::string &name)
@@ -84,7 +79,7 @@
 void local_system::startEndpoint(const std::string &name, const std::string &settings)
 {
     // The address is fixed so that a restarted process is found at the same place.
-    const std::string address = loopback(unusedPort());
+    const std::string address = m_ports.emplace_back().address();
     m_settings[name] = writeSettings(name,
                                      "role: endpoint\nnode: " + name + "\nlisten: {http: 127.0.0.1:0, peers: " + address
                                          + "}\nlog: {level: warn}\n" + settings);
--- a/tests/standins/local_system.h
+++ b/tests/standins/local_system.h
@@ -4,12 +4,14 @@
 #include "standins/entry_links.h"
 #include "standins/fetch_answer.h"
 #include "standins/fetch_request.h"
+#include "standins/reserved_port.h"
 
 #include <nlohmann/json.hpp>
 
 #include <chrono>
 #include <filesystem>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -107,6 +109,7 @@
     void startEndpoint(const std::string &name, const std::string &settings);
 
     std::filesystem::path m_directory;
+    std::list<reserved_port> m_ports; ///< Of the endpoint processes, kept while one is stopped.
     std::map<std::string, std::unique_ptr<child_process>> m_processes;
     std::map<std::string, std::string> m_endpoints; ///< Address that entries dial, by name.
     std::map<std::string, std::string> m_settings; ///< Settings file of each entry and endpoint process.
--- a/tests/store/etcd_store_test.cpp
+++ b/tests/store/etcd_store_test.cpp
@@ -1,7 +1,7 @@
 #include "store/etcd_store.h"
 
 #include "standins/eventually.h"
-#include "standins/unused_port.h"
+#include "standins/reserved_port.h"
 #include "store_fixture.h"
 
 #include <gtest/gtest.h>
@@ -94,8 +94,9 @@
 TEST(etcd_store, usesTheNextEndpointWhenOneRefuses)
 {
     store_fixture fixture;
+    const standins::reserved_port unreachable;
     etcd_store_options options;
-    options.endpoints = {"http://127.0.0.1:" + std::to_string(standins::unusedPort()), fixture.server->url()};
+    options.endpoints = {"http://" + unreachable.address(), fixture.server->url()};
     etcd_store store(options);
     EXPECT_TRUE(store.compareAndSwap("/k", 0, "v"));
     options.endpoints.pop_back();
