link: dial the new address of a replaced VM; no lock around close()

Cause 1: link_hub::dial ignored a name that it dialed already, also when the platform's list gave another address, so that a VM replaced under its name was never reached again. Cause 2: a connection that was made while its name was forgotten was closed under the hub's lock; close() wakes the hub and takes that lock again, which stopped the maintenance thread and with it every heartbeat of the process. Ruled out: the membership table (it takes the new address from the list) and the dialer's delays. Change: another address replaces the dialer; the old connection is kept until the new one is up. Dialers are destroyed and connections closed outside the lock.

--- a/src/link/link_hub.cpp
+++ b/src/link/link_hub.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <mutex>
+#include <utility>
 
 namespace bronzechute {
 
@@ -122,15 +123,16 @@
 
 void link_hub::dial(const std::string &name, const std::string &address)
 {
+    // Destroyed without the lock, because its destructor waits for a callback that takes it.
+    std::unique_ptr<nng_dialer> replaced;
     {
         const std::scoped_lock lock(m_mutex);
-        const auto known = [&name](const outgoing &entry) {
-            return entry.dialer->name() == name;
-        };
-        if (std::ranges::any_of(m_outgoing, known)) {
+        auto &dialer = m_outgoing[name].dialer;
+        if (dialer != nullptr && dialer->address() == address) {
             return;
         }
-        m_outgoing.push_back({std::make_unique<nng_dialer>(name, address, m_options, [this] { wake(); }), nullptr});
+        // A VM that was replaced has another address; the connection to the old one is kept until the new one is up.
+        replaced = std::exchange(dialer, std::make_unique<nng_dialer>(name, address, m_options, [this] { wake(); }));
     }
     wake();
 }
@@ -140,14 +142,11 @@
     outgoing removed;
     {
         const std::scoped_lock lock(m_mutex);
-        const auto known = [&name](const outgoing &entry) {
-            return entry.dialer->name() == name;
-        };
-        const auto position = std::ranges::find_if(m_outgoing, known);
+        const auto position = m_outgoing.find(name);
         if (position == m_outgoing.end()) {
             return;
         }
-        removed = std::move(*position);
+        removed = std::move(position->second);
         m_outgoing.erase(position);
     }
     if (removed.connection != nullptr) {
@@ -227,13 +226,13 @@
     std::vector<std::pair<std::string, nng_stream *>> connected;
     {
         const std::scoped_lock lock(m_mutex);
-        for (outgoing &entry : m_outgoing) {
+        for (auto &[name, entry] : m_outgoing) {
             if (entry.connection != nullptr && entry.connection->isDown()) {
                 entry.connection.reset();
                 entry.dialer->connectionLost(now);
             }
             if (nng_stream *stream = entry.dialer->takeStream(now, m_random)) {
-                connected.emplace_back(entry.dialer->name(), stream);
+                connected.emplace_back(name, stream);
             }
             entry.dialer->dialWhenDue(now);
         }
@@ -241,14 +240,19 @@
     for (const auto &[name, stream] : connected) {
         nng_sockaddr address {};
         nng_stream_get_addr(stream, NNG_OPT_REMADDR, &address);
-        const auto connection = adopt(stream, addressText(address));
-        const std::scoped_lock lock(m_mutex);
-        const auto position = std::ranges::find_if(
-            m_outgoing, [&wanted = name](const outgoing &entry) { return entry.dialer->name() == wanted; });
-        if (position == m_outgoing.end()) {
-            connection->close("peer is no longer used");
-        } else {
-            position->connection = connection;
+        auto unused = adopt(stream, addressText(address));
+        const char *reason = "peer is no longer used";
+        {
+            const std::scoped_lock lock(m_mutex);
+            const auto position = m_outgoing.find(name);
+            if (position != m_outgoing.end()) {
+                std::swap(position->second.connection, unused);
+                reason = "peer is reached at another address";
+            }
+        }
+        // close() takes the lock of this hub.
+        if (unused != nullptr) {
+            unused->close(reason);
         }
     }
 }
--- a/src/link/link_hub.h
+++ b/src/link/link_hub.h
@@ -12,6 +12,8 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -44,7 +46,10 @@
         return m_port;
     }
 
-    /** Keeps a connection to the address from now on. Does nothing when the name is dialed already. */
+    /**
+     * Keeps a connection to the address from now on. Does nothing when the name is dialed there already; a connection
+     * to another address of the name is closed when the one to the new address is up.
+     */
     void dial(const std::string &name, const std::string &address);
 
     /** Ends dialing the name and closes its connection. */
@@ -82,7 +87,7 @@
     mutable ranked_mutex m_mutex {lock_rank::link_table};
     std::condition_variable_any m_wakeup;
     std::vector<std::shared_ptr<nng_link>> m_links; ///< All connections that are not released.
-    std::vector<outgoing> m_outgoing;
+    std::map<std::string, outgoing, std::less<>> m_outgoing; ///< By the name that is dialed.
     bool m_woken = false;
     bool m_announce = false;
     bool m_acceptFailed = false;
--- a/tests/link/link_hub_test.cpp
+++ b/tests/link/link_hub_test.cpp
@@ -1,9 +1,12 @@
 #include "link/link_hub.h"
 
+#include "standins/reserved_port.h"
+
 #include <gtest/gtest.h>
 
 #include <condition_variable>
 #include <mutex>
+#include <thread>
 
 namespace bronzechute {
 namespace {
@@ -102,12 +105,13 @@
     recording_handler clientHandler;
     auto client = openHub(optionsOf("client"), {}, clientHandler);
     ASSERT_TRUE(client);
+    const standins::reserved_port port;
     socket_address address;
+    address.port = port.number();
     {
         recording_handler serverHandler;
         auto server = openHub(optionsOf("server"), address, serverHandler);
         ASSERT_TRUE(server);
-        address.port = server.value()->port();
         client.value()->dial("server", address.toString());
         ASSERT_TRUE(clientHandler.waitFor([](auto &seen) { return seen.m_up.size() == 1; }));
     }
@@ -119,6 +123,45 @@
     EXPECT_TRUE(clientHandler.waitFor([](auto &seen) { return seen.m_up.size() == 2; }));
 }
 
+// Guards against an entry that dials the address of a replaced VM for ever.
+TEST(link_hub, followsAPeerToAnotherAddress)
+{
+    recording_handler clientHandler;
+    recording_handler oldHandler;
+    recording_handler newHandler;
+    auto client = openHub(optionsOf("client"), {}, clientHandler);
+    auto oldServer = openHub(optionsOf("server"), {}, oldHandler);
+    auto newServer = openHub(optionsOf("server"), {}, newHandler);
+    ASSERT_TRUE(client && oldServer && newServer);
+    client.value()->dial("server", "127.0.0.1:" + std::to_string(oldServer.value()->port()));
+    ASSERT_TRUE(clientHandler.waitFor([](auto &seen) { return seen.m_up.size() == 1; }));
+    client.value()->dial("server", "127.0.0.1:" + std::to_string(newServer.value()->port()));
+    ASSERT_TRUE(clientHandler.waitFor([](auto &seen) { return seen.m_up.size() == 2 && seen.m_reasons.size() == 1; }));
+    EXPECT_EQ(clientHandler.m_reasons[0], "peer is reached at another address");
+    EXPECT_FALSE(clientHandler.m_up[0]->send(data_frame {}));
+    EXPECT_TRUE(clientHandler.m_up[1]->send(data_frame {}));
+    EXPECT_TRUE(newHandler.waitFor([](auto &seen) { return seen.m_data.size() == 1; }));
+}
+
+// Guards against a deadlock when a peer is forgotten while an attempt to connect to it succeeds.
+TEST(link_hub, forgetsAPeerThatIsBeingDialed)
+{
+    recording_handler serverHandler;
+    recording_handler clientHandler;
+    auto server = openHub(optionsOf("server"), {}, serverHandler);
+    auto client = openHub(optionsOf("client"), {}, clientHandler);
+    ASSERT_TRUE(server && client);
+    const std::string address = "127.0.0.1:" + std::to_string(server.value()->port());
+    // Different delays, so that some attempts are forgotten just as their connection is made.
+    for (int attempt = 0; attempt < 500; ++attempt) {
+        client.value()->dial("server", address);
+        std::this_thread::sleep_for(attempt * 2us);
+        client.value()->forget("server");
+    }
+    client.value()->dial("server", address);
+    EXPECT_TRUE(clientHandler.waitFor([](auto &seen) { return !seen.m_up.empty(); }));
+}
+
 TEST(link_hub, closesAConnectionWhosePeerIsSilent)
 {
     recording_handler serverHandler;
