--- a/bench/capacity_directory.h
+++ b/bench/capacity_directory.h
@@ -44,16 +44,13 @@
 inline void measureDirectory(slope_recorder &recorder)
 {
     std::vector<std::pair<double, double>> choice;
-    std::vector<std::pair<double, double>> pairs;
+    std::vector<std::pair<double, double>> overridden;
     std::vector<std::pair<double, double>> memory;
     std::vector<std::pair<double, double>> dial;
     std::vector<std::pair<double, double>> list;
     for (const int count : {50, 100, 200, 400, 800, 1600}) {
         choice.emplace_back(count, timeOfChoice(count, 0, 100));
-        if (count <= 800) {
-            // The scan of the overrides for each endpoint is a product of two numbers, so x is the product.
-            pairs.emplace_back(static_cast<double>(count) * count, timeOfChoice(count, count, 10));
-        }
+        overridden.emplace_back(count, timeOfChoice(count, count, 100));
         configuration_holder holder;
         const double before = usage_meter::allocatedBytes();
         endpoint_directory directory(daemon_settings(), holder);
@@ -66,7 +63,7 @@
                           }));
     }
     recorder.add("choice_without_overrides", "endpoint", "s", choice);
-    recorder.add("choice_with_overrides", "endpoint and override", "s", pairs);
+    recorder.add("choice_with_overrides", "endpoint with an override", "s", overridden);
     recorder.add("directory_memory", "endpoint", "B", memory);
     recorder.add("vm_list_change", "endpoint", "s", list);
 
@@ -100,13 +97,13 @@
         for (int index = 0; index < count; ++index) {
             names.push_back(capacity_sample::endpointName(index));
         }
-        dial.emplace_back(static_cast<double>(count) * count, usage_meter::timeOf(3, [&] {
+        dial.emplace_back(count, usage_meter::timeOf(3, [&] {
                               for (const std::string &name : names) {
                                   hub->dial(name, "127.0.0.1:1");
                               }
                           }));
     }
-    recorder.add("dial_known", "pair of endpoints", "s", dial);
+    recorder.add("dial_known", "endpoint", "s", dial);
 }
 
 } // namespace bronzechute::bench
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -98,8 +98,8 @@
         points = [point[0] for point in self.series[name]["points"]]
         return "measured range" if min(points) <= x <= max(points) else "extrapolated"
 
-    def choice(self, endpoints, overrides):
-        return self.slope("choice_without_overrides") * endpoints + self.slope("choice_with_overrides") * endpoints * overrides
+    def choice(self, endpoints, overridden):
+        return self.slope("choice_with_overrides" if overridden else "choice_without_overrides") * endpoints
 
 
 def section_inputs(m):
@@ -142,8 +142,8 @@
         return [role, state, messages, f"{core:.3%} of a core: {verdict(core, m.core_limit)}",
                 f"{size(memory)}: {verdict(memory, m.memory_limit)}", f"{size(sent)}/s: {verdict(sent, m.byte_limit)}"]
 
-    choice = m.choice(m.workers, m.workers) * m.requests / m.nodes
-    changed_choice = m.slope("choice_without_overrides") * subset * m.requests / m.nodes
+    choice = m.choice(m.workers, True) * m.requests / m.nodes
+    changed_choice = m.choice(subset, True) * m.requests / m.nodes
     rows = [
         row("entry, today", "configuration, directory, requests", "heartbeats, pushes to all, choices at the peak",
             m.slope("link_idle_processor") * mesh + choice + (parse + m.slope("configuration_publish") * mesh) * rate,
@@ -162,7 +162,7 @@
             document * 4 / 3 * rate + m.change_bytes * rate * local)]
     out = ["## Summary", "", "Payload bytes in both directions, on average, with an override for each endpoint; sums of measured and "
            "extrapolated parts, so extrapolated. The parts under \"Not measured\" are missing. A row with the changes is an estimate of "
-           "what is not built: differences are taken to cost no processor time, and the choice to cost as without overrides.", ""]
+           "what is not built: differences are taken to cost no processor time.", ""]
     out += table(["role", "state", "messages", "processor", "memory", "bytes"], rows)
     out += ["The watcher still reads the whole document from the store; only a store that holds differences lowers that row. The map "
             "coordinator and the store have sections of their own; the coordinator runs in no process yet.", ""]
--- a/bench/capacity_process_sections.py
+++ b/bench/capacity_process_sections.py
@@ -71,21 +71,21 @@
     waiting = rate * duration
     local = m.workers / m.data_centres
     rows = []
-    for name, endpoints, overrides in (("all endpoints, no overrides", m.workers, 0),
-                                       ("all endpoints, an override each", m.workers, m.workers),
-                                       ("own data centre, no overrides", local, 0),
-                                       ("own data centre, an override for every endpoint", local, m.workers)):
-        each = m.choice(endpoints, overrides)
+    for name, endpoints, overridden in (("all endpoints, no overrides", m.workers, False),
+                                       ("all endpoints, an override each", m.workers, True),
+                                       ("own data centre, no overrides", local, False),
+                                       ("own data centre, an override each", local, True)):
+        each = m.choice(endpoints, overridden)
         rows.append([name, seconds(each), f"{each * rate:.2%} of a core", verdict(each * rate, m.core_limit)])
     out = ["## Entry", "",
            f"State: configuration, endpoint directory, requests under way. Messages: `submit` and answer frames for its "
            f"requests, heartbeats, `config_push`. At the peak an entry takes {number(rate)} requests a second; at the slowest "
            f"allowed pace ({number(m.tokens / m.requests)} tokens, {number(duration)} s) it has {number(waiting)} under way.", "",
-           "Choice of an endpoint (`endpoint_directory::choose`, which looks up the override of each endpoint by a "
-           "linear scan, for each request; extrapolated beyond 1,600 endpoints or 640,000 pairs):", ""]
+           "Choice of an endpoint (`endpoint_directory::choose`, which checks each endpoint for each request and finds its "
+           "override by `override_index`; extrapolated beyond 1,600 endpoints):", ""]
     out += table(["endpoints seen", "one choice", "at the peak", "against the limit"], rows)
-    out += ["The scan does not carry an override for each endpoint. The change: compute the eligible endpoints of a "
-            "class when the configuration or a status changes, and look overrides up in a hash table.", ""]
+    out += ["The change for a row that misses: compute the eligible endpoints of a class when the configuration or a status "
+            "changes, not for each request.", ""]
     pending = m.slope("pending_memory") * waiting
     threads = m.slope("thread_resident") * waiting
     frames = m.tokens / m.nodes
@@ -96,16 +96,14 @@
             f"{seconds(m.slope('pending_time'))} in the table. {number(frames)} data frames a second, one for each token, take "
             f"{relay:.2%} of a core in `pending_request` alone (no socket, no HTTP). These are data, not control.", ""]
     events = (m.failed_vms + m.replaced_vms) * m.events_per_replacement
-    per_change = m.slope("vm_list_change") * m.workers + m.slope("dial_known") * m.workers ** 2
+    per_change = (m.slope("vm_list_change") + m.slope("dial_known")) * m.workers
     vms = m.workers + m.nodes
-    start = m.slope("vm_list_change") * m.workers ** 2 / 2 + m.slope("dial_known") * m.workers ** 3 / 3
-    out += [f"VM list: each event makes `onVmList` hand over the whole list and dial every known name, and `link_hub::dial` scans all "
-            f"names: {seconds(per_change)} for one event with {number(m.workers)} endpoints (extrapolated). "
+    out += [f"VM list: each event makes `onVmList` hand over the whole list and dial every known name, which `link_hub::dial` "
+            f"finds in a map: {seconds(per_change)} for one event with {number(m.workers)} endpoints (extrapolated). "
             f"{number(events)} events on the day of failures are {events * per_change / 86400:.3%} of a core on average: "
             f"{verdict(events * per_change / 86400, m.core_limit)}. "
-            f"The first listing reports {number(vms)} VMs one by one, with growing lists: {number(start)} s of processor time at the "
-            f"start of an entry (extrapolated; the copy of the list in `vm_list` comes on top). Today's code does not carry a start "
-            "at the design size. The change: one call for a whole listing, only new names dialed, names in a hash table.", ""]
+            f"`vm_list` hands over the first listing of {number(vms)} VMs as one list, so that a start costs one event (the reading of "
+            "the listing comes on top).", ""]
     return out
 
 
--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -63,12 +63,7 @@
 label_set configuration::effectiveLabels(std::string_view endpoint, const label_set &ownLabels) const
 {
     const endpoint_override *found = findEndpoint(endpoint);
-    if (found == nullptr) {
-        return ownLabels;
-    }
-    label_set labels = found->labels;
-    labels.insert(ownLabels.begin(), ownLabels.end());
-    return labels;
+    return found == nullptr ? ownLabels : found->effectiveLabels(ownLabels);
 }
 
 } // namespace bronzechute
--- a/src/entry/endpoint_directory.cpp
+++ b/src/entry/endpoint_directory.cpp
@@ -85,7 +85,7 @@
 bool endpoint_directory::eligibleLocked(const member &each, const caller_request &request,
                                         const configuration &content) const
 {
-    const endpoint_override *own = content.findEndpoint(each.name);
+    const endpoint_override *own = m_overrides.find(each.name);
     if (!content.inService(each.status.dataCentre) || (own != nullptr && own->drained)) {
         return false;
     }
@@ -94,16 +94,17 @@
     if (!serves) {
         return false;
     }
-    const label_set labels = content.effectiveLabels(each.name, each.status.labels);
+    const label_set labels = own == nullptr ? each.status.labels : own->effectiveLabels(each.status.labels);
     return std::ranges::any_of(content.pools, [&](const endpoint_pool &pool) {
         return pool.kind == request.kind && (pool.kind == endpoint_kind::service || pool.model == request.model)
             && request.pools.matches(pool.labels) && pool.members.matches(labels);
     });
 }
 
-std::vector<const member *> endpoint_directory::eligibleLocked(const caller_request &request, time_point now) const
+std::vector<const member *> endpoint_directory::eligibleLocked(const caller_request &request, time_point now)
 {
     const configuration_ptr current = m_configuration.current();
+    m_overrides.use(current);
     std::vector<const member *> eligible = m_members.usable(now);
     std::erase_if(eligible, [&](const member *each) { return !eligibleLocked(*each, request, current->content); });
     return eligible;
--- a/src/entry/endpoint_directory.h
+++ b/src/entry/endpoint_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/ranked_mutex.h"
+#include "config/override_index.h"
 #include "entry/caller_request.h"
 #include "link/link_handler.h"
 #include "policy/circuit_breaker.h"
@@ -72,7 +73,7 @@
     };
 
     bool eligibleLocked(const member &each, const caller_request &request, const configuration &content) const;
-    std::vector<const member *> eligibleLocked(const caller_request &request, time_point now) const;
+    std::vector<const member *> eligibleLocked(const caller_request &request, time_point now);
     endpoint_candidate candidateLocked(const member &each, time_point now);
     void endedLocked(const std::string &endpoint);
 
@@ -81,6 +82,7 @@
 
     mutable ranked_mutex m_mutex {lock_rank::membership};
     membership_table m_members;
+    override_index m_overrides;
     std::map<std::string, local_view, std::less<>> m_views;
     circuit_breaker m_breaker;
     prefix_index m_prefixes;
--- a/src/store/etcd_watch.cpp
+++ b/src/store/etcd_watch.cpp
@@ -72,13 +72,15 @@
     }
     const std::int64_t revision = etcd::headerRevision(answer.value());
     std::set<std::string> vanished = m_known;
+    std::vector<store_event> events;
     for (const store_entry &entry : entries.value()) {
         vanished.erase(entry.key);
-        report({false, entry});
+        events.push_back({false, entry});
     }
     for (const std::string &key : vanished) {
-        report({true, {key, {}, revision}});
+        events.push_back({true, {key, {}, revision}});
     }
+    report(std::move(events));
     return revision;
 }
 
@@ -126,30 +128,35 @@
     if (etcd::field(body, "created") == true && etcd::headerRevision(body) < listedRevision) {
         return false;
     }
+    std::vector<store_event> events;
     for (const json &event : etcd::field(body, "events")) {
         auto entry = etcd::parseEntry(etcd::field(event, "kv"));
         if (!entry) {
             return false;
         }
-        report({etcd::field(event, "type") == "DELETE", std::move(entry.value())});
+        events.push_back({etcd::field(event, "type") == "DELETE", std::move(entry.value())});
     }
+    report(std::move(events));
     return true;
 }
 
-void etcd_watch::report(const store_event &event)
+void etcd_watch::report(std::vector<store_event> events)
 {
-    {
-        const std::scoped_lock lock(m_mutex);
-        if (m_stopping) {
-            return;
+    for (store_event &event : events) {
+        {
+            const std::scoped_lock lock(m_mutex);
+            if (m_stopping) {
+                return;
+            }
         }
+        if (event.deleted) {
+            m_known.erase(event.entry.key);
+        } else {
+            m_known.insert(event.entry.key);
+        }
+        event.moreFollow = &event != &events.back();
+        m_onEvent(event);
     }
-    if (event.deleted) {
-        m_known.erase(event.entry.key);
-    } else {
-        m_known.insert(event.entry.key);
-    }
-    m_onEvent(event);
 }
 
 } // namespace bronzechute
--- a/src/store/etcd_watch.h
+++ b/src/store/etcd_watch.h
@@ -29,7 +29,7 @@
     void follow(std::int64_t listedRevision);
     bool handleData(std::string_view data, std::int64_t listedRevision);
     bool handleMessage(std::string_view line, std::int64_t listedRevision);
-    void report(const store_event &event);
+    void report(std::vector<store_event> events);
     bool pause(std::chrono::milliseconds time);
 
     const std::shared_ptr<etcd_connection> m_connection;
--- a/src/store/platform_store.h
+++ b/src/store/platform_store.h
@@ -28,6 +28,7 @@
 {
     bool deleted = false;
     store_entry entry; ///< For a deletion only the key and the revision are set.
+    bool moreFollow = false; ///< Further events of the same listing or message follow at once.
 
     friend bool operator==(const store_event &, const store_event &) = default;
 };
--- a/src/store/vm_list.cpp
+++ b/src/store/vm_list.cpp
@@ -36,21 +36,10 @@
     {
         const std::scoped_lock lock(m_mutex);
         m_lastReport = boot_clock::now();
-        if (event.deleted) {
-            if (m_byKey.erase(event.entry.key) == 0) {
-                return;
-            }
-        } else {
-            auto read = vm::parse(event.entry.value);
-            if (!read) {
-                ++m_unreadable;
-                return;
-            }
-            const auto known = m_byKey.find(event.entry.key);
-            if (known != m_byKey.end() && known->second == read.value()) {
-                return; // Repeated after the watch reconnected.
-            }
-            m_byKey.insert_or_assign(event.entry.key, std::move(read.value()));
+        m_changed = applyLocked(event) || m_changed;
+        // One list for a whole listing: a copy for each of its VMs would cost the square of their number.
+        if (event.moreFollow || !m_changed) {
+            return;
         }
         auto list = std::make_shared<std::vector<vm>>();
         list->reserve(m_byKey.size());
@@ -58,6 +47,7 @@
             list->push_back(entry);
         }
         m_current = std::move(list);
+        m_changed = false;
         changed = m_current;
     }
     if (m_onChanged) {
@@ -65,4 +55,22 @@
     }
 }
 
+bool vm_list::applyLocked(const store_event &event)
+{
+    if (event.deleted) {
+        return m_byKey.erase(event.entry.key) > 0;
+    }
+    auto read = vm::parse(event.entry.value);
+    if (!read) {
+        ++m_unreadable;
+        return false;
+    }
+    const auto known = m_byKey.find(event.entry.key);
+    if (known != m_byKey.end() && known->second == read.value()) {
+        return false; // Repeated after the watch reconnected.
+    }
+    m_byKey.insert_or_assign(event.entry.key, std::move(read.value()));
+    return true;
+}
+
 } // namespace bronzechute
--- a/src/store/vm_list.h
+++ b/src/store/vm_list.h
@@ -44,9 +44,13 @@
 private:
     void onEvent(const store_event &event);
 
+    /** @returns whether the event changes the list. */
+    bool applyLocked(const store_event &event);
+
     const std::function<void(const snapshot &)> m_onChanged;
     mutable ranked_mutex m_mutex {lock_rank::leaf};
     std::map<std::string, vm> m_byKey;
+    bool m_changed = false; ///< Since m_current was made.
     snapshot m_current = std::make_shared<const std::vector<vm>>();
     std::optional<time_point> m_lastReport;
     std::int64_t m_unreadable = 0;
--- a/tests/store/vm_list_test.cpp
+++ b/tests/store/vm_list_test.cpp
@@ -89,6 +89,22 @@
                                          vm_list_row {"list_frozen_by_silent_watch", {{"silence_watches", true}}}),
                          [](const auto &row) { return std::string(row.param.name); });
 
+// Guards against a start that copies the list once for each of its VMs.
+TEST(vm_list, reportsAListingOnce)
+{
+    store_fixture fixture;
+    for (const char *name : {"a", "b", "c", "d"}) {
+        ASSERT_TRUE(fixture.store->compareAndSwap("/platform/vms/" + std::string(name), 0, valueFor(name)));
+    }
+    std::atomic<int> reports {0};
+    vm_list list(*fixture.store, [&](const vm_list::snapshot &) { ++reports; });
+    ASSERT_TRUE(eventually([&] { return list.current()->size() == 4; }));
+    EXPECT_EQ(reports, 1);
+    ASSERT_TRUE(fixture.store->compareAndSwap("/platform/vms/e", 0, valueFor("e")));
+    ASSERT_TRUE(eventually([&] { return list.current()->size() == 5; }));
+    EXPECT_TRUE(eventually([&] { return reports == 2; }));
+}
+
 TEST(vm_list, removedVmVanishesAndUnreadableValueDoesNotRemoveOne)
 {
     store_fixture fixture;
