entry: continue broken streams at another endpoint (resume_elsewhere)

Cause: resume_elsewhere was parsed and had no effect; a streamed completion whose endpoint process or engine died was always cut. Change: stream_continuation (no input or output) reads the relayed events, builds the request that goes on from the text and rewrites id, role and usage of the events that follow. relay_stream asks the dispatcher for an attempt elsewhere, within the retry budget, four attempts and the deadline; everything that cannot be continued is cut visibly as before. Without the setting the bytes take the old path. The engine stand-in accepts continue_final_message and prompts that end with its own text. New counter bronzechute_continued_streams_total. Ruled out: resume_from, which only the stand-in knows; asking engines for usage in every event, which the caller would see. Conclusion: a continued stream shows the text, finish reason and usage of an undisturbed one, under one id. Not tried with a real engine.

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -18,6 +18,11 @@
 constexpr std::size_t readBytes = std::size_t {16} * 1024;
 constexpr std::size_t maxAttempts = 4;
 
+/** Less than this before the deadline, a new endpoint would hardly read the prompt again. */
+constexpr std::chrono::milliseconds leastContinuationTime {1000};
+
+constexpr int statusOk = 200;
+
 api_error unknownOutcome(int status, const std::string &code, const std::string &message)
 {
     return {status, code, message, {}, request_outcome::unknown, {}};
@@ -123,6 +128,7 @@
     const std::string endpoint = connection->peer().node;
     context.tried.push_back(endpoint);
     context.attemptAt = boot_clock::now();
+    context.attemptCounted = false;
     context.attemptSpan = startSpan(context.span->tracer(), "entry.attempt", traceparentOf(*context.span));
     context.attemptSpan->SetTag("peer", endpoint);
     if (!context.pending->beginAttempt(makeSubmit(context, connection), connection)) {
@@ -224,14 +230,58 @@
                 .toReply(id);
         }
     }
+    relay_stream::continue_function continuation;
+    if (context.request.streaming && context.request.resumeElsewhere && head.status == statusOk) {
+        continuation = [this](request_context &broken, std::string body) {
+            return continueElsewhere(broken, std::move(body));
+        };
+    }
     std::string collected;
     collected.swap(reply.body);
     reply.stream = std::make_shared<relay_stream>(
         std::move(context), std::move(collected),
-        [this](request_context &finished, relay_end end) { finishRelay(finished, end); });
+        [this](request_context &finished, relay_end end) { finishRelay(finished, end); }, std::move(continuation));
     return reply;
 }
 
+bool dispatcher::continueElsewhere(request_context &context, std::string body)
+{
+    // The old process may only be out of reach: where it still hears this, it stops work that nobody waits for.
+    context.pending->cancel();
+    m_directory.onFailed(context.pending->endpoint(), boot_clock::now());
+    context.attemptCounted = true;
+    context.request.body = std::move(body);
+    while (context.tried.size() < maxAttempts && remaining(context) > leastContinuationTime && mayRetry(context)) {
+        const link_ptr connection = m_directory.choose(context.request, context.tried, boot_clock::now());
+        if (connection == nullptr) {
+            return false;
+        }
+        const attempt_result result = tryEndpoint(context, connection);
+        if (result.end == attempt_end::settled) {
+            context.attemptCounted = true;
+            return false;
+        }
+        if (result.end == attempt_end::try_next) {
+            context.attemptCounted = true;
+            continue;
+        }
+        const int status = context.pending->head().status;
+        if (status == statusOk) {
+            context.headAt = boot_clock::now();
+            m_metrics.continuedStreams.add();
+            return true;
+        }
+        // An engine that rejects the request would be asked in vain anywhere else.
+        context.pending->cancel();
+        m_directory.onNeutral(context.pending->endpoint());
+        context.attemptCounted = true;
+        if (status < 500) {
+            return false;
+        }
+    }
+    return false;
+}
+
 bool dispatcher::keepSession(const request_context &context, http_reply &reply)
 {
     const caller_request &request = context.request;
@@ -272,6 +322,17 @@
 }
 
 void dispatcher::finishRelay(request_context &context, relay_end end)
+{
+    if (!context.attemptCounted) {
+        countEnd(context, end);
+    }
+    if (end != relay_end::whole) {
+        m_metrics.cutStreams.add();
+    }
+    finish(context, end == relay_end::whole ? request_outcome::answered : request_outcome::unknown);
+}
+
+void dispatcher::countEnd(const request_context &context, relay_end end)
 {
     const time_point now = boot_clock::now();
     const std::string endpoint = context.pending->endpoint();
@@ -288,10 +349,6 @@
         m_directory.onNeutral(endpoint);
         break;
     }
-    if (end != relay_end::whole) {
-        m_metrics.cutStreams.add();
-    }
-    finish(context, end == relay_end::whole ? request_outcome::answered : request_outcome::unknown);
 }
 
 void dispatcher::finish(request_context &context, request_outcome outcome)
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -46,11 +46,16 @@
     bool mayRetry(const request_context &context);
     http_reply relay(request_context context);
 
+    /** Begins an attempt that continues a broken stream. @returns whether its answer can be relayed. */
+    bool continueElsewhere(request_context &context, std::string body);
+
     /** Reads the answer until its end or a limit. @returns nothing when there is more than the limit. */
     std::optional<relay_end> collect(request_context &context, std::string &body);
     /** Adds the session header. @returns false when the answer shows an older state than the caller has seen. */
     static bool keepSession(const request_context &context, http_reply &reply);
     void finishRelay(request_context &context, relay_end end);
+    /** Tells the directory how the attempt under way ended. */
+    void countEnd(const request_context &context, relay_end end);
     http_reply reportFailure(request_context &context, const api_error &failure);
     void finish(request_context &context, request_outcome outcome);
 
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -20,6 +20,8 @@
                                 "Requests answered with an error before an endpoint was selected."))
     , retries(registry.counter("bronzechute_retries_total", "", "Attempts after the first one of a request."))
     , cutStreams(registry.counter("bronzechute_cut_streams_total", "", "Streams that were cut before their end."))
+    , continuedStreams(registry.counter("bronzechute_continued_streams_total", "",
+                                        "Attempts that continued a broken stream at another endpoint."))
     , firstByte(registry.histogram("bronzechute_first_byte_seconds", "",
                                    "Time from the arrival of a request to the head of its answer."))
     , duration(registry.histogram("bronzechute_duration_seconds", "",
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -18,6 +18,7 @@
     metric_counter &rejected; ///< Answered with an error before any endpoint was chosen.
     metric_counter &retries;
     metric_counter &cutStreams;
+    metric_counter &continuedStreams;
     metric_histogram &firstByte;
     metric_histogram &duration;
 
--- a/src/entry/request_context.h
+++ b/src/entry/request_context.h
@@ -26,6 +26,7 @@
     std::shared_ptr<opentracing::Span> span; ///< Of the whole request.
     std::shared_ptr<opentracing::Span> attemptSpan; ///< Of the attempt under way.
     std::vector<std::string> tried; ///< Endpoints that had an attempt.
+    bool attemptCounted = false; ///< The directory knows the end of the attempt under way.
 
     bool clientLeft() const
     {
--- a/tests/process/request_faults_test.cpp
+++ b/tests/process/request_faults_test.cpp
@@ -1,3 +1,4 @@
+#include "backend/sse_parser.h"
 #include "standins/http_fetch.h"
 #include "standins/local_system.h"
 
@@ -6,6 +7,7 @@
 
 #include <csignal>
 #include <future>
+#include <set>
 
 namespace bronzechute::standins {
 namespace {
@@ -304,6 +306,139 @@
                           false}),
     [](const auto &row) { return std::string(row.param.name); });
 
+struct continued_stream_row
+{
+    const char *name; ///< The failure that the row guards against.
+    bool resumeElsewhere;
+    bool chat;
+    std::function<void(local_system &, const std::string &, const std::string &)> during; ///< Serving one, other one.
+    bool whole; ///< Whether the caller gets the whole answer; a visible cut otherwise.
+};
+
+class continued_streams : public testing::TestWithParam<continued_stream_row>
+{
+};
+
+int tokensOf(local_system &system, const std::string &endpoint)
+{
+    return nlohmann::json::parse(system.stats(endpoint + ".engine"), nullptr, false).value("tokens", 0);
+}
+
+fetch_request streamRequest(const std::string &url, bool chat)
+{
+    fetch_request request;
+    request.url = url + (chat ? "/v1/chat/completions" : "/v1/completions");
+    request.method = "POST";
+    request.headers = {{"Authorization", "Bearer example-office-key"}};
+    request.body = std::string(R"({"model":"iroda-nyelv","max_tokens":100,"stream":true,)")
+        + (chat ? R"("messages":[{"role":"user","content":"hello"}]})" : R"("prompt":"hello"})");
+    return request;
+}
+
+/** What a caller sees of a stream: ids, text, finish reasons, usage. */
+struct stream_view
+{
+    std::set<std::string> ids;
+    std::string text;
+    std::vector<std::string> finishReasons;
+    std::vector<nlohmann::json> usages;
+
+    explicit stream_view(const std::string &body)
+    {
+        sse_parser parser;
+        for (const sse_event &event : parser.feed(body)) {
+            const auto json = nlohmann::json::parse(event.data, nullptr, false);
+            if (!json.is_object()) {
+                continue;
+            }
+            ids.insert(json.value("id", ""));
+            const nlohmann::json &choice = json["choices"][0];
+            text += choice.contains("delta") ? choice["delta"].value("content", "") : choice.value("text", "");
+            if (choice["finish_reason"].is_string()) {
+                finishReasons.push_back(choice["finish_reason"]);
+            }
+            if (json.contains("usage")) {
+                usages.push_back(json["usage"]);
+            }
+        }
+    }
+};
+
+TEST_P(continued_streams, showTheSameTextOrAVisibleCut)
+{
+    const continued_stream_row &row = GetParam();
+    local_system system;
+    system.startStore();
+    for (const char *name : {"model-1", "model-2"}) {
+        system.startModel(name, "buda", {"--step_ms", "30"});
+    }
+    system.startEntry("entry-1", "buda");
+    std::string configuration = local_system::exampleConfiguration();
+    const std::string place = "priority: 9";
+    configuration.replace(configuration.find(place), place.size(),
+                          place + "\n    resume_elsewhere: " + (row.resumeElsewhere ? "true" : "false"));
+    system.apply(configuration);
+    ASSERT_TRUE(system.waitReady("entry-1", 2));
+    auto stream = std::async(std::launch::async, [&] { return fetch(streamRequest(system.url("entry-1"), row.chat)); });
+    ASSERT_TRUE(
+        eventuallyTrue([&] { return std::max(tokensOf(system, "model-1"), tokensOf(system, "model-2")) >= 10; }));
+    const bool first = tokensOf(system, "model-1") > 0;
+    const std::string serving = first ? "model-1" : "model-2";
+    const std::string other = first ? "model-2" : "model-1";
+    row.during(system, serving, other);
+    const fetch_answer answer = stream.get();
+    if (!row.whole) {
+        EXPECT_NE(answer.code, CURLE_OK) << "a cut answer ended cleanly";
+        EXPECT_EQ(answer.body.find("[DONE]"), std::string::npos);
+        return;
+    }
+    ASSERT_EQ(answer.code, CURLE_OK) << answer.body;
+    const std::string done = "data: [DONE]\n\n";
+    ASSERT_TRUE(answer.body.ends_with(done)) << answer.body;
+    EXPECT_EQ(answer.body.find(done), answer.body.size() - done.size()) << "two ends";
+    const stream_view direct(fetch(streamRequest(system.url(other + ".engine"), row.chat)).body);
+    const stream_view seen(answer.body);
+    EXPECT_EQ(seen.text, direct.text);
+    EXPECT_EQ(seen.ids.size(), 1U);
+    EXPECT_EQ(seen.finishReasons, direct.finishReasons);
+    EXPECT_EQ(seen.usages, direct.usages);
+}
+
+const auto killServing = [](local_system &system, const std::string &serving, const std::string &) {
+    system.process(serving).kill();
+};
+const auto freezeServing = [](local_system &system, const std::string &serving, const std::string &) {
+    system.process(serving).freeze();
+};
+const auto killServingEngine = [](local_system &system, const std::string &serving, const std::string &) {
+    system.process(serving + ".engine").kill();
+};
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, continued_streams,
+    testing::Values(
+        continued_stream_row {"endpoint_killed_cuts_a_chat", true, true, killServing, true},
+        continued_stream_row {"endpoint_killed_cuts_a_completion", true, false, killServing, true},
+        continued_stream_row {"endpoint_frozen_cuts_the_stream", true, true, freezeServing, true},
+        continued_stream_row {"engine_killed_cuts_the_stream", true, true, killServingEngine, true},
+        continued_stream_row {"endpoint_killed_without_setting_continues", false, true, killServing, false},
+        continued_stream_row {"endpoint_frozen_without_setting_continues", false, true, freezeServing, false},
+        continued_stream_row {"engine_killed_without_setting_continues", false, true, killServingEngine, false},
+        continued_stream_row {"both_endpoints_killed_seen_as_end", true, true,
+                              [](local_system &system, const std::string &serving, const std::string &other) {
+                                  system.process(other).kill();
+                                  system.process(serving).kill();
+                              },
+                              false},
+        continued_stream_row {"second_death_during_continuation_seen_as_end", true, true,
+                              [](local_system &system, const std::string &serving, const std::string &other) {
+                                  system.process(serving).kill();
+                                  ASSERT_TRUE(eventuallyTrue([&] { return tokensOf(system, other) >= 10; }));
+                                  system.process(other).kill();
+                              },
+                              false}),
+    [](const auto &row) { return std::string(row.param.name); });
+
 TEST(stream_cancel, stopsTheEngineWhenTheCallerLeaves)
 {
     local_system system;
--- a/tests/standins/completion_format.cpp
+++ b/tests/standins/completion_format.cpp
@@ -38,7 +38,7 @@
 std::string completion_format::usage(std::size_t end) const
 {
     constexpr std::size_t bytesPerToken = 4;
-    const std::size_t promptTokens = m_request.prompt.size() / bytesPerToken;
+    const std::size_t promptTokens = m_request.prompt.size() / bytesPerToken + m_request.continuedTokens;
     const std::size_t tokens = end - m_request.firstToken;
     return R"("usage":{"prompt_tokens":)" + std::to_string(promptTokens) + R"(,"completion_tokens":)"
         + std::to_string(tokens) + R"(,"total_tokens":)" + std::to_string(promptTokens + tokens) + "}";
--- a/tests/standins/completion_request.h
+++ b/tests/standins/completion_request.h
@@ -14,7 +14,8 @@
     bool stream = false;
     std::string prompt; ///< For a chat: each message as "role: content" and a line feed.
     std::size_t firstToken = 0; ///< "resume_from": index of the first token to generate.
-    std::size_t lastToken = 16; ///< "max_tokens": index after the last one.
+    std::size_t lastToken = 16; ///< Index after the last one: "max_tokens", counted from token 0 or a continued text.
+    std::size_t continuedTokens = 0; ///< Tokens of its own answer that the request ends with.
     int priority = 0; ///< Lower runs first, as in vLLM.
 
     /** @param problem set to what is wrong with the JSON when nothing is returned */
