policy: spread a hot prefix by load over a part of the pool

With 90% of the requests on one prefix the first token took 206 ms at the 95th and 661 ms at the 99th percentile (round robin: 147 and 167). A trace of late requests showed endpoints with 35 to 50 requests in flight beside a mean of 25: affinity and the rendezvous hash fill the same few endpoints up to the bound, and, as reports lag, beyond their limit; others idle. Ruled out: prefill (most late ones wait in the queue or run in a batch of 50) and retries (none).

prefix_popularity estimates the share of the requests that have the longest cached part of the prompt. A prefix that needs two endpoints or more goes to the cheapest under the bound within a part of the pool that grows with its share.

The new row against the rule before (hotHolders = 1e9): tests/policy/load_aware_chooser_test.cpp:225: Failure choose(GetParam().chain) == 0U Which is: true GetParam().staysWithHolder Which is: false FAILED rows/prefix_popularity_choice.selectsHolder/hot_prefix_waits_at_its_holder

--- a/src/policy/load_aware_chooser.cpp
+++ b/src/policy/load_aware_chooser.cpp
@@ -1,6 +1,7 @@
 #include "policy/load_aware_chooser.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace bronzechute {
@@ -110,11 +111,16 @@
 }
 
 std::optional<std::size_t> load_aware_chooser::chooseByPrefix(std::span<const endpoint_candidate> candidates,
-                                                              const choice_request &request, double meanCost) const
+                                                              const choice_request &request, double meanCost)
 {
     const double bound = meanCost * m_settings.affinityBound + m_settings.affinitySlack;
     const std::uint64_t prefix = request.prefixChain.front();
+    const double holders = holdersOf(candidates, request);
+    const bool hot = holders >= m_settings.hotHolders;
+    const double part = std::min(1.0, holders / static_cast<double>(m_options.size()));
+    const auto highest = static_cast<std::uint64_t>(part * 0x1p63) * 2;
     const option *best = nullptr;
+    const option *cheapest = nullptr;
     std::pair<double, std::uint64_t> bestKey;
     for (const option &each : m_options) {
         const endpoint_candidate &candidate = candidates[each.index];
@@ -124,12 +130,29 @@
             continue;
         }
         const std::pair key(candidate.affinity, mix(prefix ^ candidate.nameHash));
+        if (hot && (part >= 1 || key.second < highest) && (!cheapest || each.cost < cheapest->cost)) {
+            cheapest = &each;
+        }
         if (!best || key > bestKey) {
             best = &each;
             bestKey = key;
         }
     }
+    best = cheapest ? cheapest : best;
     return best ? std::optional<std::size_t>(best->index) : std::nullopt;
 }
 
+double load_aware_chooser::holdersOf(std::span<const endpoint_candidate> candidates, const choice_request &request)
+{
+    double longest = 0;
+    for (const option &each : m_options) {
+        longest = std::max(longest, candidates[each.index].affinity);
+    }
+    const std::size_t length = request.prefixChain.size();
+    const auto matched = static_cast<std::size_t>(std::lround(longest * static_cast<double>(length)));
+    const std::size_t last = std::clamp<std::size_t>(matched, 1, length) - 1;
+    const double share = m_popularity.record(request.prefixChain[last]);
+    return share * static_cast<double>(m_options.size()) * m_settings.holdersPerShare;
+}
+
 } // namespace bronzechute
--- a/src/policy/load_aware_chooser.h
+++ b/src/policy/load_aware_chooser.h
@@ -2,6 +2,7 @@
 
 #include "policy/endpoint_chooser.h"
 #include "policy/load_aware_settings.h"
+#include "policy/prefix_popularity.h"
 
 #include <cstdint>
 #include <vector>
@@ -20,6 +21,13 @@
  * A request with a prefix goes to the endpoint of the highest affinity or, for equal affinity, of the highest
  * rendezvous hash of prefix and name, among those whose cost is under the bound and, while
  * the pool has room, that have no queue; so entries that share no state agree.
+ *
+ * A prefix of so many requests that a few endpoints cannot hold it is spread: the cheapest endpoint under the bound
+ * takes it, out of a part of the pool that grows with its share of this entry's requests and that the rendezvous hash
+ * selects. Affinity alone would fill its holders up to the bound while the others wait, which the lag of the reports
+ * turns into queues there. What counts is the longest part of the prompt that is cached anywhere, so a conversation
+ * stays where it is although its first block is common.
+ *
  * Otherwise the cheapest of a few random candidates is taken, which keeps entries with the same lagging view from all
  * selecting the same endpoint.
  */
@@ -41,9 +49,12 @@
 
     bool mayTake(const endpoint_candidate &candidate, const choice_request &request) const;
     std::optional<std::size_t> chooseByPrefix(std::span<const endpoint_candidate> candidates,
-                                              const choice_request &request, double meanCost) const;
+                                              const choice_request &request, double meanCost);
+    /** @returns over how many endpoints the longest cached part of the prompt is spread, by its share of requests. */
+    double holdersOf(std::span<const endpoint_candidate> candidates, const choice_request &request);
 
     const load_aware_settings m_settings;
+    prefix_popularity m_popularity;
     std::vector<option> m_options; ///< Kept between calls to avoid allocation.
 };
 
--- a/src/policy/load_aware_settings.h
+++ b/src/policy/load_aware_settings.h
@@ -13,6 +13,8 @@
     double affinityBound = 1.25; ///< An endpoint keeps a prefix up to this multiple of the mean cost...
     double affinitySlack = 0.1; ///< ...plus this, so that an idle pool does not scatter prefixes.
     double roomBelow = 0.9; ///< Below this mean cost the pool has room, and no prefix is worth a wait in a queue.
+    double holdersPerShare = 2; ///< Endpoints that hold a prefix, over its share of the requests times the pool's size.
+    double hotHolders = 2; ///< A prefix is hot, and spread by load, from this many holders on.
     double remotePenalty = 0.5; ///< Added to the cost of endpoints in another data centre.
 };
 
--- a/tests/policy/load_aware_chooser_test.cpp
+++ b/tests/policy/load_aware_chooser_test.cpp
@@ -189,5 +189,49 @@
     EXPECT_NE(chooser.choose(candidates, request, random), 0U);
 }
 
+struct popularity_row
+{
+    const char *name; ///< The failure that the row guards against.
+    int hotChoices; ///< Requests with the chain {42} before the last one.
+    int otherChoices; ///< Requests with chains of their own after these.
+    std::vector<std::uint64_t> chain; ///< Of the last request.
+    bool staysWithHolder; ///< Whether the last one goes to the loaded endpoint that holds its prefix.
+};
+
+class prefix_popularity_choice : public testing::TestWithParam<popularity_row>
+{
+};
+
+TEST_P(prefix_popularity_choice, selectsHolder)
+{
+    const auto all = names(8);
+    auto candidates = pool(all);
+    candidates[0].affinity = 1;
+    for (endpoint_candidate &each : candidates) {
+        each.inFlight = 4;
+    }
+    candidates[0].inFlight = 5; // Within the bound of affinity.
+    load_aware_chooser chooser;
+    std::mt19937_64 random(1);
+    const auto choose = [&](const std::vector<std::uint64_t> &chain) {
+        return chooser.choose(candidates, {.localDataCentre = "buda", .prefixChain = chain, .tried = {}}, random);
+    };
+    for (int sent = 0; sent < GetParam().hotChoices; ++sent) {
+        choose({42});
+    }
+    for (int sent = 0; sent < GetParam().otherChoices; ++sent) {
+        choose({1000 + static_cast<std::uint64_t>(sent)});
+    }
+    EXPECT_EQ(choose(GetParam().chain) == 0U, GetParam().staysWithHolder);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, prefix_popularity_choice,
+    testing::Values(popularity_row {"hot_prefix_waits_at_its_holder", 300, 0, {42}, false},
+                    popularity_row {"rare_prefix_scattered_beside_a_hot_one", 300, 0, {7}, true},
+                    popularity_row {"conversation_scattered_for_its_shared_first_block", 300, 0, {42, 7}, true},
+                    popularity_row {"former_hot_prefix_stays_scattered", 300, 1000, {42}, true}),
+    [](const auto &row) { return std::string(row.param.name); });
+
 } // namespace
 } // namespace bronzechute
