policy: tolerate the noise of the mean service time in the cost

The mean covers about 20 answers whose length differs, so equal endpoints differ by a quarter and load followed that.

The new row with the tolerance at 1, as before: tests/policy/load_aware_chooser_test.cpp:49: Failure selected Which is: { "b" } GetParam().expected Which is: { "a", "b" } FAILED rows/load_aware_choice.selectsOnly/answers_of_other_length_taken_for_slowness

--- a/src/policy/load_aware_chooser.cpp
+++ b/src/policy/load_aware_chooser.cpp
@@ -82,12 +82,14 @@
     for (option &each : m_options) {
         const endpoint_candidate &candidate = candidates[each.index];
         const double service = candidate.meanServiceMs > 0 ? candidate.meanServiceMs * perMeanService : 1;
+        const double tolerance = m_settings.serviceTolerance;
+        const double slowness = service > 1 ? std::max(1.0, service / tolerance) : std::min(1.0, service * tolerance);
         const double limit = std::max(1, candidate.limit);
         each.cost = each.load * perMeanLimit;
         if (each.load > limit) {
             each.cost += (each.load - limit) / limit;
         }
-        each.cost *= service;
+        each.cost *= slowness;
         if (candidate.dataCentre != request.localDataCentre) {
             each.cost += m_settings.remotePenalty;
         }
--- a/src/policy/load_aware_chooser.h
+++ b/src/policy/load_aware_chooser.h
@@ -14,9 +14,10 @@
  *
  * The estimate is the reported load (in flight and queued) plus the change of this entry's own requests since the
  * report, times the number of entries: the others are taken to behave alike, because all see the same lagging reports.
- * The cost of an endpoint is its service time, relative to the mean, times the estimate over the mean limit plus what
- * exceeds the endpoint's own limit over that limit. Load over the own limit alone would send more to endpoints whose
- * limit has grown, although the engines are equal.
+ * The cost of an endpoint is its service time, relative to the mean and beyond a tolerance, times the estimate over the
+ * mean limit plus what exceeds the endpoint's own limit over that limit. The mean service time of equal endpoints
+ * differs by the length of the answers they happened to give, and must not steer requests. Load over the own limit
+ * alone would send more to endpoints whose limit has grown, although the engines are equal.
  *
  * A request with a prefix goes to the endpoint of the highest affinity or, for equal affinity, of the highest
  * rendezvous hash of prefix and name, among those whose cost is under the bound and, while
--- a/src/policy/load_aware_settings.h
+++ b/src/policy/load_aware_settings.h
@@ -15,6 +15,8 @@
     double roomBelow = 0.9; ///< Below this mean cost the pool has room, and no prefix is worth a wait in a queue.
     double holdersPerShare = 2; ///< Endpoints that hold a prefix, over its share of the requests times the pool's size.
     double hotHolders = 2; ///< A prefix is hot, and spread by load, from this many holders on.
+    double serviceTolerance = 1.5; ///< Service times within this factor of the mean count as equal: a mean over about
+                                   ///< 20 answers whose length differs as much as its mean is off by a quarter.
     double remotePenalty = 0.5; ///< Added to the cost of endpoints in another data centre.
 };
 
--- a/tests/policy/load_aware_chooser_test.cpp
+++ b/tests/policy/load_aware_chooser_test.cpp
@@ -86,6 +86,13 @@
                                     a.inFlight = b.inFlight = 4;
                                 },
                                 {"b"}},
+                    choice_row {"answers_of_other_length_taken_for_slowness",
+                                [](auto &a, auto &b) {
+                                    a.meanServiceMs = 1250;
+                                    b.meanServiceMs = 1000;
+                                    a.inFlight = b.inFlight = 4;
+                                },
+                                {"a", "b"}},
                     choice_row {"higher_limit_attracts_more_than_equal_load",
                                 [](auto &a, auto &b) {
                                     a.limit = 40;
