entry, endpoint: survive lost, late, copied and swapped frames

The forwarder stand-in gets a mode for frames (--frames): rules name a frame type and drop, duplicate, delay or swap it. 20 order rows and 10 stream rows use it between entry and endpoint process, and each checks that every rule was applied.

The new rows found three faults: - refused_lost_reported_as_unknown: "ended as 4: 504 deadline_exceeded outcome unknown". A refused connection to the service was registered as a finished attempt, so that a later cancel was answered "started". It is now remembered as cancelled (attempt_register::finishNotRun). - end_lost and head_lost ended as unknown at the deadline, lost_end held the stream until the caller's timeout (20 s), because a lost head or end leaves no gap. The entry now sends resume when nothing of a running attempt came for 2 s. A resume before the first frame was ruled out: it would cancel a queued attempt.

--- a/src/endpoint/endpoint_gate.cpp
+++ b/src/endpoint/endpoint_gate.cpp
@@ -163,13 +163,17 @@
     request->attach(m_engine->start(makeBackEndRequest(attempt.submit, m_settings.endpoint, traceparent), request));
 }
 
-void endpoint_gate::onRequestEnded(const attempt_id &id, const answer_sample &sample)
+void endpoint_gate::onRequestEnded(const attempt_id &id, const answer_sample &sample, bool mayHaveRun)
 {
     const std::scoped_lock lock(m_mutex);
     const time_point now = boot_clock::now();
     --m_active;
     m_limiter->onFinished(now, sample);
-    m_register.finish(id, now);
+    if (mayHaveRun) {
+        m_register.finish(id, now);
+    } else {
+        m_register.finishNotRun(id, now);
+    }
     const double serviceMs = std::chrono::duration<double, std::milli>(sample.service).count();
     if (sample.outcome == answer_outcome::answered) {
         m_meanServiceMs += (serviceMs - m_meanServiceMs) * (m_meanServiceMs == 0 ? 1 : serviceTimeSmoothing);
--- a/src/endpoint/endpoint_gate.h
+++ b/src/endpoint/endpoint_gate.h
@@ -40,7 +40,7 @@
     /** The connection is down: its queued attempts are dropped, its running ones wait for a resume. */
     void onDisconnected(const link_ptr &connection, time_point now);
 
-    void onRequestEnded(const attempt_id &id, const answer_sample &sample) override;
+    void onRequestEnded(const attempt_id &id, const answer_sample &sample, bool mayHaveRun) override;
 
     /** Expires queued attempts, cancels those whose entry is gone, forgets what is delivered. */
     void maintain(time_point now);
--- a/src/endpoint/request_observer.h
+++ b/src/endpoint/request_observer.h
@@ -10,7 +10,9 @@
 {
 public:
     virtual ~request_observer() = default;
-    virtual void onRequestEnded(const attempt_id &id, const answer_sample &sample) = 0;
+
+    /** @param mayHaveRun false when the engine is known not to have had the request */
+    virtual void onRequestEnded(const attempt_id &id, const answer_sample &sample, bool mayHaveRun) = 0;
 };
 
 } // namespace bronzechute
--- a/src/endpoint/running_request.cpp
+++ b/src/endpoint/running_request.cpp
@@ -101,6 +101,7 @@
 void running_request::finish(terminal_frame terminal, answer_outcome outcome)
 {
     answer_sample sample;
+    const bool mayHaveRun = !std::holds_alternative<refused_frame>(terminal);
     {
         const std::scoped_lock lock(m_mutex);
         const time_point now = boot_clock::now();
@@ -116,7 +117,7 @@
     m_span->SetTag("answered", outcome == answer_outcome::answered);
     m_span->SetTag("events", static_cast<std::int64_t>(sample.tokens));
     m_span->Finish();
-    m_observer.onRequestEnded(m_submit.id, sample);
+    m_observer.onRequestEnded(m_submit.id, sample, mayHaveRun);
 }
 
 void running_request::sendTerminalLocked()
--- a/src/entry/pending_request.cpp
+++ b/src/entry/pending_request.cpp
@@ -14,6 +14,25 @@
 /** Longer than an in-order connection ever leaves a gap; then the missing frames are asked for again. */
 constexpr std::chrono::milliseconds gapPatience {300};
 
+/**
+ * Silence of a running attempt after which its last frames are asked for again: the loss of an end leaves no gap.
+ * Longer than the 1.6 s within which 95 % of first tokens come.
+ */
+constexpr std::chrono::seconds quietPatience {2};
+
+bool belongsTo(const frame &message, const attempt_id &attempt)
+{
+    return std::visit(
+        [&attempt](const auto &each) {
+            if constexpr (requires { each.id == attempt; }) {
+                return each.id == attempt;
+            } else {
+                return false;
+            }
+        },
+        message);
+}
+
 } // namespace
 
 pending_request::pending_request(const request_id &id) : m_id(id)
@@ -36,6 +55,8 @@
     m_cancelled.reset();
     m_detachedSince.reset();
     m_gapSince.reset();
+    m_heard = false;
+    m_quietSince.reset();
     m_ready.clear();
     m_uncreditedBytes = 0;
     m_lost = false;
@@ -47,6 +68,7 @@
 void pending_request::onFrame(const frame &message)
 {
     const std::scoped_lock lock(m_mutex);
+    m_heard = m_heard || belongsTo(message, m_attempt);
     acceptLocked(message);
     m_changed.notify_all();
 }
@@ -125,6 +147,14 @@
         m_gapSince = now;
         resumeLocked();
     }
+    if (m_heard) {
+        m_heard = false;
+        m_quietSince = now;
+    } else if (m_quietSince && !(m_head && m_assembler->complete()) && now - *m_quietSince > quietPatience) {
+        // A frame of the attempt has come, so that the endpoint process runs it: a resume cannot cancel it.
+        m_quietSince = now;
+        resumeLocked();
+    }
 }
 
 attempt_progress pending_request::progressLocked() const
--- a/src/entry/pending_request.h
+++ b/src/entry/pending_request.h
@@ -90,6 +90,8 @@
     std::optional<cancelled_frame> m_cancelled;
     std::optional<time_point> m_detachedSince;
     std::optional<time_point> m_gapSince;
+    bool m_heard = false; ///< Whether a frame of the attempt came since its age was checked.
+    std::optional<time_point> m_quietSince; ///< Since when none came; absent until the first one.
     std::string m_ready; ///< Bytes in order that the caller has not been given.
     std::size_t m_uncreditedBytes = 0; ///< Bytes given to the caller since the last credit.
     bool m_lost = false;
--- a/src/request/attempt_register.cpp
+++ b/src/request/attempt_register.cpp
@@ -38,12 +38,22 @@
 }
 
 void attempt_register::finish(const attempt_id &id, time_point now)
+{
+    end(id, phase::finished, now);
+}
+
+void attempt_register::finishNotRun(const attempt_id &id, time_point now)
+{
+    end(id, phase::cancelled, now);
+}
+
+void attempt_register::end(const attempt_id &id, phase last, time_point now)
 {
     const auto position = m_attempts.find(id);
     if (position == m_attempts.end() || position->second == phase::cancelled || position->second == phase::finished) {
         return;
     }
-    position->second = phase::finished;
+    position->second = last;
     m_expiries.push_back({now + m_retention, id});
 }
 
--- a/src/request/attempt_register.h
+++ b/src/request/attempt_register.h
@@ -44,6 +44,12 @@
     /** The attempt has ended; it is remembered for the retention time. */
     void finish(const attempt_id &id, time_point now);
 
+    /**
+     * The attempt was started and is known not to have run, for example because the engine refused the connection. It
+     * is remembered as cancelled, so that a later cancel is answered with the proof again.
+     */
+    void finishNotRun(const attempt_id &id, time_point now);
+
     /** Forgets what ended longer ago than the retention time. */
     void expire(time_point now);
 
@@ -61,6 +67,8 @@
         attempt_id id;
     };
 
+    void end(const attempt_id &id, phase last, time_point now);
+
     std::chrono::milliseconds m_retention;
     std::map<attempt_id, phase> m_attempts;
     std::deque<expiry> m_expiries; ///< In order of time.
--- a/tests/process/request_faults_test.cpp
+++ b/tests/process/request_faults_test.cpp
@@ -40,6 +40,20 @@
     return outcome == "answered" ? answered : outcome == "not_run" ? not_run : unknown;
 }
 
+/** Sets the rules of a forwarder for frames, a JSON list; an empty text sets none. */
+void injectFrames(local_system &system, const std::string &forwarder, const std::string &rules)
+{
+    if (!rules.empty()) {
+        system.inject(forwarder, {{"frames", nlohmann::json::parse(rules)}});
+    }
+}
+
+/** @returns whether the forwarder has changed a frame for each rule. */
+bool framesChanged(local_system &system, const std::string &forwarder, const std::string &rules)
+{
+    return rules.empty() || nlohmann::json::parse(system.stats(forwarder)).value("unused_frame_rules", -1) == 0;
+}
+
 struct order_fault_row
 {
     const char *name; ///< The failure that the row guards against.
@@ -49,6 +63,7 @@
     std::function<void(local_system &)> during; ///< While the service works on it; may be empty.
     std::function<void(local_system &)> after; ///< After the caller has its answer; may be empty.
     unsigned endings; ///< Those that are allowed.
+    std::string frames = {}; ///< Rules for frames between entry and endpoint process; may be empty.
 };
 
 class order_faults : public testing::TestWithParam<order_fault_row>
@@ -68,6 +83,7 @@
     if (row.before) {
         row.before(system);
     }
+    injectFrames(system, "office-1.forwarder", row.frames);
     auto order = std::async(std::launch::async, [&] { return system.order("entry-1", "envelopes", {}, 60s); });
     if (row.during) {
         ASSERT_TRUE(eventuallyTrue(
@@ -78,6 +94,7 @@
     if (row.after) {
         row.after(system);
     }
+    EXPECT_TRUE(framesChanged(system, "office-1.forwarder", row.frames));
     const unsigned end = endingOf(answer);
     EXPECT_TRUE(end & row.endings) << "ended as " << end << ": " << answer.status << " " << answer.body;
     // A late copy would run within the deadline of the order; the service's own work is added to it.
@@ -89,6 +106,7 @@
     }
     if (end == answered) {
         EXPECT_EQ(runs, 1);
+        EXPECT_TRUE(nlohmann::json::accept(answer.body)) << "not the service's answer: " << answer.body;
     }
 }
 
@@ -205,6 +223,81 @@
                          answered}),
     [](const auto &row) { return std::string(row.param.name); });
 
+const auto neverAnswer = [](local_system &system) {
+    system.inject("office-1.engine", R"({"never_answer": true})"_json);
+};
+
+/** @returns a row in which only frames between the processes are disturbed. */
+order_fault_row frameRow(const char *name, const std::string &rules, unsigned endings, const std::string &deadlineMs)
+{
+    return {name, {}, deadlineMs, {}, {}, {}, endings, rules};
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    frames, order_faults,
+    testing::Values(
+        frameRow("submit_copy_runs", R"([{"type": "submit", "action": "duplicate"}])", answered, "5000"),
+        frameRow("submit_copy_after_the_answer_runs",
+                 R"([{"type": "submit", "action": "duplicate", "delay_ms": 1500}])", answered, "5000"),
+        frameRow("submit_after_the_deadline_runs", R"([{"type": "submit", "action": "delay", "delay_ms": 3000}])",
+                 not_run, "2000"),
+        frameRow("submit_after_the_deadline_and_cancel_lost_reported_as_not_run",
+                 R"([{"type": "submit", "action": "delay", "delay_ms": 4000}, {"type": "cancel", "action": "drop"}])",
+                 unknown, "2000"),
+        frameRow("submit_lost_reported_as_unknown", R"([{"type": "submit", "action": "drop"}])", not_run, "2000"),
+        frameRow("submit_and_cancelled_lost_reported_as_not_run",
+                 R"([{"type": "submit", "action": "drop"}, {"type": "cancelled", "action": "drop"}])", unknown, "2000"),
+        frameRow("accepted_lost_loses_the_answer", R"([{"type": "accepted", "action": "drop"}])", answered, "5000"),
+        frameRow("accepted_after_the_answer_breaks_it",
+                 R"([{"type": "accepted", "action": "delay", "delay_ms": 1500}])", answered, "5000"),
+        order_fault_row {"accepted_after_cancelled_reported_as_not_run",
+                         {},
+                         "2000",
+                         neverAnswer,
+                         {},
+                         {},
+                         unknown,
+                         R"([{"type": "accepted", "action": "delay", "delay_ms": 3500},
+                             {"type": "failed", "action": "drop", "times": 100}])"},
+        order_fault_row {"cancel_lost_reported_as_not_run",
+                         {},
+                         "2000",
+                         neverAnswer,
+                         {},
+                         {},
+                         unknown,
+                         R"([{"type": "failed", "action": "drop", "times": 100},
+                             {"type": "cancel", "action": "drop"}])"},
+        order_fault_row {"cancel_copy_reported_as_not_run",
+                         {},
+                         "2000",
+                         neverAnswer,
+                         {},
+                         {},
+                         unknown,
+                         R"([{"type": "failed", "action": "drop", "times": 100},
+                             {"type": "cancel", "action": "duplicate"}])"},
+        order_fault_row {"refused_lost_reported_as_unknown",
+                         {},
+                         "2000",
+                         [](local_system &system) { system.process("office-1.engine").kill(); },
+                         {},
+                         {},
+                         not_run,
+                         R"([{"type": "refused", "action": "drop"}])"},
+        frameRow("head_after_data_breaks_the_answer", R"([{"type": "response_head", "action": "swap"}])", answered,
+                 "5000"),
+        frameRow("head_lost_loses_the_answer", R"([{"type": "response_head", "action": "drop"}])", answered, "5000"),
+        frameRow("data_lost_loses_the_answer", R"([{"type": "data", "action": "drop"}])", answered, "5000"),
+        frameRow("data_copy_breaks_the_answer", R"([{"type": "data", "action": "duplicate"}])", answered, "5000"),
+        frameRow("end_before_data_breaks_the_answer", R"([{"type": "data", "action": "delay", "delay_ms": 1000}])",
+                 answered, "5000"),
+        frameRow("end_lost_loses_the_answer", R"([{"type": "end", "action": "drop"}])", answered, "5000"),
+        frameRow("end_copy_breaks_the_answer", R"([{"type": "end", "action": "duplicate"}])", answered, "5000"),
+        frameRow("late_end_loses_the_answer", R"([{"type": "end", "action": "delay", "delay_ms": 1500}])", answered,
+                 "5000")),
+    [](const auto &row) { return std::string(row.param.name); });
+
 /** @returns the text of a streamed completion. */
 std::string streamedText(const std::string &body)
 {
@@ -227,6 +320,7 @@
     const char *name; ///< The failure that the row guards against.
     std::function<void(local_system &)> during; ///< After the first tokens; may be empty.
     bool whole; ///< Whether the caller gets the whole answer; a visible cut otherwise.
+    std::string frames = {}; ///< Rules for frames between entry and endpoint process; may be empty.
 };
 
 class stream_faults : public testing::TestWithParam<stream_fault_row>
@@ -243,6 +337,7 @@
     system.startEntry("entry-1", "buda");
     system.apply(local_system::exampleConfiguration());
     ASSERT_TRUE(system.waitReady("entry-1", 1));
+    injectFrames(system, "model-1.forwarder", GetParam().frames);
     auto stream = std::async(std::launch::async, [&] { return system.complete("entry-1", tokens, true); });
     ASSERT_TRUE(
         eventuallyTrue([&] { return nlohmann::json::parse(system.stats("model-1.engine")).value("tokens", 0) >= 10; }));
@@ -250,6 +345,7 @@
         GetParam().during(system);
     }
     const fetch_answer answer = stream.get();
+    EXPECT_TRUE(framesChanged(system, "model-1.forwarder", GetParam().frames));
     if (!GetParam().whole) {
         EXPECT_NE(answer.code, CURLE_OK) << "a cut answer ended cleanly";
         EXPECT_EQ(answer.body.find("[DONE]"), std::string::npos);
@@ -304,6 +400,44 @@
                           false}),
     [](const auto &row) { return std::string(row.param.name); });
 
+INSTANTIATE_TEST_SUITE_P(
+    frames, stream_faults,
+    testing::Values(
+        stream_fault_row {
+            "data_copy_shown_twice", {}, true, R"([{"type": "data", "action": "duplicate", "skip": 3, "times": 50}])"},
+        stream_fault_row {"late_data_copy_shown_twice",
+                          {},
+                          true,
+                          R"([{"type": "data", "action": "duplicate", "skip": 3, "times": 50, "delay_ms": 700}])"},
+        stream_fault_row {"swapped_data_shown_out_of_order",
+                          {},
+                          true,
+                          R"([{"type": "data", "action": "swap", "skip": 3, "times": 50}])"},
+        stream_fault_row {"late_data_shown_out_of_order",
+                          {},
+                          true,
+                          R"([{"type": "data", "action": "delay", "skip": 3, "times": 1, "delay_ms": 1000}])"},
+        stream_fault_row {
+            "lost_data_seen_as_whole", {}, true, R"([{"type": "data", "action": "drop", "skip": 3, "times": 5}])"},
+        stream_fault_row {"end_before_late_data_seen_as_end",
+                          {},
+                          true,
+                          R"([{"type": "data", "action": "delay", "times": 100000, "delay_ms": 1000}])"},
+        stream_fault_row {"lost_data_and_resume_seen_as_whole",
+                          {},
+                          true,
+                          R"([{"type": "data", "action": "drop", "skip": 3},
+                              {"type": "resume", "action": "drop", "times": 2}])"},
+        stream_fault_row {"resume_copy_shows_data_twice",
+                          {},
+                          true,
+                          R"([{"type": "data", "action": "drop", "skip": 3},
+                              {"type": "resume", "action": "duplicate", "delay_ms": 300}])"},
+        stream_fault_row {"lost_end_stops_the_stream", {}, true, R"([{"type": "end", "action": "drop"}])"},
+        stream_fault_row {
+            "head_after_data_breaks_the_stream", {}, true, R"([{"type": "response_head", "action": "swap"}])"}),
+    [](const auto &row) { return std::string(row.param.name); });
+
 TEST(stream_cancel, stopsTheEngineWhenTheCallerLeaves)
 {
     local_system system;
--- a/tests/request/attempt_register_test.cpp
+++ b/tests/request/attempt_register_test.cpp
@@ -41,6 +41,9 @@
     case 'f':
         attempts.finish(id, now);
         return '-';
+    case 'n':
+        attempts.finishNotRun(id, now);
+        return '-';
     default:
         now += retention + 1s;
         attempts.expire(now);
@@ -66,6 +69,7 @@
                                          register_row {"queued_attempt_runs_after_cancel", "acs", "F00"},
                                          register_row {"started_attempt_reported_as_not_run", "asc", "F11"},
                                          register_row {"ended_attempt_reported_as_not_run", "asfc", "F1-1"},
+                                         register_row {"refused_start_reported_as_run", "asnca", "F1-0C"},
                                          register_row {"second_cancel_reports_a_start", "cc", "00"},
                                          register_row {"running_attempt_forgotten", "aswa", "F1-D"},
                                          register_row {"register_grows_for_ever", "caw", "0C-"}),
--- a/tests/standins/forward_direction.cpp
+++ b/tests/standins/forward_direction.cpp
@@ -18,6 +18,21 @@
 
 } // namespace
 
+forward_direction::forward_direction(int from, int to, frame_rules *rules) : m_from(from), m_to(to)
+{
+    if (rules != nullptr) {
+        m_filter.emplace(*rules);
+    }
+}
+
+void forward_direction::hold(chunk next)
+{
+    m_buffered += next.bytes.size();
+    // What is due at the same time keeps its order, so that a chunk that is partly sent stays in front.
+    const auto position = std::ranges::upper_bound(m_chunks, next.due, {}, &chunk::due);
+    m_chunks.insert(position, std::move(next));
+}
+
 bool forward_direction::wantsRead() const
 {
     return !m_endRead && m_buffered < bufferLimit;
@@ -41,8 +56,17 @@
         return wouldBlock();
     }
     m_endRead = count == 0;
-    m_buffered += static_cast<std::size_t>(count);
-    m_chunks.push_back({due, std::string(block, static_cast<std::size_t>(count))});
+    // A delay that is set lower lets nothing overtake what was read before.
+    m_lastDue = std::max(m_lastDue, due);
+    const std::string_view bytes(block, static_cast<std::size_t>(count));
+    if (!m_filter || m_endRead) {
+        hold({m_endRead && !m_chunks.empty() ? std::max(m_lastDue, m_chunks.back().due) : m_lastDue,
+              std::string(bytes)});
+        return true;
+    }
+    for (frame_filter::piece &piece : m_filter->feed(bytes)) {
+        hold({m_lastDue + piece.delay, std::move(piece.bytes)});
+    }
     return true;
 }
 
--- a/tests/standins/forward_direction.h
+++ b/tests/standins/forward_direction.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "base/boot_clock.h"
+#include "standins/frame_filter.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 
 namespace bronzechute::standins {
@@ -13,9 +15,8 @@
 class forward_direction
 {
 public:
-    forward_direction(int from, int to) : m_from(from), m_to(to)
-    {
-    }
+    /** @param rules faults of frames, or null to forward bytes as they are */
+    forward_direction(int from, int to, frame_rules *rules);
 
     /** @returns whether there is room for more bytes and the sender has not ended. */
     bool wantsRead() const;
@@ -53,9 +54,13 @@
         std::string bytes; ///< Empty for the end of the stream.
     };
 
+    void hold(chunk next);
+
     int m_from;
     int m_to;
-    std::deque<chunk> m_chunks;
+    std::optional<frame_filter> m_filter;
+    std::deque<chunk> m_chunks; ///< In the order in which they are due.
+    time_point m_lastDue {}; ///< Of what was read last, without the delay of single frames.
     std::size_t m_buffered = 0;
     std::uint64_t m_forwarded = 0;
     bool m_endRead = false;
--- a/tests/standins/forwarded_connection.cpp
+++ b/tests/standins/forwarded_connection.cpp
@@ -5,8 +5,12 @@
 
 namespace bronzechute::standins {
 
-forwarded_connection::forwarded_connection(int client, int target, std::uint64_t allowance)
-    : m_client(client), m_target(target), m_up(client, target), m_down(target, client), m_allowance(allowance)
+forwarded_connection::forwarded_connection(int client, int target, std::uint64_t allowance, frame_rules *rules)
+    : m_client(client)
+    , m_target(target)
+    , m_up(client, target, rules)
+    , m_down(target, client, rules)
+    , m_allowance(allowance)
 {
 }
 
--- a/tests/standins/forwarded_connection.h
+++ b/tests/standins/forwarded_connection.h
@@ -14,8 +14,11 @@
 public:
     static constexpr std::uint64_t unlimited = UINT64_MAX;
 
-    /** @param allowance bytes until the connection goes silent */
-    forwarded_connection(int client, int target, std::uint64_t allowance);
+    /**
+     * @param allowance bytes until the connection goes silent
+     * @param rules faults of frames, or null to forward bytes as they are
+     */
+    forwarded_connection(int client, int target, std::uint64_t allowance, frame_rules *rules);
     ~forwarded_connection();
     forwarded_connection(const forwarded_connection &) = delete;
     forwarded_connection &operator=(const forwarded_connection &) = delete;
--- a/tests/standins/forwarder.cpp
+++ b/tests/standins/forwarder.cpp
@@ -35,12 +35,28 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
 }
 
+std::vector<frame_rule> readFrameRules(const nlohmann::json &list)
+{
+    std::vector<frame_rule> rules;
+    for (const nlohmann::json &item : list) {
+        frame_rule rule;
+        rule.type = frameTypeNamed(item.at("type").get<std::string>());
+        rule.action = frameActionNamed(item.at("action").get<std::string>());
+        rule.delay = std::chrono::milliseconds(item.value("delay_ms", 0));
+        rule.skip = item.value("skip", rule.skip);
+        rule.times = item.value("times", rule.times);
+        rules.push_back(rule);
+    }
+    return rules;
+}
+
 } // namespace
 
 result<std::unique_ptr<forwarder>> forwarder::start(const forwarder_options &options)
 {
     std::unique_ptr<forwarder> created(new forwarder);
     created->m_targetPort = options.targetPort;
+    created->m_framed = options.frames;
     created->m_wakeDescriptor = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
     if (const auto listening = created->listenOn(options.port); !listening) {
         return listening.error();
@@ -99,6 +115,9 @@
         m_settings.delay = std::chrono::milliseconds(object.value("delay_ms", m_settings.delay.count()));
         m_settings.refuseNew = object.value("refuse_new", m_settings.refuseNew);
         m_settings.silenceNew = object.value("silence_new", m_settings.silenceNew);
+        if (object.contains("frames")) {
+            m_frameRules.rules = readFrameRules(object.at("frames"));
+        }
         std::optional<std::uint64_t> limit;
         if (object.contains("silent_after_bytes")) {
             limit = object.at("silent_after_bytes").get<std::uint64_t>();
@@ -118,7 +137,7 @@
             }
             m_connections.clear();
         }
-    } catch (const nlohmann::json::exception &problem) {
+    } catch (const std::exception &problem) {
         return problem.what();
     }
     wake();
@@ -152,7 +171,8 @@
                            {"open", m_connections.size()},
                            {"silent", std::ranges::count_if(m_connections, &forwarded_connection::silent)},
                            {"bytes_up", up},
-                           {"bytes_down", down}}
+                           {"bytes_down", down},
+                           {"unused_frame_rules", std::ranges::count(m_frameRules.rules, false, &frame_rule::applied)}}
         .dump();
 }
 
@@ -215,7 +235,7 @@
         --m_settings.nextConnections;
         allowance = std::min(allowance, m_settings.nextLimit);
     }
-    m_connections.emplace_back(client, target, allowance);
+    m_connections.emplace_back(client, target, allowance, m_framed ? &m_frameRules : nullptr);
 }
 
 int forwarder::connectToTarget() const
--- a/tests/standins/forwarder.h
+++ b/tests/standins/forwarder.h
@@ -20,7 +20,8 @@
  * POST /standin/faults takes a JSON object: "silence_open": true makes all open connections silent for good;
  * "silent_after_bytes": N does so after N further bytes, for the open connections and for the next
  * "next_connections": K; "cut_open": true closes all open connections; "delay_ms", "refuse_new" and "silence_new" hold
- * until they are set again. GET /standin/stats shows counts.
+ * until they are set again; "frames": [{"type": T, "action": A, "skip": S, "times": N, "delay_ms": D}, …] replaces the
+ * rules for frames (frame_rule.h) of a forwarder that was started for frames. GET /standin/stats shows counts.
  */
 class forwarder : public http_handler
 {
@@ -61,6 +62,8 @@
     int m_wakeDescriptor = -1;
     ranked_mutex m_mutex {lock_rank::leaf};
     forwarder_settings m_settings;
+    bool m_framed = false;
+    frame_rules m_frameRules; ///< Used by the connections.
     std::list<forwarded_connection> m_connections;
     std::uint64_t m_accepted = 0;
     std::uint64_t m_closedUp = 0; ///< Bytes of connections that are closed.
--- a/tests/standins/forwarder_main.cpp
+++ b/tests/standins/forwarder_main.cpp
@@ -7,6 +7,7 @@
 DEFINE_int32(port, 0, "TCP port on the loopback address for connections; 0: the kernel chooses");
 DEFINE_int32(control_port, 0, "TCP port on the loopback address for HTTP; 0: the kernel chooses");
 DEFINE_int32(target_port, 0, "TCP port on the loopback address to forward to");
+DEFINE_bool(frames, false, "the connections carry frames of bronzechuted, whose faults can be set");
 
 int main(int argc, char **argv)
 {
@@ -17,6 +18,7 @@
     options.port = static_cast<std::uint16_t>(FLAGS_port);
     options.controlPort = static_cast<std::uint16_t>(FLAGS_control_port);
     options.targetPort = static_cast<std::uint16_t>(FLAGS_target_port);
+    options.frames = FLAGS_frames;
     auto started = forwarder::start(options);
     if (!started) {
         std::fprintf(stderr, "forwarder: %s\n", started.error().toString().c_str());
--- a/tests/standins/local_system.cpp
+++ b/tests/standins/local_system.cpp
@@ -118,7 +118,7 @@
 {
     const std::string target = m_endpoints.at(endpoint);
     const std::string name = endpoint + ".forwarder";
-    m_processes[name] = startOrThrow("forwarder", {"--target_port", target.substr(target.find(':') + 1)});
+    m_processes[name] = startOrThrow("forwarder", {"--target_port", target.substr(target.find(':') + 1), "--frames"});
     m_endpoints[endpoint] = m_processes[name]->ready("tcp");
 }
 
--- a/tests/standins/local_system.h
+++ b/tests/standins/local_system.h
@@ -65,7 +65,7 @@
     /** @returns a process by name: "store", an endpoint's or entry's name, or an endpoint's name with ".engine". */
     child_process &process(const std::string &name);
 
-    /** Routes the connections from entries to this endpoint through a forwarder named NAME.forwarder. */
+    /** Routes the connections from entries to this endpoint through a forwarder of frames named NAME.forwarder. */
     void forward(const std::string &endpoint);
 
     /** Starts a forwarder in front of the store, for the links of an entry. */
