tests: the endpoint process alone keeps work out of a data centre

Invariant 3 was covered only where the entry also learnt the change, so that a fault in the endpoint's own check could hide behind the entry. The new row of data_centre_test cuts entry-2 off from the store, gives it no peers and one endpoint, and drops config_push on its connection in the forwarder; entry-1 reaches the same endpoint process directly and tells it the change. The row asserts that entry-2 still has the old revision, that the process counted refusals as out_of_service, that every answer was 200 or 503 not_run with Retry-After, and no new work after 5 s.

A second link of entry-1 through the same forwarder was ruled out, because its rules hold for all connections.

--- a/tests/process/data_centre_test.cpp
+++ b/tests/process/data_centre_test.cpp
@@ -39,6 +39,7 @@
     const char *name; ///< The failure that the row guards against.
     entry_links second; ///< Links of entry-2; its store is a forwarder.
     std::function<void(local_system &)> scenario;
+    bool secondForwarded = false; ///< entry-2 reaches model-2 through a forwarder; entry-1 does not.
 };
 
 class data_centres : public testing::TestWithParam<data_centre_row>
@@ -54,6 +55,9 @@
     system.startModel("model-1", "buda", {"--step_ms", "5", "--cold_limit", "4"});
     system.startModel("model-2", "pest", {"--step_ms", "5", "--cold_limit", "4"});
     system.startEntry("entry-1", "buda");
+    if (GetParam().secondForwarded) {
+        system.forward("model-2");
+    }
     entry_links links = GetParam().second;
     links.store = "store-2";
     system.startEntry("entry-2", "pest", links);
@@ -95,6 +99,22 @@
     takeOut(system);
 }
 
+/** The entry that sends work knows nothing of the change: no store, no peer, and no configuration from the endpoint. */
+void takeOutUnknownToTheEntry(local_system &system)
+{
+    system.inject("store-2", {{"refuse_new", true}, {"cut_open", true}});
+    system.inject("model-2.forwarder",
+                  {{"frames", {{{"type", "config_push"}, {"action", "drop"}, {"times", 1000000}}}}});
+    steady_load load(system, {"entry-2"}, 4);
+    startLoadAt(system, load, "model-2.engine");
+    const std::int64_t out = setState(system, "pest", "out");
+    expectNoNewWork(system, load, "model-2.engine", outLimit);
+    EXPECT_EQ(system.revision("model-2"), out);
+    EXPECT_LT(system.revision("entry-2"), out) << "the entry has learnt the change, so that the row shows nothing";
+    const std::string page = fetch(system.url("model-2") + "/metrics").body;
+    EXPECT_NE(page.find(R"(bronzechute_refused_total{reason="out_of_service"})"), std::string::npos) << page;
+}
+
 void streamsFinish(local_system &system)
 {
     constexpr int tokens = 400;
@@ -250,6 +270,8 @@
                     data_centre_row {"entry_without_store_sends_work_to_a_data_centre_out", all, takeOutWithoutStore},
                     data_centre_row {"entry_that_knows_only_the_data_centre_out_sends_work", onlyPest,
                                      takeOutWithoutStore},
+                    data_centre_row {"entry_that_never_learns_that_the_data_centre_is_out_gets_work_done", onlyPest,
+                                     takeOutUnknownToTheEntry, true},
                     data_centre_row {"stream_is_cut_when_its_data_centre_leaves", all, streamsFinish},
                     data_centre_row {"cold_data_centre_is_flooded_on_return", all, comesBackCold},
                     data_centre_row {"second_leave_within_the_ramp_skips_the_next_ramp", all, outAgainWithinTheRamp},
