tests: claims whose answer is lost, for claim_registry::loseAnswer

loseAnswer() keeps that a request may have run although its answer is lost, and had no test. The settle table of claim_registry_test takes the call as a function now, in place of a flag for finish or release, and gets five rows: answered store, owner that dies afterwards, outage, lost store answer, late store. Each expects that another entry is told "unknown", neither "in progress" (the owner lives) nor "claimed".

With loseAnswer() writing the state started, four of the five rows fail ("Value of: becomes(*second.registry, requestFor(\"key\"), GetParam().second) Actual: false"); with a dead owner that state gives "unknown" too, and that row guards against a key that is freed. A test of the entry alone was ruled out, since the record in the store decides. All 15 rows pass on the code as it is, which needed no change.

--- a/tests/store/claim_registry_test.cpp
+++ b/tests/store/claim_registry_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <thread>
 
@@ -113,11 +114,23 @@
     EXPECT_NE(claim_registry::storeKey(first), claim_registry::storeKey(second));
 }
 
+using settle_call = std::function<result<void>(claim_registry &, const held_claim &, const http_answer &)>;
+
+const settle_call finish = [](claim_registry &registry, const held_claim &claim, const http_answer &answer) {
+    return registry.finish(claim, answer);
+};
+const settle_call release = [](claim_registry &registry, const held_claim &claim, const http_answer &) {
+    return registry.release(claim);
+};
+const settle_call loseAnswer = [](claim_registry &registry, const held_claim &claim, const http_answer &) {
+    return registry.loseAnswer(claim);
+};
+
 struct settle_row
 {
     const char *name; ///< The failure that the row guards against.
     json faults; ///< While the first entry settles its claim.
-    bool finish; ///< Otherwise the claim is released.
+    settle_call settle;
     std::size_t bodyBytes;
     bool ownerDies; ///< After the fault is over and its pending claims are settled.
     claim_verdict second; ///< What another entry learns in the end.
@@ -138,8 +151,7 @@
     ASSERT_EQ(outcome.value().verdict, claim_verdict::claimed);
     const http_answer answer {201, {{"Location", "/orders/1"}}, std::string(GetParam().bodyBytes, '\xC3')};
     fixture.server->inject(GetParam().faults);
-    const auto settled = GetParam().finish ? first.registry->finish(outcome.value().claim, answer)
-                                           : first.registry->release(outcome.value().claim);
+    const auto settled = GetParam().settle(*first.registry, outcome.value().claim, answer);
     EXPECT_TRUE(settled || settled.error().code == errc::unavailable);
     fixture.server->inject(noFaults);
     EXPECT_TRUE(eventually([&] { return first.registry->pending() == 0; }));
@@ -155,19 +167,31 @@
 INSTANTIATE_TEST_SUITE_P(
     rows, claim_registry_settles,
     testing::Values(
-        settle_row {"answer_lost", json::object(), true, 100, false, claim_verdict::finished},
-        settle_row {"answer_lost_with_its_owner", json::object(), true, 100, true, claim_verdict::finished},
+        settle_row {"answer_lost", json::object(), finish, 100, false, claim_verdict::finished},
+        settle_row {"answer_lost_with_its_owner", json::object(), finish, 100, true, claim_verdict::finished},
+        settle_row {
+            "answer_lost_with_the_store_answer", {{"lose_answers", 1}}, finish, 100, false, claim_verdict::finished},
+        settle_row {"answer_lost_in_outage", {{"outage", true}}, finish, 100, false, claim_verdict::finished},
+        settle_row {"late_answer_lost", {{"delay_ms", 500}}, finish, 100, false, claim_verdict::finished},
+        settle_row {"large_answer_run_again", json::object(), finish, std::size_t {300} * 1024, false,
+                    claim_verdict::unknown},
+        settle_row {"release_lost", json::object(), release, 0, false, claim_verdict::claimed},
+        settle_row {"release_lost_in_outage", {{"outage", true}}, release, 0, false, claim_verdict::claimed},
         settle_row {
-            "answer_lost_with_the_store_answer", {{"lose_answers", 1}}, true, 100, false, claim_verdict::finished},
-        settle_row {"answer_lost_in_outage", {{"outage", true}}, true, 100, false, claim_verdict::finished},
-        settle_row {"late_answer_lost", {{"delay_ms", 500}}, true, 100, false, claim_verdict::finished},
-        settle_row {"large_answer_run_again", json::object(), true, std::size_t {300} * 1024, false,
+            "release_lost_with_the_store_answer", {{"lose_answers", 1}}, release, 0, false, claim_verdict::claimed},
+        settle_row {"late_release_lost", {{"delay_ms", 500}}, release, 0, false, claim_verdict::claimed},
+        settle_row {"lost_answer_seen_as_in_progress", json::object(), loseAnswer, 0, false, claim_verdict::unknown},
+        settle_row {"lost_answer_frees_the_key_of_a_dead_owner", json::object(), loseAnswer, 0, true,
+                    claim_verdict::unknown},
+        settle_row {"lost_answer_not_kept_in_outage", {{"outage", true}}, loseAnswer, 0, false, claim_verdict::unknown},
+        settle_row {"lost_answer_not_kept_when_the_store_answer_is_lost",
+                    {{"lose_answers", 1}},
+                    loseAnswer,
+                    0,
+                    false,
                     claim_verdict::unknown},
-        settle_row {"release_lost", json::object(), false, 0, false, claim_verdict::claimed},
-        settle_row {"release_lost_in_outage", {{"outage", true}}, false, 0, false, claim_verdict::claimed},
         settle_row {
-            "release_lost_with_the_store_answer", {{"lose_answers", 1}}, false, 0, false, claim_verdict::claimed},
-        settle_row {"late_release_lost", {{"delay_ms", 500}}, false, 0, false, claim_verdict::claimed}),
+            "lost_answer_not_kept_when_late", {{"delay_ms", 500}}, loseAnswer, 0, false, claim_verdict::unknown}),
     [](const auto &row) { return std::string(row.param.name); });
 
 TEST(claim_registry, claimOfADeadOwnerIsUnknown)
