--- a/tests/process/idempotency_test.cpp
+++ b/tests/process/idempotency_test.cpp
@@ -20,7 +20,8 @@
     unknown = 8,
     not_run = 16,
     reused = 32,
-    cut = 64
+    cut = 64,
+    streamed = 128 ///< Whole, and too long to be announced as answered before it has been relayed.
 };
 
 unsigned endingOf(const fetch_answer &answer)
@@ -32,6 +33,9 @@
     if (outcome == "answered") {
         return findHeader(answer.headers, "X-Bronzechute-Replayed") ? replayed : answered;
     }
+    if (outcome.empty() && answer.status == 201) {
+        return streamed;
+    }
     if (answer.status == 422) {
         return reused;
     }
@@ -109,9 +113,12 @@
     })) << "a later request ended as "
         << endingOf(last) << ": " << last.body;
     EXPECT_LE(ordersRun(), 1);
-    if ((firstEnd | secondEnd | endingOf(last)) & (answered | replayed)) {
+    if ((firstEnd | secondEnd | endingOf(last)) & (answered | replayed | streamed)) {
         EXPECT_EQ(ordersRun(), 1);
     }
+    if (firstEnd & (answered | streamed)) {
+        EXPECT_TRUE(nlohmann::json::accept(first.body)) << "not the whole answer: " << first.body.size() << " bytes";
+    }
 }
 
 const std::vector<std::string> slowWork {"--work_ms", "1500"};
@@ -247,6 +254,24 @@
                     not_run,
                     answered,
                     replayed},
+        repeat_row {"answer_too_large_for_the_store_runs_again",
+                    {"--padding_bytes", "300000"},
+                    {},
+                    {},
+                    {},
+                    answered,
+                    unknown,
+                    unknown},
+        repeat_row {
+            "streamed_answer_cut_or_run_again", {"--padding_bytes", "6000000"}, {}, {}, {}, streamed, unknown, unknown},
+        repeat_row {"killed_entry_frees_the_key_of_a_streamed_answer",
+                    {"--padding_bytes", "6000000"},
+                    {},
+                    {},
+                    killEntry,
+                    streamed,
+                    unknown,
+                    unknown},
         repeat_row {"other_order_under_a_used_key_runs", {}, {}, {}, {}, answered, reused, reused, "stamps"}),
     [](const auto &row) { return std::string(row.param.name); });
 
--- a/tests/standins/plain_service.cpp
+++ b/tests/standins/plain_service.cpp
@@ -124,7 +124,11 @@
     }
     const std::string key = findHeader(request.headers, "Idempotency-Key").value_or("");
     const order_book::order booked = m_orders.book(body["text"].get<std::string>(), key);
-    return jsonReply(statusCreated, orderJson(booked), booked.id);
+    nlohmann::json answer = orderJson(booked);
+    if (m_options.paddingBytes > 0) {
+        answer["padding"] = std::string(m_options.paddingBytes, 'x');
+    }
+    return jsonReply(statusCreated, answer, booked.id);
 }
 
 http_reply plain_service::stats()
--- a/tests/standins/plain_service_main.cpp
+++ b/tests/standins/plain_service_main.cpp
@@ -8,6 +8,7 @@
 DEFINE_double(work_ms, 0, "time of one request, in ms");
 DEFINE_double(cold_work_ms, 20, "time added to a request while cold, in ms");
 DEFINE_int32(cold_requests, 0, "cold after start until so many requests are complete");
+DEFINE_uint32(padding_bytes, 0, "bytes added to the answer of a booking");
 
 int main(int argc, char **argv)
 {
@@ -20,6 +21,7 @@
     options.work = std::chrono::microseconds(static_cast<std::int64_t>(FLAGS_work_ms * microsecondsPerMillisecond));
     options.coldWork = std::chrono::milliseconds(static_cast<std::int64_t>(FLAGS_cold_work_ms));
     options.coldRequests = FLAGS_cold_requests;
+    options.paddingBytes = FLAGS_padding_bytes;
     auto service = plain_service::start(options);
     if (!service) {
         std::fprintf(stderr, "plain_service: %s\n", service.error().toString().c_str());
--- a/tests/standins/plain_service_options.h
+++ b/tests/standins/plain_service_options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 
 namespace bronzechute::standins {
@@ -11,6 +12,7 @@
     std::uint16_t port = 0; ///< 0: the kernel chooses.
     std::chrono::microseconds work {0}; ///< Time of one request.
     std::chrono::milliseconds coldWork {20}; ///< Added to it while cold.
+    std::size_t paddingBytes = 0; ///< Added to the answer of a booking.
     int coldRequests = 0; ///< Cold after start until so many requests are complete.
 };
 
