entry: remove X-Bronzechute-* headers that a service sends

The entry appended its own X-Bronzechute-Outcome after the headers of the service, and idempotency_guard takes the first one. A service that sends the header itself, for example because another installation is behind it, therefore decided what became of the claim: with not_run the key of an order that had run was freed. Reading the last header instead was ruled out, because the caller would still see both.

The entry now drops all response headers with that prefix before it adds its own. The new row outcome_sent_by_the_service_frees_the_key failed before the change: "the second ended as 1: {\"id\":2,...}", "Expected: (ordersRun()) <= (1), actual: 921 vs 1".

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -16,6 +16,7 @@
 constexpr std::chrono::milliseconds cancelPatience {1000};
 constexpr std::size_t collectLimit = std::size_t {4} * 1024 * 1024;
 constexpr std::size_t readBytes = std::size_t {16} * 1024;
+constexpr std::string_view ownHeaderPrefix = "X-Bronzechute-";
 constexpr std::size_t maxAttempts = 4;
 
 api_error unknownOutcome(int status, const std::string &code, const std::string &message)
@@ -203,6 +204,11 @@
     http_reply reply;
     reply.status = head.status;
     reply.headers = head.headers;
+    // These say what the entry knows; a service's own, for example of another installation behind it, would be read as
+    // the outcome here and could free the key of an order that ran.
+    std::erase_if(reply.headers, [](const auto &header) {
+        return headerNamesEqual(header.first.substr(0, ownHeaderPrefix.size()), ownHeaderPrefix);
+    });
     reply.headers.emplace_back("X-Request-Id", id);
     if (!context.request.streaming) {
         const auto end = collect(context, reply.body);
--- a/tests/process/idempotency_test.cpp
+++ b/tests/process/idempotency_test.cpp
@@ -272,6 +272,14 @@
                     streamed,
                     unknown,
                     unknown},
+        repeat_row {"outcome_sent_by_the_service_frees_the_key",
+                    {"--outcome", "not_run"},
+                    {},
+                    {},
+                    {},
+                    answered,
+                    replayed,
+                    replayed},
         repeat_row {"other_order_under_a_used_key_runs", {}, {}, {}, {}, answered, reused, reused, "stamps"}),
     [](const auto &row) { return std::string(row.param.name); });
 
--- a/tests/standins/plain_service.cpp
+++ b/tests/standins/plain_service.cpp
@@ -128,7 +128,11 @@
     if (m_options.paddingBytes > 0) {
         answer["padding"] = std::string(m_options.paddingBytes, 'x');
     }
-    return jsonReply(statusCreated, answer, booked.id);
+    http_reply reply = jsonReply(statusCreated, answer, booked.id);
+    if (!m_options.outcome.empty()) {
+        reply.headers.emplace_back("X-Bronzechute-Outcome", m_options.outcome);
+    }
+    return reply;
 }
 
 http_reply plain_service::stats()
