--- a/tests/standins/plain_service.cpp
+++ b/tests/standins/plain_service.cpp
@@ -124,7 +124,15 @@
     }
     const std::string key = findHeader(request.headers, "Idempotency-Key").value_or("");
     const order_book::order booked = m_orders.book(body["text"].get<std::string>(), key);
-    return jsonReply(statusCreated, orderJson(booked), booked.id);
+    nlohmann::json answer = orderJson(booked);
+    if (m_options.paddingBytes > 0) {
+        answer["padding"] = std::string(m_options.paddingBytes, 'x');
+    }
+    http_reply reply = jsonReply(statusCreated, answer, booked.id);
+    if (!m_options.outcome.empty()) {
+        reply.headers.emplace_back("X-Bronzechute-Outcome", m_options.outcome);
+    }
+    return reply;
 }
 
 http_reply plain_service::stats()
