bench: several endpoint processes in relay.sh; refused streams count as failed

Cause: one endpoint process admits about 74 streams, so that the target of 300 concurrent ones was never measured, and a stream refused with 503 counted as 60 missing tokens. Change: ENDPOINTS (32) endpoint processes share the engine stand-in, which the direct path reaches as well; the warm-up sends evenly spaced streams until each limit is 1.5 times an even share. A status other than 2xx counts as failed, for streams and for plain requests, and its tokens not as lost. Processor times of several processes are added up.

--- a/bench/plain_load.h
+++ b/bench/plain_load.h
@@ -44,13 +44,14 @@
     /** @param ok set to whether the answer was a success @returns the time it took, in ms. */
     double send(bool &ok)
     {
-        constexpr long firstError = 400;
+        constexpr long firstSuccess = 200;
+        constexpr long firstOther = 300;
         const time_point begin = boot_clock::now();
         long status = 0;
         const CURLcode code = curl_easy_perform(m_curl);
         const std::chrono::duration<double, std::milli> time = boot_clock::now() - begin;
         curl_easy_getinfo(m_curl, CURLINFO_RESPONSE_CODE, &status);
-        ok = code == CURLE_OK && status < firstError;
+        ok = code == CURLE_OK && status >= firstSuccess && status < firstOther;
         return time.count();
     }
 
--- a/bench/relay.sh
+++ b/bench/relay.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # Usage: relay.sh [streams|plain|all]. Measures the path entry, endpoint process, engine beside direct calls to the same
 # stand-in (docs/design-relay.md). Builds nothing; stops every process that it started.
-# Environment: BUILD (directory), SEEDS, STREAMS, TOKENS, TOKEN_MS, REQUESTS, BURST, CONNECTIONS, CORES (of the entry for
-# plain requests), WARM_FACTOR (factor on the engine's step while the endpoint process leaves its cold start).
+# Environment: BUILD (directory), SEEDS, STREAMS, ENDPOINTS (endpoint processes in front of the one engine), TOKENS,
+# TOKEN_MS, REQUESTS, BURST, CONNECTIONS, CORES (of the entry for plain requests), WARM_FACTOR (factor on the engine's
+# step while the endpoint processes leave their cold start).
 set -euo pipefail
 top=$(cd "$(dirname "$0")/.." && pwd)
 what=${1:-all}
@@ -24,7 +25,7 @@
     "$@" > "$work/$name.out" 2> "$work/$name.log" &
     pid[$name]=$!
     for _ in $(seq 100); do
-        grep -q '^ready ' "$work/$name.out" && return
+        grep -qs '^ready ' "$work/$name.out" && return
         sleep 0.1
     done
     echo "relay.sh: $name printed no line \"ready …\" within 10 s:" >&2
@@ -53,7 +54,12 @@
 END
     start "$1" "$bin/src/bronzechuted" --settings "$work/$1.yaml"
 }
-endpoint model-endpoint iroda-nyelv "{kind: model, url: \"http://$(address engine http)\", models: [iroda-nyelv]}"
+# All endpoint processes share the engine: one admits too few streams, and the direct path reaches the same engine.
+models=()
+for number in $(seq "${ENDPOINTS:-32}"); do
+    models+=("model-$number")
+    endpoint "model-$number" iroda-nyelv "{kind: model, url: \"http://$(address engine http)\", models: [iroda-nyelv]}"
+done
 endpoint service-endpoint iroda-app "{kind: service, url: \"http://$(address service http)\"}"
 cat > "$work/entry.yaml" << END
 role: entry
@@ -64,7 +70,7 @@
 store: {endpoints: ["http://$(address store http)"]}
 entry:
   endpoints:
-    - {name: model-endpoint, address: "$(address model-endpoint peers)"}
+$(for name in "${models[@]}"; do echo "    - {name: $name, address: \"$(address "$name" peers)\"}"; done)
     - {name: service-endpoint, address: "$(address service-endpoint peers)"}
 END
 # The second entry has cores of its own choice for plain requests, and the same settings otherwise.
@@ -105,30 +111,40 @@
     "$bin/bench/relay_bench" --direct "http://$(address engine http)" --through "http://$(address entry http)" \
         --headers "$key" --token_ms "${TOKEN_MS:-66}" --seconds 60 "$@"
 }
+# values NAME: the value of a metric of each endpoint process.
+values() {
+    for name in "${models[@]}"; do
+        curl -s "http://$(address "$name" http)/metrics" | sed -n "s/^$1 //p"
+    done
+}
 # Counters since the start, with the warm-up: tell refused streams from streams that lost tokens.
 outcomes() {
     curl -s "http://$(address entry http)/metrics" | grep -E '^bronzechute_(requests|cut_streams)_total' || true
-    curl -s "http://$(address model-endpoint http)/metrics" | grep '^bronzechute_refused_total' || true
+    for name in "${models[@]}"; do
+        curl -s "http://$(address "$name" http)/metrics" | sed -n "s/^bronzechute_refused_total/$name &/p"
+    done
 }
-limit() { curl -s "http://$(address model-endpoint http)/metrics" | sed -n 's/^bronzechute_limit //p'; }
 slow() { curl -s -o /dev/null "http://$(address engine http)/standin/faults" -d "{\"slow_factor\": $1}"; }
-# Takes the endpoint process past its cold start and its initial limit. Steps of exactly the target for the time between
-# tokens miss it in about half of the answers, so the engine is faster meanwhile.
+# Takes the endpoint processes past their cold start, each to half more than an even share of the streams, because the
+# entry chooses by reports that lag. Steps of exactly the target for the time between tokens miss it in about half of
+# the answers, so the engine is faster meanwhile. Streams arrive evenly: many that wait for the next step at once would
+# lower the limit.
 warm() {
+    local share=$((${STREAMS:-300} * 3 / 2 / ${#models[@]}))
     slow "${WARM_FACTOR:-0.5}"
-    for count in 4 16 32 64 128 256 400 400 400 400 400 400; do
-        [ "$(limit)" -ge "$((${STREAMS:-300}))" ] && break
-        streams --streams "$count" --tokens 4 --ramp_ms 0 > "$work/warm.txt"
+    for count in 256 600 600 600 600 600; do
+        [ "$(values bronzechute_limit | sort -n | head -1)" -ge "$share" ] && break
+        streams --streams "$count" --tokens 30 --ramp_ms $((count * 5)) > "$work/warm.txt"
     done
     slow 1
-    echo "limit of the endpoint process: $(limit)"
+    echo "limits of the endpoint processes: $(values bronzechute_limit | paste -sd " ")"
 }
 if [ "$what" != plain ]; then
     for seed in ${SEEDS:-1 2 3}; do
         warm
         load
         streams --streams "${STREAMS:-300}" --tokens "${TOKENS:-100}" --seed "$seed" \
-            --pids "$(pids entry model-endpoint engine)"
+            --pids "$(pids entry engine),$(pids "${models[@]}" | sed 's/model-[0-9]*=/endpoints=/g')"
         outcomes
     done
 fi
--- a/bench/relay_bench.cpp
+++ b/bench/relay_bench.cpp
@@ -16,7 +16,9 @@
 DEFINE_string(direct, "", "base URL of the engine or service");
 DEFINE_string(through, "", "base URL of the path to measure");
 DEFINE_string(headers, "", "header fields for both, separated by '|'");
-DEFINE_string(pids, "", "processes to account for: name=PID,…");
+DEFINE_string(pids, "",
+              "processes to account for: name=PID,…; for a repeated name the sum of processor time and the largest "
+              "resident memory");
 DEFINE_uint64(seed, 0, "seed of prompts and start times; 0: chosen at random");
 DEFINE_int32(seconds, 120, "upper bound of the whole run");
 DEFINE_string(model, "iroda-nyelv", "model that the streams ask for");
@@ -167,8 +169,9 @@
         for (const auto &stream : path.streams) {
             lost += stream->lost();
             outOfOrder += stream->outOfOrder();
-            if (stream->failure() && failed++ == 0) {
-                std::printf("first failure on %s: %s\n", path.name.c_str(), stream->failure()->toString().c_str());
+            if (stream->failed() && failed++ == 0) {
+                std::printf("first failure on %s: status %d %s\n", path.name.c_str(), stream->status(),
+                            stream->failure() ? stream->failure()->toString().c_str() : "");
             }
             if (!stream->arrivals().empty()) {
                 firstTimes.push_back(milliseconds(stream->arrivals().front() - stream->start()).count());
@@ -238,6 +241,17 @@
     return requests;
 }
 
+process_usage usageOf(const std::vector<pid_t> &pids)
+{
+    process_usage sum;
+    for (const pid_t pid : pids) {
+        const process_usage each = process_usage::of(pid);
+        sum.processorTime += each.processorTime;
+        sum.residentBytes = std::max(sum.residentBytes, each.residentBytes);
+    }
+    return sum;
+}
+
 int run()
 {
     if (FLAGS_direct.empty() || FLAGS_through.empty() || FLAGS_streams < 1 || FLAGS_tokens < 1 || FLAGS_loops < 1
@@ -248,15 +262,15 @@
     const std::uint64_t seed = FLAGS_seed != 0 ? FLAGS_seed : std::random_device {}();
     std::printf("seed %llu\n", static_cast<unsigned long long>(seed));
     std::mt19937_64 random(seed);
-    std::map<std::string, pid_t> pids;
+    std::map<std::string, std::vector<pid_t>> pids;
     std::map<std::string, process_usage> before;
     for (const std::string &entry : split(FLAGS_pids, ',')) {
         const std::size_t equals = entry.find('=');
         const std::string number = equals == std::string::npos ? "0" : entry.substr(equals + 1);
-        pids[entry.substr(0, equals)] = static_cast<pid_t>(std::strtol(number.c_str(), nullptr, 10));
+        pids[entry.substr(0, equals)].push_back(static_cast<pid_t>(std::strtol(number.c_str(), nullptr, 10)));
     }
-    for (const auto &[name, pid] : pids) {
-        before[name] = process_usage::of(pid);
+    for (const auto &[name, list] : pids) {
+        before[name] = usageOf(list);
     }
     const time_point begin = boot_clock::now();
     std::size_t units = 0;
@@ -271,8 +285,8 @@
     }
     const std::chrono::duration<double> time = boot_clock::now() - begin;
     const char *unit = FLAGS_plain ? "request" : "token";
-    for (const auto &[name, pid] : pids) {
-        const process_usage after = process_usage::of(pid);
+    for (const auto &[name, list] : pids) {
+        const process_usage after = usageOf(list);
         const std::chrono::duration<double> used = after.processorTime - before[name].processorTime;
         constexpr double mebibyte = 1024 * 1024;
         constexpr double microsecondsPerSecond = 1e6;
--- a/bench/stream_recorder.h
+++ b/bench/stream_recorder.h
@@ -74,9 +74,24 @@
         return m_arrivals;
     }
 
+    /** @returns the number of missing tokens of an accepted stream; a refused one was never promised any. */
     std::size_t lost() const
     {
-        return m_tokens - m_arrivals.size();
+        return refused() ? 0 : m_tokens - m_arrivals.size();
+    }
+
+    /** @returns whether an answer came whose status is not 2xx. */
+    bool refused() const
+    {
+        constexpr int firstSuccess = 200;
+        constexpr int firstOther = 300;
+        return m_status != 0 && (m_status < firstSuccess || m_status >= firstOther);
+    }
+
+    /** @returns whether the stream was refused or ended with an error. */
+    bool failed() const
+    {
+        return refused() || m_failure.has_value();
     }
 
     std::size_t outOfOrder() const
