link: frames that are not urgent share a write; a submit wakes its caller less

Cause: under a burst of short requests the processes spend a fifth to a quarter of their time in context switches and contended futexes (perf): each write costs a task of nng at both ends, and each frame woke the caller's thread while the lock that it needs was held. Ruled out: the caller's wait for `accepted`; nothing in the entry depends on that frame. Change: link::sendSoon leaves a frame for the next write or for the maintenance round (100 ms). It is used for `accepted` and for the credit after the last byte, which only frees what the endpoint process keeps. The entry notifies after it has released the lock, and not for `accepted`.

--- a/src/endpoint/endpoint_gate.cpp
+++ b/src/endpoint/endpoint_gate.cpp
@@ -159,7 +159,8 @@
     m_running.emplace(attempt.submit.id, request);
     ++m_active;
     m_limiter->onStarted(now);
-    attempt.connection->send(accepted_frame {attempt.submit.id});
+    // The entry does not wait for this frame, so it may share a write with the head of the answer.
+    attempt.connection->sendSoon(accepted_frame {attempt.submit.id});
     request->attach(m_engine->start(makeBackEndRequest(attempt.submit, m_settings.endpoint, traceparent), request));
 }
 
--- a/src/entry/pending_request.cpp
+++ b/src/entry/pending_request.cpp
@@ -46,8 +46,14 @@
 
 void pending_request::onFrame(const frame &message)
 {
-    const std::scoped_lock lock(m_mutex);
-    acceptLocked(message);
+    if (std::holds_alternative<accepted_frame>(message)) {
+        return; // No wait depends on it.
+    }
+    {
+        const std::scoped_lock lock(m_mutex);
+        acceptLocked(message);
+    }
+    // Without the lock, which the woken thread needs at once.
     m_changed.notify_all();
 }
 
@@ -177,7 +183,13 @@
     if (m_uncreditedBytes >= creditBytes || (finished && !m_finalCreditSent)) {
         m_uncreditedBytes = 0;
         m_finalCreditSent = finished;
-        m_connection->send(credit_frame {m_attempt, m_assembler->nextSequence()});
+        const credit_frame credit {m_attempt, m_assembler->nextSequence()};
+        // A running stream may be waiting for its window; the last credit only frees what the endpoint process keeps.
+        if (finished) {
+            m_connection->sendSoon(credit);
+        } else {
+            m_connection->send(credit);
+        }
     }
 }
 
--- a/src/link/link.h
+++ b/src/link/link.h
@@ -25,6 +25,15 @@
      */
     virtual bool send(const frame &message) = 0;
 
+    /**
+     * Like send() for a frame that is not urgent: it may wait up to about 100 ms to share a write with the next one.
+     * Each write costs several wake-ups at both ends.
+     */
+    virtual bool sendSoon(const frame &message)
+    {
+        return send(message);
+    }
+
     /** Closes the connection; link_handler::onDown follows. */
     virtual void close(const std::string &reason) = 0;
 
--- a/src/link/nng_link.cpp
+++ b/src/link/nng_link.cpp
@@ -48,6 +48,16 @@
 }
 
 bool nng_link::send(const frame &message)
+{
+    return enqueue(message, true);
+}
+
+bool nng_link::sendSoon(const frame &message)
+{
+    return enqueue(message, false);
+}
+
+bool nng_link::enqueue(const frame &message, bool urgent)
 {
     {
         const std::scoped_lock lock(m_mutex);
@@ -56,7 +66,7 @@
         }
         encodeFrame(message, m_pending);
         if (m_pending.size() <= m_options.maxQueuedBytes) {
-            if (!m_sending) {
+            if (urgent && !m_sending) {
                 startSendLocked();
             }
             return true;
@@ -66,6 +76,14 @@
     return false;
 }
 
+void nng_link::flush()
+{
+    const std::scoped_lock lock(m_mutex);
+    if (!m_down && !m_sending && !m_pending.empty()) {
+        startSendLocked();
+    }
+}
+
 void nng_link::startSendLocked()
 {
     if (m_inFlight.empty()) {
@@ -199,6 +217,7 @@
         heartbeat.clockMs = clockMilliseconds(now);
         send(heartbeat);
     }
+    flush();
 }
 
 void nng_link::release()
--- a/src/link/nng_link.h
+++ b/src/link/nng_link.h
@@ -52,6 +52,7 @@
     }
 
     bool send(const frame &message) override;
+    bool sendSoon(const frame &message) override;
     void close(const std::string &reason) override;
     std::int64_t peerClockMs() const override;
 
@@ -73,6 +74,8 @@
 private:
     static void onSent(void *self);
     static void onReceived(void *self);
+    bool enqueue(const frame &message, bool urgent);
+    void flush();
     void startReceive();
     void startSendLocked();
     void handleSent();
--- a/tests/link/link_hub_test.cpp
+++ b/tests/link/link_hub_test.cpp
@@ -97,6 +97,27 @@
     }
 }
 
+// Guards against a frame that stays in the queue for ever because no urgent one follows, or that a later one overtakes.
+TEST(link_hub, sendsFramesThatAreNotUrgentWithoutAnUrgentOne)
+{
+    recording_handler serverHandler;
+    recording_handler clientHandler;
+    auto server = openHub(optionsOf("server"), {}, serverHandler);
+    auto client = openHub(optionsOf("client"), {}, clientHandler);
+    ASSERT_TRUE(server) << server.error().toString();
+    ASSERT_TRUE(client);
+    client.value()->dial("server", "127.0.0.1:" + std::to_string(server.value()->port()));
+    ASSERT_TRUE(clientHandler.waitFor([](auto &seen) { return !seen.m_up.empty(); }));
+    const link_ptr connection = clientHandler.m_up[0];
+    ASSERT_TRUE(connection->sendSoon(data_frame {{}, 0, "a"}));
+    ASSERT_TRUE(connection->send(data_frame {{}, 1, "b"}));
+    ASSERT_TRUE(connection->sendSoon(data_frame {{}, 2, "c"}));
+    ASSERT_TRUE(serverHandler.waitFor([](auto &seen) { return seen.m_data.size() == 3; }));
+    for (std::uint64_t sequence = 0; sequence < serverHandler.m_data.size(); ++sequence) {
+        EXPECT_EQ(serverHandler.m_data[sequence].sequence, sequence);
+    }
+}
+
 TEST(link_hub, dialsAgainAfterThePeerRestarted)
 {
     recording_handler clientHandler;
