policy: entries give the warm pace back to a restarted endpoint process

An endpoint process that is restarted beside an engine in cold start has lost the warm pace, so cold answers counted as proofs and the engine fell over (process row endpoint_that_dies_during_the_ramp_returns_warm).

Cause: in this row the callers' answers are whole calls, and the engine has made fewer than 200 tokens (191 to 195 at the end of the failed runs), so the engine's mean was not learned at all and nothing was a reference. The mean could not have served calls either: it is the time of a token.

Change: endpoint_status has the warm pace of token streams and of calls apart; membership_table keeps the last known one of a name; an entry sends it as the first frame of a connection (warm_pace), before the connection can be selected. The limiter takes the lowest of what entries remember and of the engine's mean, which stays the last resort; a message after proofs against a higher reference or none puts the cap back to 1, up to 10 s after the first cold start. Calls no longer wear down the reference of streams. Two new fields and a frame type make the protocol version 2.

Ruled out: waiting for a message (the entry that submits has always sent its own first), and the store (a write for each change of pace).

--- a/src/endpoint/endpoint_gate.cpp
+++ b/src/endpoint/endpoint_gate.cpp
@@ -292,6 +292,12 @@
     m_limiter->onLoadReport(now, load);
 }
 
+void endpoint_gate::onRememberedPace(const warm_pace &remembered, time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_limiter->onRememberedPace(now, remembered);
+}
+
 void endpoint_gate::onConfiguration(time_point now)
 {
     const std::scoped_lock lock(m_mutex);
@@ -337,6 +343,7 @@
     current.cold = m_limiter->cold();
     current.engineStartId = m_load.startId;
     current.meanServiceMs = m_meanServiceMs;
+    current.warmPace = m_limiter->warmPace();
     return current;
 }
 
--- a/src/endpoint/endpoint_gate.h
+++ b/src/endpoint/endpoint_gate.h
@@ -48,6 +48,9 @@
     /** Passes on what the engine shows about its load. */
     void onLoadReport(const back_end_load &load, time_point now);
 
+    /** An entry remembers the warm speed of an earlier process of this endpoint. */
+    void onRememberedPace(const warm_pace &remembered, time_point now);
+
     /** Refuses new work and what still waits from now on. */
     void leave(time_point now);
 
--- a/src/endpoint/endpoint_role.cpp
+++ b/src/endpoint/endpoint_role.cpp
@@ -176,6 +176,8 @@
         m_exchange.onPush(connection, *push);
     } else if (const auto *heartbeat = std::get_if<heartbeat_frame>(&message)) {
         m_exchange.onPeerRevision(connection, heartbeat->revision);
+    } else if (const auto *pace = std::get_if<warm_pace_frame>(&message)) {
+        m_gate.onRememberedPace({pace->tokenSeconds, pace->callSeconds}, now);
     } else {
         connection->close("entry sent a frame that only endpoints send");
     }
--- a/src/entry/endpoint_directory.cpp
+++ b/src/entry/endpoint_directory.cpp
@@ -57,10 +57,23 @@
 
 void endpoint_directory::onUp(const link_ptr &connection)
 {
+    const std::string &node = connection->peer().node;
+    warm_pace remembered;
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (const member *known = m_members.find(node); known != nullptr) {
+            remembered = known->warmPace;
+        }
+    }
+    // Sent before the connection can be selected, because a submit that overtakes it may count as a proof of the cold
+    // start without a reference.
+    if (remembered != warm_pace {}) {
+        connection->send(warm_pace_frame {remembered.tokenSeconds, remembered.callSeconds});
+    }
     const std::scoped_lock lock(m_mutex);
-    local_view &view = m_views[connection->peer().node];
+    local_view &view = m_views[node];
     view.connection = connection;
-    view.nameHash = hashName(connection->peer().node);
+    view.nameHash = hashName(node);
 }
 
 void endpoint_directory::onHeartbeat(const link_ptr &connection, const endpoint_status &status, time_point now)
--- a/src/policy/adaptive_limiter.cpp
+++ b/src/policy/adaptive_limiter.cpp
@@ -26,6 +26,9 @@
 // While cold, a slow answer raises the remembered pace by this factor, so that an engine that has become slower for
 // good is accepted as warm after a few answers instead of staying at the cap for ever.
 constexpr double paceRelaxation = 1.1;
+// An entry reconnects within 2 s, or 2.5 s after a silent connection. A message that comes later than this after the
+// first cold start is older than what the process has measured since.
+constexpr std::chrono::seconds rememberedPaceGrace {10};
 
 } // namespace
 
@@ -87,11 +90,16 @@
         changeCap(now, std::max(1, m_cap / 2));
         return;
     }
-    const bool atWarmSpeed = meetsTargets(sample, pace, m_coldReference)
-        && (!m_coldReference || pace <= *m_coldReference * m_settings.warmFactor);
+    pace_record &record = recordOf(sample);
+    if (!record.reference && sample.tokens <= 1) {
+        // The time of a token is too strict for a call, but without any reference a cold answer would be a proof.
+        record.reference = m_paces[0].reference;
+    }
+    const bool atWarmSpeed = meetsTargets(sample, pace, record.reference)
+        && (!record.reference || pace <= *record.reference * m_settings.warmFactor);
     if (!atWarmSpeed) {
-        if (m_coldReference) {
-            m_coldReference = std::min(*m_coldReference * paceRelaxation, pace);
+        if (record.reference) {
+            record.reference = std::min(*record.reference * paceRelaxation, pace);
         }
         return;
     }
@@ -106,7 +114,12 @@
     if (m_cap >= static_cast<int>(m_adaptive)) {
         m_cold = false;
         m_drops = 0;
-        m_warmPace = m_coldReference.value_or(pace);
+        // The record of the other kind keeps its warm pace: its reference has no proof.
+        record.warm = record.reference.value_or(pace);
+        if (m_firstStart) {
+            m_firstStart = false;
+            m_firstWarmAt = now;
+        }
     }
 }
 
@@ -116,15 +129,16 @@
         decrease(now);
         return;
     }
-    if (m_warmPace && pace > *m_warmPace * m_settings.dropFactor) {
+    std::optional<double> &warm = recordOf(sample).warm;
+    if (warm && pace > *warm * m_settings.dropFactor) {
         if (++m_drops >= (sample.tokens > 1 ? m_settings.dropAnswers : m_settings.dropCalls)) {
             markCold(now);
         }
         return;
     }
     m_drops = 0;
-    m_warmPace = m_warmPace ? *m_warmPace + smoothing * (pace - *m_warmPace) : pace;
-    m_missShare += smoothing * ((meetsTargets(sample, pace, m_warmPace) ? 0.0 : 1.0) - m_missShare);
+    warm = warm ? *warm + smoothing * (pace - *warm) : pace;
+    m_missShare += smoothing * ((meetsTargets(sample, pace, warm) ? 0.0 : 1.0) - m_missShare);
     if (m_missShare > m_settings.missShare) {
         decrease(now);
     }
@@ -159,9 +173,13 @@
             markCold(now);
         }
     }
-    // An endpoint process that was started again knows no warm speed, but the engine beside it may remember one.
-    if (m_cold && !m_coldReference && load.tokens >= learnedTokens) {
-        m_coldReference = load.meanTokenSeconds;
+    // An endpoint process that was started again knows no warm speed, but the engine beside it may remember one. It is
+    // an upper bound, because it holds the cold steps as well; below a remembered pace, it shows that the engine was
+    // replaced by a faster one.
+    if (m_cold && m_firstStart && !m_meanTaken && load.tokens >= learnedTokens) {
+        m_meanTaken = true;
+        std::optional<double> &reference = m_paces[0].reference;
+        reference = std::min(reference.value_or(load.meanTokenSeconds), load.meanTokenSeconds);
     }
     // The engine queues what its batch cannot hold; waiting here instead keeps the order fair and cancellable.
     if (!m_cold && load.waiting > std::max(1.0, 0.1 * load.running)) {
@@ -175,8 +193,51 @@
     m_drops = 0;
     m_missShare = 0;
     // A ramp that is cut short must not leave the next one a slower pace to be measured against.
-    m_coldReference = m_warmPace;
+    for (pace_record &each : m_paces) {
+        each.reference = each.warm;
+    }
+    m_meanTaken = false;
     changeCap(now, 1);
 }
 
+adaptive_limiter::pace_record &adaptive_limiter::recordOf(const answer_sample &sample)
+{
+    return m_paces[sample.tokens > 1 ? 0 : 1];
+}
+
+bool adaptive_limiter::rememberPace(pace_record &record, double remembered) const
+{
+    const std::optional<double> known = m_cold ? record.reference : record.warm;
+    const bool stricter = known ? remembered * m_settings.warmFactor < *known : m_cold;
+    // A pace that is too low only delays the cold start until the slow answers have raised it, so the lowest one of
+    // entries that disagree is taken.
+    record.warm = std::min(record.warm.value_or(remembered), remembered);
+    record.reference = std::min(record.reference.value_or(remembered), remembered);
+    return stricter;
+}
+
+void adaptive_limiter::onRememberedPace(time_point now, const warm_pace &remembered)
+{
+    if (!m_firstStart && (!m_firstWarmAt || now - *m_firstWarmAt > rememberedPaceGrace)) {
+        return;
+    }
+    bool stricter = false;
+    if (remembered.tokenSeconds > 0) {
+        stricter = rememberPace(m_paces[0], remembered.tokenSeconds);
+    }
+    if (remembered.callSeconds > 0) {
+        stricter = rememberPace(m_paces[1], remembered.callSeconds) || stricter;
+    }
+    if (stricter && !m_cold) {
+        markCold(now);
+    } else if (stricter && m_cap > 1) {
+        changeCap(now, 1);
+    }
+}
+
+warm_pace adaptive_limiter::warmPace() const
+{
+    return {m_paces[0].warm.value_or(0), m_paces[1].warm.value_or(0)};
+}
+
 } // namespace bronzechute
--- a/src/policy/adaptive_limiter.h
+++ b/src/policy/adaptive_limiter.h
@@ -3,6 +3,7 @@
 #include "policy/admission_limiter.h"
 #include "policy/limiter_settings.h"
 
+#include <array>
 #include <optional>
 #include <string>
 
@@ -15,6 +16,10 @@
  * The cap doubles with a proof: answers at warm speed for half of the cap, all started after the last change of the
  * cap, while at least half of the cap was in use. The engine becomes cold again with a new start id, after consecutive
  * answers far below warm speed, and on markCold().
+ *
+ * Warm speed is the one before this cold start. A process that has none of its own takes the lowest of what entries
+ * remember of the process before it and, for token streams, the engine's mean. When an entry's message comes after
+ * proofs that were measured against a higher speed or none, the cap begins again at 1.
  */
 class adaptive_limiter : public admission_limiter
 {
@@ -27,6 +32,8 @@
     void onFinished(time_point now, const answer_sample &sample) override;
     void onLoadReport(time_point now, const back_end_load &load) override;
     void markCold(time_point now) override;
+    void onRememberedPace(time_point now, const warm_pace &remembered) override;
+    warm_pace warmPace() const override;
 
     int inFlight() const
     {
@@ -34,6 +41,15 @@
     }
 
 private:
+    /** Speed in one kind of answer, in seconds a token or a call. */
+    struct pace_record
+    {
+        std::optional<double> warm; ///< Smoothed pace of the warm engine, or the remembered one.
+        std::optional<double> reference; ///< Warm pace, raised by the slow answers of this cold start.
+    };
+
+    pace_record &recordOf(const answer_sample &sample);
+    bool rememberPace(pace_record &record, double remembered) const;
     bool meetsTargets(const answer_sample &sample, double pace, std::optional<double> reference) const;
     void onCold(time_point now, const answer_sample &sample, double pace);
     void onWarm(time_point now, const answer_sample &sample, double pace);
@@ -50,8 +66,10 @@
     bool m_decreased = false; ///< Whether the limit has been lowered since the start of the process.
     double m_missShare = 0; ///< Smoothed share of answers that miss a target.
     int m_drops = 0; ///< Consecutive answers far below warm speed.
-    std::optional<double> m_warmPace; ///< Smoothed seconds a token (or a call) of the warm engine.
-    std::optional<double> m_coldReference; ///< m_warmPace, raised by the slow answers of this cold start.
+    std::array<pace_record, 2> m_paces; ///< Of token streams and of calls.
+    bool m_firstStart = true; ///< No warm pace of this process's own has been measured.
+    bool m_meanTaken = false; ///< The engine's mean has been compared with the reference.
+    std::optional<time_point> m_firstWarmAt; ///< End of the first cold start.
     time_point m_capChangedAt {};
     time_point m_decreasedAt {};
     std::string m_startId;
--- a/src/policy/admission_limiter.h
+++ b/src/policy/admission_limiter.h
@@ -3,6 +3,7 @@
 #include "backend/back_end.h"
 #include "base/boot_clock.h"
 #include "policy/answer_sample.h"
+#include "policy/warm_pace.h"
 
 namespace bronzechute {
 
@@ -28,6 +29,12 @@
 
     /** The engine may have lost its warm state, for example because its data centre was out of service. */
     virtual void markCold(time_point now) = 0;
+
+    /** An entry remembers the warm speed of an earlier process of this endpoint. */
+    virtual void onRememberedPace(time_point now, const warm_pace &remembered) = 0;
+
+    /** @returns the warm speed for entries to remember. */
+    virtual warm_pace warmPace() const = 0;
 };
 
 } // namespace bronzechute
--- a/src/policy/endpoint_status.h
+++ b/src/policy/endpoint_status.h
@@ -2,6 +2,7 @@
 
 #include "config/label_set.h"
 #include "policy/serving_state.h"
+#include "policy/warm_pace.h"
 
 #include <string>
 #include <vector>
@@ -21,6 +22,7 @@
     bool cold = false; ///< Whether the cold-start ceiling applies.
     std::string engineStartId; ///< Changes when the engine restarts.
     double meanServiceMs = 0; ///< Smoothed time from admission to end.
+    warm_pace warmPace; ///< Entries give it back to the next process of this endpoint.
 
     friend bool operator==(const endpoint_status &, const endpoint_status &) = default;
 };
--- a/src/policy/member.h
+++ b/src/policy/member.h
@@ -24,6 +24,7 @@
     std::optional<time_point> heardAt; ///< Last heartbeat.
     time_point seenAt {}; ///< Last mention by any source.
     endpoint_status status; ///< From the last heartbeat.
+    warm_pace warmPace; ///< Last known one; kept when the process, the engine or the VM is replaced.
 };
 
 } // namespace bronzechute
--- a/src/policy/membership_table.cpp
+++ b/src/policy/membership_table.cpp
@@ -83,6 +83,12 @@
     each.heardAt = now;
     each.seenAt = now;
     each.status = status;
+    if (status.warmPace.tokenSeconds > 0) {
+        each.warmPace.tokenSeconds = status.warmPace.tokenSeconds;
+    }
+    if (status.warmPace.callSeconds > 0) {
+        each.warmPace.callSeconds = status.warmPace.callSeconds;
+    }
     if (each.address.empty()) {
         each.address = address;
     }
--- a/src/wire/endpoint_status_codec.h
+++ b/src/wire/endpoint_status_codec.h
@@ -11,7 +11,7 @@
 {
     namespace adaptor {
 
-    constexpr std::uint32_t endpointStatusFields = 10;
+    constexpr std::uint32_t endpointStatusFields = 12;
 
     template<>
     struct pack<bronzechute::endpoint_status>
@@ -31,6 +31,8 @@
             out.pack(value.cold);
             out.pack(value.engineStartId);
             out.pack(value.meanServiceMs);
+            out.pack(value.warmPace.tokenSeconds);
+            out.pack(value.warmPace.callSeconds);
             return out;
         }
     };
@@ -54,6 +56,8 @@
             (field++)->convert(value.cold);
             (field++)->convert(value.engineStartId);
             (field++)->convert(value.meanServiceMs);
+            (field++)->convert(value.warmPace.tokenSeconds);
+            (field++)->convert(value.warmPace.callSeconds);
             return in;
         }
     };
--- a/src/wire/frame.h
+++ b/src/wire/frame.h
@@ -15,6 +15,7 @@
 #include "wire/resume_frame.h"
 #include "wire/session_frame.h"
 #include "wire/submit_frame.h"
+#include "wire/warm_pace_frame.h"
 
 #include <variant>
 
@@ -23,6 +24,6 @@
 /** Any message between two processes of the system. */
 using frame = std::variant<hello_frame, heartbeat_frame, config_push_frame, submit_frame, accepted_frame, refused_frame,
                            response_head_frame, data_frame, end_frame, failed_frame, credit_frame, cancel_frame,
-                           cancelled_frame, resume_frame, session_frame>;
+                           cancelled_frame, resume_frame, session_frame, warm_pace_frame>;
 
 } // namespace bronzechute
--- a/src/wire/frame_ids.h
+++ b/src/wire/frame_ids.h
@@ -5,7 +5,7 @@
 namespace bronzechute {
 
 /** Version of the protocol between processes; processes of different versions do not connect. */
-constexpr std::uint32_t protocolVersion = 1;
+constexpr std::uint32_t protocolVersion = 2;
 
 /** Largest frame on a connection, in bytes, length prefix not counted. */
 constexpr std::uint32_t maxFrameBytes = 4 * 1024 * 1024;
@@ -27,6 +27,7 @@
     cancelled = 13,
     resume = 14,
     session = 15,
+    warm_pace = 16,
 };
 
 } // namespace bronzechute
--- a/tests/entry/endpoint_directory_test.cpp
+++ b/tests/entry/endpoint_directory_test.cpp
@@ -5,6 +5,70 @@
 namespace bronzechute {
 namespace {
 
+class recording_link final : public link
+{
+public:
+    explicit recording_link(std::uint64_t incarnation)
+    {
+        m_peer.node = "a";
+        m_peer.incarnation = incarnation;
+    }
+
+    const hello_frame &peer() const override
+    {
+        return m_peer;
+    }
+
+    const std::string &address() const override
+    {
+        return m_address;
+    }
+
+    bool send(const frame &message) override
+    {
+        sent.push_back(message);
+        return true;
+    }
+
+    void close(const std::string &) override
+    {
+    }
+
+    std::int64_t peerClockMs() const override
+    {
+        return 0;
+    }
+
+    std::vector<frame> sent;
+
+private:
+    hello_frame m_peer;
+    const std::string m_address = "127.0.0.1:1";
+};
+
+// Guards against a restarted endpoint process that measures its cold start against nothing, or against the pace that a
+// process without one reports.
+TEST(endpoint_directory, givesTheWarmPaceBackToTheNextProcess)
+{
+    const configuration_holder configuration;
+    endpoint_directory directory({}, configuration);
+    const auto first = std::make_shared<recording_link>(1);
+    directory.onUp(first);
+    EXPECT_TRUE(first->sent.empty());
+    endpoint_status status;
+    status.warmPace = {0.02, 0.3};
+    directory.onHeartbeat(first, status, boot_clock::now());
+    directory.onDown(first);
+    for (std::uint64_t incarnation = 2; incarnation < 4; ++incarnation) {
+        const auto next = std::make_shared<recording_link>(incarnation);
+        directory.onUp(next);
+        ASSERT_EQ(next->sent.size(), 1U);
+        EXPECT_EQ(next->sent[0], frame(warm_pace_frame {0.02, 0.3}));
+        directory.onHeartbeat(next, endpoint_status {}, boot_clock::now());
+        directory.onDown(next);
+    }
+}
+
 // Guards against an entry that dials replaced VMs for ever.
 TEST(endpoint_directory, namesTheEndpointsThatAreGoneForLong)
 {
--- a/tests/policy/adaptive_limiter_test.cpp
+++ b/tests/policy/adaptive_limiter_test.cpp
@@ -39,6 +39,18 @@
         }
     }
 
+    void call(milliseconds service)
+    {
+        limiter.onStarted(now);
+        now += service;
+        limiter.onFinished(now, {.firstToken = service, .service = service, .tokens = 1});
+    }
+
+    void remember(double tokenSeconds, double callSeconds = 0)
+    {
+        limiter.onRememberedPace(now, {tokenSeconds, callSeconds});
+    }
+
     void report(const char *startId, double running = 0, double waiting = 0)
     {
         limiter.onLoadReport(now, {.reachable = true, .startId = startId, .running = running, .waiting = waiting});
@@ -91,6 +103,83 @@
                          d.rounds(1, milliseconds(40));
                      },
                      2, 2, true},
+        limiter_row {"remembered_speed_ignored",
+                     [](driver &d) {
+                         d.remember(0.01);
+                         d.rounds(3, milliseconds(40));
+                     },
+                     1, 1, true},
+        limiter_row {"remembered_speed_of_calls_ignored",
+                     [](driver &d) {
+                         d.remember(0, 0.03);
+                         d.call(milliseconds(120));
+                         d.call(milliseconds(120));
+                     },
+                     1, 1, true},
+        limiter_row {"remembered_speed_rejects_warm_answers",
+                     [](driver &d) {
+                         d.remember(0.02);
+                         d.rounds(4, fast);
+                     },
+                     16, 17, false},
+        limiter_row {"proofs_from_before_the_message_count",
+                     [](driver &d) {
+                         d.rounds(2, milliseconds(40));
+                         d.remember(0.01);
+                     },
+                     1, 1, true},
+        limiter_row {"message_after_a_false_ramp_ignored",
+                     [](driver &d) {
+                         d.rounds(4, milliseconds(40));
+                         d.remember(0.01);
+                     },
+                     1, 1, true},
+        limiter_row {"old_message_makes_warm_engine_cold",
+                     [](driver &d) {
+                         d.rounds(4, milliseconds(40));
+                         d.now += std::chrono::seconds(11);
+                         d.remember(0.01);
+                     },
+                     16, 20, false},
+        limiter_row {"message_overrides_the_processs_own_speed",
+                     [](driver &d) {
+                         d.rounds(4, fast);
+                         d.now += std::chrono::seconds(11);
+                         d.limiter.markCold(d.now);
+                         d.remember(0.001);
+                         d.rounds(2, fast);
+                     },
+                     4, 4, true},
+        limiter_row {"slower_of_two_memories_wins",
+                     [](driver &d) {
+                         d.remember(0.01);
+                         d.remember(0.04);
+                         d.rounds(2, milliseconds(40));
+                     },
+                     1, 1, true},
+        limiter_row {"slower_replacement_stays_cold_for_ever",
+                     [](driver &d) {
+                         d.remember(0.01);
+                         d.rounds(30, milliseconds(40));
+                     },
+                     4, 32, false},
+        limiter_row {"faster_replacement_measured_against_the_old_engine",
+                     [](driver &d) {
+                         d.remember(0.04);
+                         d.limiter.onLoadReport(d.now, {true, "", 0, 0, 0, 1000, 0.01});
+                         d.rounds(3, milliseconds(40));
+                     },
+                     1, 1, true},
+        limiter_row {"calls_wear_down_the_speed_of_streams",
+                     [](driver &d) {
+                         d.rounds(8, fast);
+                         d.limiter.markCold(d.now);
+                         for (int each = 0; each < 20; ++each) {
+                             d.call(milliseconds(500));
+                         }
+                         d.rounds(2, 3 * fast);
+                     },
+                     1, 1, true},
         limiter_row {"slow_answer_counts_as_proof", [](driver &d) { d.rounds(5, slow); }, 1, 1, true},
         limiter_row {"ramps_cut_short_wear_down_the_warm_speed",
                      [](driver &d) {
@@ -175,15 +264,10 @@
                      4, 32, false},
         limiter_row {"slow_calls_of_a_service_make_cold",
                      [](driver &d) {
-                         const auto call = [&d](milliseconds service) {
-                             d.limiter.onStarted(d.now);
-                             d.now += service;
-                             d.limiter.onFinished(d.now, {.firstToken = service, .service = service, .tokens = 1});
-                         };
                          d.rounds(8, fast);
-                         call(milliseconds(500));
-                         call(milliseconds(500));
-                         call(milliseconds(500));
+                         d.call(milliseconds(500));
+                         d.call(milliseconds(500));
+                         d.call(milliseconds(500));
                      },
                      16, 32, false},
         limiter_row {"grows_above_maximum", [](driver &d) { d.rounds(500, fast); }, 32, 32, false},
@@ -198,6 +282,19 @@
                      10, 12, false}),
     [](const auto &row) { return std::string(row.param.name); });
 
+// Guards against a process that is restarted twice within a cold start and passes on less than it was told, and against
+// the engine's mean, which holds cold steps, becoming a remembered warm pace.
+TEST(adaptive_limiter, reportsMeasuredAndRememberedPacesOnly)
+{
+    driver drive;
+    drive.limiter.onLoadReport(drive.now, {true, "", 0, 0, 0, 1000, 0.01});
+    EXPECT_EQ(drive.limiter.warmPace(), warm_pace {});
+    drive.remember(0.02, 0.3);
+    EXPECT_EQ(drive.limiter.warmPace(), (warm_pace {0.02, 0.3}));
+    drive.rounds(2, slow);
+    EXPECT_EQ(drive.limiter.warmPace(), (warm_pace {0.02, 0.3}));
+}
+
 // Guards against a limit outside 1..maximum after any sequence of events.
 RC_GTEST_PROP(limiter_property, staysBetweenOneAndMaximum, ())
 {
--- a/tests/policy/membership_table_test.cpp
+++ b/tests/policy/membership_table_test.cpp
@@ -23,6 +23,14 @@
         table.onHeartbeat(now, "a", "10.0.0.1:1", incarnation, status);
     }
 
+    /** Heartbeat of a process that is warm at a pace, or of one that knows none. */
+    void heartbeatWithPace(std::uint64_t incarnation, warm_pace pace)
+    {
+        endpoint_status status;
+        status.warmPace = pace;
+        table.onHeartbeat(now, "a", "10.0.0.1:1", incarnation, status);
+    }
+
     void list(bool leaving, const char *address = "10.0.0.1:1")
     {
         const std::vector<listed_vm> vms {{"a", address, leaving}, {"b", "10.0.0.2:1", false}};
@@ -196,5 +204,17 @@
                                 true, true}),
     [](const auto &row) { return std::string(row.param.name); });
 
+// Guards against a warm speed that is lost with its process, or with the VM that is replaced under its name.
+TEST(membership_table, keepsTheWarmPaceOfAnEarlierProcess)
+{
+    driver drive;
+    drive.heartbeatWithPace(1, {0.02, 0});
+    drive.heartbeatWithPace(1, {0.03, 0.4});
+    drive.table.onDisconnected("a", 1);
+    drive.list(false, "10.0.0.9:1");
+    drive.heartbeatWithPace(2, {});
+    EXPECT_EQ(drive.table.find("a")->warmPace, (warm_pace {0.03, 0.4}));
+}
+
 } // namespace
 } // namespace bronzechute
--- a/tests/wire/frame_codec_test.cpp
+++ b/tests/wire/frame_codec_test.cpp
@@ -44,7 +44,7 @@
 }
 
 const endpoint_status sampleStatus {
-    serving_state::leaving, "buda", {{"a", "b"}}, {"iroda-nyelv"}, 3, 8, 2, true, "start-1", 12.5};
+    serving_state::leaving, "buda", {{"a", "b"}}, {"iroda-nyelv"}, 3, 8, 2, true, "start-1", 12.5, {0.02, 0.3}};
 
 INSTANTIATE_TEST_SUITE_P(
     rows, frame_codec_round_trip,
@@ -78,7 +78,8 @@
                     codec_row {"cancel_id_lost", cancel_frame {sampleId}},
                     codec_row {"started_flag_lost", cancelled_frame {sampleId, true}},
                     codec_row {"resume_position_lost", resume_frame {sampleId, 77}},
-                    codec_row {"session_version_lost", session_frame {"office", "orders", "office-1", 42}}),
+                    codec_row {"session_version_lost", session_frame {"office", "orders", "office-1", 42}},
+                    codec_row {"warm_pace_lost", warm_pace_frame {0.02, 0.3}}),
     [](const auto &row) { return std::string(row.param.name); });
 
 struct broken_row
