entry: cancel attempts without a first token in time (first_token_ms)

Cause: first_token_ms was parsed and had no effect; an engine that accepts requests and never sends a token held each caller until the engine's idle timeout or the deadline. Change: a streamed attempt without a first byte within the limit is cancelled. With proof that it still waited in the queue it ends as not_run, 503 first_token_timeout, and is not tried elsewhere; otherwise it is tried elsewhere within the retry budget, and ends as 504, unknown, when that fails. Both carry Retry-After. Also: only uncompressed events are held for continuation. Ruled out: limits for answers that are not streamed, whose first byte comes with the last token; retrying queued requests. Conclusion: callers of a silent engine get their final word after the limit, and an overloaded pool no further attempts.

--- a/src/config/traffic_class.h
+++ b/src/config/traffic_class.h
@@ -17,7 +17,7 @@
     selector pools; ///< Over the labels of pools.
     int priority = 5; ///< 0..9, higher first.
     std::chrono::milliseconds deadline {60000}; ///< For the whole answer.
-    std::chrono::milliseconds firstTokenTarget {1600};
+    std::chrono::milliseconds firstTokenLimit {0}; ///< For an attempt to show its first byte; 0: none.
     bool resumeElsewhere = false; ///< Whether another engine may continue a broken stream.
 
     friend bool operator==(const traffic_class &, const traffic_class &) = default;
--- a/src/entry/caller_request.h
+++ b/src/entry/caller_request.h
@@ -30,6 +30,7 @@
     int priority = 5;
     std::chrono::milliseconds deadline {60000};
     std::chrono::milliseconds startBudget {10000}; ///< Longest wait in an endpoint's queue.
+    std::chrono::milliseconds firstTokenLimit {0}; ///< For an attempt to show its first byte; 0: none.
     bool resumeElsewhere = false;
     bool readYourWrites = false;
     std::string service; ///< Only for kind service.
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -22,6 +22,7 @@
 constexpr std::chrono::milliseconds leastContinuationTime {1000};
 
 constexpr int statusOk = 200;
+constexpr int statusServerError = 500;
 
 api_error unknownOutcome(int status, const std::string &code, const std::string &message)
 {
@@ -46,6 +47,14 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(context.deadline - boot_clock::now());
 }
 
+/** Bytes that are compressed or no events would be held back until the continuation gives up on them. */
+bool isEventStream(const response_head_frame &head)
+{
+    return head.status == statusOk
+        && findHeader(head.headers, "Content-Type").value_or("").starts_with("text/event-stream")
+        && !findHeader(head.headers, "Content-Encoding");
+}
+
 } // namespace
 
 dispatcher::dispatcher(endpoint_directory &directory, pending_table &table, const configuration_holder &configuration,
@@ -141,8 +150,10 @@
 
 dispatcher::attempt_result dispatcher::awaitHead(request_context &context)
 {
+    const std::chrono::milliseconds limit = context.request.firstTokenLimit;
+    const bool limited = limit.count() > 0;
     while (true) {
-        switch (context.pending->wait(waitInterval)) {
+        switch (context.pending->wait(limited ? std::min(waitInterval, limit) : waitInterval, limited)) {
         case attempt_progress::head:
             return {attempt_end::answered, {}};
         case attempt_progress::refused:
@@ -160,6 +171,9 @@
         if (context.clientLeft()) {
             return settleCancelled(context, 499, "client_left", "the client closed the connection");
         }
+        if (limited && boot_clock::now() - context.attemptAt >= limit) {
+            return settleLateFirstToken(context);
+        }
     }
 }
 
@@ -200,6 +214,24 @@
     return {attempt_end::settled, failure};
 }
 
+dispatcher::attempt_result dispatcher::settleLateFirstToken(request_context &context)
+{
+    context.pending->cancel();
+    const bool proved = context.pending->waitNotStarted(cancelPatience);
+    const time_point now = boot_clock::now();
+    const auto retryAfter =
+        std::max<std::chrono::milliseconds>(m_directory.retryAfter(context.request, now), std::chrono::seconds(1));
+    const std::string message = "no first token within first_token_ms of the traffic class";
+    if (proved) {
+        // It still waited in the queue of the endpoint that looked best: in overload another attempt only adds load.
+        m_directory.onNeutral(context.pending->endpoint());
+        return {attempt_end::settled, notRun("first_token_timeout", message, retryAfter)};
+    }
+    m_directory.onFailed(context.pending->endpoint(), now);
+    return {context.request.mayRepeat ? attempt_end::try_next : attempt_end::settled,
+            {504, "first_token_timeout", message, {}, request_outcome::unknown, retryAfter}};
+}
+
 http_reply dispatcher::relay(request_context context)
 {
     const response_head_frame head = context.pending->head();
@@ -231,7 +263,7 @@
         }
     }
     relay_stream::continue_function continuation;
-    if (context.request.streaming && context.request.resumeElsewhere && head.status == statusOk) {
+    if (context.request.streaming && context.request.resumeElsewhere && isEventStream(head)) {
         continuation = [this](request_context &broken, std::string body) {
             return continueElsewhere(broken, std::move(body));
         };
@@ -265,8 +297,8 @@
             context.attemptCounted = true;
             continue;
         }
-        const int status = context.pending->head().status;
-        if (status == statusOk) {
+        const response_head_frame head = context.pending->head();
+        if (isEventStream(head)) {
             context.headAt = boot_clock::now();
             m_metrics.continuedStreams.add();
             return true;
@@ -275,7 +307,7 @@
         context.pending->cancel();
         m_directory.onNeutral(context.pending->endpoint());
         context.attemptCounted = true;
-        if (status < 500) {
+        if (head.status < statusServerError) {
             return false;
         }
     }
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -42,6 +42,7 @@
     attempt_result settleLost(request_context &context);
     attempt_result settleCancelled(request_context &context, int status, const std::string &code,
                                    const std::string &message);
+    attempt_result settleLateFirstToken(request_context &context);
     submit_frame makeSubmit(const request_context &context, const link_ptr &connection) const;
     bool mayRetry(const request_context &context);
     http_reply relay(request_context context);
--- a/src/entry/pending_request.cpp
+++ b/src/entry/pending_request.cpp
@@ -127,7 +127,7 @@
     }
 }
 
-attempt_progress pending_request::progressLocked() const
+attempt_progress pending_request::progressLocked(bool untilByte) const
 {
     if (m_refusal || (m_cancelled && !m_cancelled->started)) {
         return attempt_progress::refused;
@@ -135,18 +135,18 @@
     if (m_failure || m_corrupt || m_cancelled) {
         return attempt_progress::failed;
     }
-    if (m_head) {
+    if (m_head && (!untilByte || !m_ready.empty() || m_assembler->complete())) {
         return attempt_progress::head;
     }
     return m_lost ? attempt_progress::lost : attempt_progress::waiting;
 }
 
-attempt_progress pending_request::wait(std::chrono::milliseconds duration)
+attempt_progress pending_request::wait(std::chrono::milliseconds duration, bool untilByte)
 {
     std::unique_lock lock(m_mutex);
-    m_changed.wait_for(lock, duration, [this] { return progressLocked() != attempt_progress::waiting; });
+    m_changed.wait_for(lock, duration, [&] { return progressLocked(untilByte) != attempt_progress::waiting; });
     checkAgeLocked(boot_clock::now());
-    return progressLocked();
+    return progressLocked(untilByte);
 }
 
 std::size_t pending_request::read(char *buffer, std::size_t capacity, std::chrono::milliseconds duration)
--- a/src/entry/pending_request.h
+++ b/src/entry/pending_request.h
@@ -41,8 +41,11 @@
     /** A connection to an endpoint process is up: resumes the attempt when it is the same process. */
     void onUp(const link_ptr &connection);
 
-    /** Waits for news of the attempt, at most for the given time. */
-    attempt_progress wait(std::chrono::milliseconds duration);
+    /**
+     * Waits for news of the attempt, at most for the given time.
+     * @param untilByte whether a head is news only with the first byte of the answer or its end
+     */
+    attempt_progress wait(std::chrono::milliseconds duration, bool untilByte = false);
 
     /** Waits until there are bytes, the end, or the time is over. @returns the number of bytes moved to the buffer. */
     std::size_t read(char *buffer, std::size_t capacity, std::chrono::milliseconds duration);
@@ -72,7 +75,7 @@
     void creditLocked();
     void resumeLocked();
     void checkAgeLocked(time_point now);
-    attempt_progress progressLocked() const;
+    attempt_progress progressLocked(bool untilByte) const;
 
     const request_id m_id;
 
--- a/src/entry/request_classifier.cpp
+++ b/src/entry/request_classifier.cpp
@@ -178,6 +178,8 @@
     classified.priority = found->priority;
     classified.deadline = std::min<std::chrono::milliseconds>(found->deadline, longestDeadline);
     classified.startBudget = std::min(classified.deadline, longestStartBudget);
+    // The first byte of an answer that is not streamed comes with the last token.
+    classified.firstTokenLimit = classified.streaming ? found->firstTokenLimit : std::chrono::milliseconds(0);
     classified.resumeElsewhere = found->resumeElsewhere;
     return classified;
 }
--- a/tests/process/request_faults_test.cpp
+++ b/tests/process/request_faults_test.cpp
@@ -439,6 +439,98 @@
                               false}),
     [](const auto &row) { return std::string(row.param.name); });
 
+struct first_token_row
+{
+    const char *name; ///< The failure that the row guards against.
+    bool otherRecovers; ///< Whether the engine that did not get the request answers again.
+    unsigned ending;
+};
+
+class silent_engines : public testing::TestWithParam<first_token_row>
+{
+};
+
+/** The example's configuration with a limit for first tokens of the class counter and a deadline far behind it. */
+std::string configurationWithFirstTokenLimit()
+{
+    std::string text = local_system::exampleConfiguration();
+    const std::size_t begin = text.find("    deadline_ms: 30000");
+    const std::size_t end = text.find("  - name: members");
+    return text.replace(begin, end - begin, "    deadline_ms: 9000\n    first_token_ms: 2000\n");
+}
+
+TEST_P(silent_engines, doNotHoldACallerUntilItsDeadline)
+{
+    local_system system;
+    system.startStore();
+    for (const char *name : {"model-1", "model-2"}) {
+        system.startModel(name, "buda");
+        system.inject(std::string(name) + ".engine", R"({"never_answer": true})"_json);
+    }
+    system.startEntry("entry-1", "buda");
+    system.apply(configurationWithFirstTokenLimit());
+    ASSERT_TRUE(system.waitReady("entry-1", 2));
+    const auto started = [&](const std::string &name) {
+        return nlohmann::json::parse(system.stats(name + ".engine")).value("started", 0);
+    };
+    auto stream = std::async(std::launch::async, [&] { return system.complete("entry-1", 8, true); });
+    ASSERT_TRUE(eventuallyTrue([&] { return started("model-1") + started("model-2") > 0; }));
+    if (GetParam().otherRecovers) {
+        const std::string other = started("model-1") > 0 ? "model-2.engine" : "model-1.engine";
+        system.inject(other, R"({"never_answer": false})"_json);
+    }
+    const fetch_answer answer = stream.get();
+    if (GetParam().ending == answered) {
+        EXPECT_EQ(answer.status, 200) << answer.body;
+        EXPECT_TRUE(answer.body.ends_with("data: [DONE]\n\n")) << answer.body;
+        return;
+    }
+    EXPECT_EQ(endingOf(answer), GetParam().ending) << answer.body;
+    EXPECT_NE(answer.body.find("first_token_timeout"), std::string::npos) << answer.body;
+    EXPECT_TRUE(findHeader(answer.headers, "Retry-After"));
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, silent_engines,
+                         testing::Values(first_token_row {"request_not_tried_at_the_other_engine", true, answered},
+                                         first_token_row {"error_only_at_the_deadline", false, unknown}),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+// An overloaded pool would get a second attempt for each request that waits too long, on top of its load.
+TEST(first_token_limit, refusesWhatStillWaitsInsteadOfTryingItElsewhere)
+{
+    local_system system;
+    system.startStore();
+    for (const char *name : {"model-1", "model-2"}) {
+        system.startModel(name, "buda", {"--step_ms", "30"}, "  max_concurrency: 1\n");
+    }
+    system.startEntry("entry-1", "buda");
+    system.apply(configurationWithFirstTokenLimit());
+    ASSERT_TRUE(system.waitReady("entry-1", 2));
+    std::vector<std::future<fetch_answer>> streams;
+    for (const char *name : {"model-1", "model-2"}) {
+        streams.push_back(std::async(
+            std::launch::async, [&] { return system.complete("entry-1", 300, true, "long", "example-member-key"); }));
+        const std::size_t wanted = streams.size();
+        ASSERT_TRUE(eventuallyTrue([&] {
+            return static_cast<std::size_t>((tokensOf(system, "model-1") > 0) + (tokensOf(system, "model-2") > 0))
+                == wanted;
+        })) << name;
+    }
+    const fetch_answer answer = system.complete("entry-1", 8, true);
+    EXPECT_EQ(answer.status, 503) << answer.body;
+    EXPECT_EQ(endingOf(answer), not_run) << answer.body;
+    EXPECT_NE(answer.body.find("first_token_timeout"), std::string::npos) << answer.body;
+    EXPECT_TRUE(findHeader(answer.headers, "Retry-After"));
+    for (auto &stream : streams) {
+        EXPECT_EQ(stream.get().code, CURLE_OK);
+    }
+    for (const char *engine : {"model-1.engine", "model-2.engine"}) {
+        EXPECT_EQ(nlohmann::json::parse(system.stats(engine)).value("started", 0), 1) << engine;
+    }
+    const std::string metrics = fetch(system.url("entry-1") + "/metrics").body;
+    EXPECT_NE(metrics.find("bronzechute_retries_total 0\n"), std::string::npos) << metrics;
+}
+
 TEST(stream_cancel, stopsTheEngineWhenTheCallerLeaves)
 {
     local_system system;
