policy: refuse on arrival what would wait longer than the first-token target

fair_queue::startsInTime takes the larger of that number at the mean time between starts and the account's own queued requests at the pace at which the account was served lately, against the deadline and 1.6 s. The endpoint process refuses the others at once with Retry-After; a plain service has only the deadline, a cold endpoint refuses nothing this way.

Rows against a queue without the rule (startsInTime always true): tests/policy/fair_queue_test.cpp:157: Failure queue.startsInTime(...) Which is: true GetParam().expected Which is: false FAILED queue_wait.isWorthQueueing/later_requests_of_others_ignored FAILED queue_wait.isWorthQueueing/queues_past_its_deadline FAILED queue_wait.isWorthQueueing/queues_to_be_late

--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -29,6 +29,7 @@
     bool adaptive =
         false; ///< adaptive_limiter and fair_queue, instead of a fixed limit and a first-in first-out queue.
     load_aware_settings chooser {.entries = entryCount};
+    queue_settings queue {.capacity = 32};
     limiter_settings limiter {.maximum = 64, .initial = 16};
     bool commonHash = true; ///< Whether entries rank endpoints for a new prefix alike.
 };
@@ -98,7 +99,6 @@
 private:
     static constexpr double hop = 0.0015; ///< Seconds one way between processes.
     static constexpr int fixedLimit = engine::mostInBatch;
-    static constexpr std::size_t queueCapacity = 32;
 
     struct event
     {
--- a/bench/policy_model_endpoint.h
+++ b/bench/policy_model_endpoint.h
@@ -8,7 +8,7 @@
 {
     node_state &here = m_nodes[node];
     here.limiter = std::make_unique<adaptive_limiter>(m_kind.limiter);
-    here.queue = std::make_unique<fair_queue>(queue_settings {.capacity = queueCapacity});
+    here.queue = std::make_unique<fair_queue>(m_kind.queue);
     here.plainQueue.clear();
     here.running = 0;
     here.meanServiceMs = 0;
@@ -62,7 +62,7 @@
         return;
     }
     if (!m_kind.adaptive) {
-        if (here.plainQueue.size() >= queueCapacity) {
+        if (here.plainQueue.size() >= m_kind.queue.capacity) {
             refuse(node, request, true);
             return;
         }
@@ -72,11 +72,19 @@
     }
     const double latest = m_arrivals[request].at + std::max(1.0, deadlineSeconds - here.meanServiceMs / 1000);
     const auto deadline = clock() + std::chrono::nanoseconds(static_cast<std::int64_t>((latest - m_now) * 1e9));
-    const auto pushed = here.queue->push({.id = {0, static_cast<std::uint64_t>(request)},
-                                          .account = std::to_string(m_arrivals[request].account),
-                                          .weight = 1,
-                                          .priority = 5,
-                                          .deadline = deadline});
+    const queued_request waiting {.id = {0, static_cast<std::uint64_t>(request)},
+                                  .account = std::to_string(m_arrivals[request].account),
+                                  .weight = 1,
+                                  .priority = 5,
+                                  .deadline = deadline};
+    const int limit = here.limiter->limit(clock());
+    const double intervalMs = here.limiter->cold() ? 0 : here.meanServiceMs / limit;
+    const auto interval = std::chrono::nanoseconds(static_cast<std::int64_t>(intervalMs * 1e6));
+    if (here.running >= limit && !here.queue->startsInTime(waiting, clock(), interval)) {
+        refuse(node, request, true);
+        return;
+    }
+    const auto pushed = here.queue->push(waiting);
     if (!pushed.queued) {
         refuse(node, request, true);
     }
--- a/src/endpoint/endpoint_gate.cpp
+++ b/src/endpoint/endpoint_gate.cpp
@@ -4,6 +4,7 @@
 #include "policy/retry_after_estimate.h"
 #include "request/attempt_limits.h"
 
+#include <algorithm>
 #include <mutex>
 #include <vector>
 
@@ -29,6 +30,15 @@
     return request;
 }
 
+queue_settings queueSettings(const daemon_settings &settings)
+{
+    queue_settings result {.capacity = static_cast<std::size_t>(settings.endpoint.queueLength)};
+    if (settings.endpoint.kind == endpoint_kind::service) {
+        result.longestWait = boot_clock::duration::max(); // No first token is waited for; the deadline decides.
+    }
+    return result;
+}
+
 } // namespace
 
 endpoint_gate::endpoint_gate(const daemon_settings &settings, std::shared_ptr<back_end> engine,
@@ -41,7 +51,7 @@
     , m_tracer(std::make_shared<log_tracer>(std::random_device {}()))
     , m_limiter(std::move(limiter))
     , m_register(attemptRetention)
-    , m_queue(queue_settings {static_cast<std::size_t>(settings.endpoint.queueLength)})
+    , m_queue(queueSettings(settings))
     , m_random(std::random_device {}())
 {
 }
@@ -104,8 +114,13 @@
         return;
     }
     const auto budget = std::chrono::milliseconds(submit.startBeforeMs - clockMilliseconds(now));
-    const queue_push_result pushed =
-        m_queue.push({submit.id.request, submit.account, submit.accountShare, submit.priority, now + budget});
+    const queued_request waiting {submit.id.request, submit.account, submit.accountShare, submit.priority,
+                                  now + budget};
+    if (m_active >= m_limiter->limit(now) && !m_queue.startsInTime(waiting, now, startIntervalLocked(now))) {
+        refuseLocked(connection, submit.id, refusal_reason::overloaded, now);
+        return;
+    }
+    const queue_push_result pushed = m_queue.push(waiting);
     if (pushed.displaced) {
         refuseWaitingLocked(pushed.displaced->id, refusal_reason::overloaded, now);
     }
@@ -117,6 +132,13 @@
     startReadyLocked(now);
 }
 
+boot_clock::duration endpoint_gate::startIntervalLocked(time_point now) const
+{
+    // The limit of a cold endpoint doubles within a few answers, so the present pace says little about the wait.
+    const double milliseconds = m_limiter->cold() ? 0 : m_meanServiceMs / std::max(1, m_limiter->limit(now));
+    return std::chrono::duration_cast<boot_clock::duration>(std::chrono::duration<double, std::milli>(milliseconds));
+}
+
 void endpoint_gate::refuseWaitingLocked(const request_id &id, refusal_reason reason, time_point now)
 {
     const auto position = m_waiting.find(id);
--- a/src/endpoint/endpoint_gate.h
+++ b/src/endpoint/endpoint_gate.h
@@ -70,6 +70,8 @@
     bool outOfService() const;
     void refuseLocked(const link_ptr &connection, const attempt_id &id, refusal_reason reason, time_point now);
     void refuseAllWaitingLocked(refusal_reason reason, time_point now);
+    /** @returns the mean time between two starts, or zero when it is unknown. */
+    boot_clock::duration startIntervalLocked(time_point now) const;
     void refuseWaitingLocked(const request_id &id, refusal_reason reason, time_point now);
     void startReadyLocked(time_point now);
     void startLocked(waiting_attempt attempt, time_point now);
--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -1,6 +1,8 @@
 #include "policy/fair_queue.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 
 namespace bronzechute {
 
@@ -86,6 +88,62 @@
     return top;
 }
 
+bool fair_queue::startsInTime(const queued_request &request, time_point now, boot_clock::duration startInterval) const
+{
+    if (startInterval <= startInterval.zero()) {
+        return true;
+    }
+    auto wait = startInterval * static_cast<int>(startsBefore(request) + 1);
+    const auto own = m_accounts.find(request.account);
+    if (own != m_accounts.end()) {
+        // What is queued says nothing about the requests of other accounts that will arrive and be served first; the
+        // pace at which the account was served lately does.
+        const auto lately = own->second.paces.find(-request.priority);
+        if (lately != own->second.paces.end()) {
+            wait = std::max(wait, lately->second.interval * (waitingAt(own->second, -request.priority) + 1));
+        }
+    }
+    return wait <= std::min<boot_clock::duration>(request.deadline - now, m_settings.longestWait);
+}
+
+int fair_queue::waitingAt(const account_queue &account, int level)
+{
+    return static_cast<int>(
+        std::distance(account.waiting.lower_bound(place(level, 0)), account.waiting.lower_bound(place(level + 1, 0))));
+}
+
+/** @returns how many of the queued requests are served before a newcomer, if no other arrives. */
+std::size_t fair_queue::startsBefore(const queued_request &newcomer) const
+{
+    const int level = -newcomer.priority;
+    const auto own = m_accounts.find(newcomer.account);
+    double start = m_virtualTime;
+    if (own != m_accounts.end()) {
+        start = std::max(start, own->second.virtualTime)
+            + static_cast<double>(waitingAt(own->second, level)) / std::max(1, newcomer.weight);
+    }
+    std::size_t higher = 0;
+    std::size_t lower = 0; // Below the highest priority, this account and level included.
+    std::size_t before = 0;
+    int top = level;
+    for (const auto &[name, account] : m_accounts) {
+        if (!account.waiting.empty()) {
+            top = std::min(top, account.waiting.begin()->first.first);
+        }
+    }
+    for (const auto &[name, account] : m_accounts) {
+        const auto first = account.waiting.lower_bound(place(level, 0));
+        const double same = waitingAt(account, level);
+        higher += static_cast<std::size_t>(std::distance(account.waiting.begin(), first));
+        lower += static_cast<std::size_t>(
+            std::distance(account.waiting.lower_bound(place(top + 1, 0)), account.waiting.end()));
+        const double ahead = std::ceil((start - account.virtualTime) * account.weight);
+        before += static_cast<std::size_t>(name == newcomer.account ? same : std::clamp(ahead, 0.0, same));
+    }
+    before += higher;
+    return top < level ? std::min(before, (lower + 1) * static_cast<std::size_t>(m_settings.lowerShare)) : before;
+}
+
 queue_pop_result fair_queue::pop(time_point now)
 {
     queue_pop_result result;
@@ -111,10 +169,26 @@
     best->virtualTime += 1.0 / best->weight;
     const request_id id = next->second.id;
     result.next = remove(id);
+    measurePace(*best, *level, now);
     forgetIdleAccounts();
     return result;
 }
 
+void fair_queue::measurePace(account_queue &account, int level, time_point now)
+{
+    constexpr int smoothing = 8; // Pops that count: the pace of a flood is known before its queue is full.
+    if (waitingAt(account, level) == 0) {
+        account.paces.erase(level);
+        return;
+    }
+    const auto [position, first] = account.paces.try_emplace(level, pace {.poppedAt = now});
+    pace &known = position->second;
+    if (!first) {
+        known.interval += (now - known.poppedAt - known.interval) / smoothing;
+    }
+    known.poppedAt = now;
+}
+
 std::vector<queued_request> fair_queue::takeExpired(time_point now)
 {
     std::vector<queued_request> expired;
--- a/src/policy/fair_queue.h
+++ b/src/policy/fair_queue.h
@@ -33,6 +33,15 @@
     /** A request id that is already queued is refused. */
     queue_push_result push(queued_request request);
 
+    /**
+     * Whether a request that is not queued yet is expected to start before its deadline and within the longest wait.
+     * Refusing the others at once keeps a flood from filling the queue with requests that expire or are answered late.
+     *
+     * @param startInterval mean time between two starts of any account; zero when unknown, then every request is worth
+     * queueing.
+     */
+    bool startsInTime(const queued_request &request, time_point now, boot_clock::duration startInterval) const;
+
     /** Removes the request to run next and every request whose deadline is at or before now. */
     queue_pop_result pop(time_point now);
 
@@ -53,16 +62,26 @@
 private:
     using place = std::pair<int, std::uint64_t>; ///< Negated priority and sequence: higher priority and older first.
 
+    struct pace
+    {
+        time_point poppedAt;
+        boot_clock::duration interval {}; ///< Smoothed, between pops that left requests waiting.
+    };
+
     struct account_queue
     {
         double weight = 1;
         double virtualTime = 0;
+        std::map<int, pace> paces; ///< By negated priority, of those with requests waiting.
         std::map<place, queued_request> waiting;
     };
 
     queued_request remove(const request_id &id);
+    std::size_t startsBefore(const queued_request &newcomer) const;
     std::string mostOverShare(const queued_request &newcomer) const;
     std::optional<int> nextPriority();
+    static int waitingAt(const account_queue &account, int level);
+    static void measurePace(account_queue &account, int level, time_point now);
     void forgetIdleAccounts();
 
     const queue_settings m_settings;
--- a/tests/policy/fair_queue_test.cpp
+++ b/tests/policy/fair_queue_test.cpp
@@ -137,6 +137,71 @@
                                                     {7, 4, 8, 5, 6}}),
                          [](const auto &row) { return std::string(row.param.name); });
 
+struct wait_row
+{
+    const char *name; ///< The failure that the row guards against.
+    std::function<void(fair_queue &)> fill;
+    queued_request newcomer;
+    std::chrono::milliseconds startInterval;
+    bool expected;
+};
+
+class queue_wait : public testing::TestWithParam<wait_row>
+{
+};
+
+TEST_P(queue_wait, isWorthQueueing)
+{
+    fair_queue queue({.longestWait = std::chrono::milliseconds(1600)});
+    GetParam().fill(queue);
+    EXPECT_EQ(queue.startsInTime(GetParam().newcomer, start, GetParam().startInterval), GetParam().expected);
+}
+
+std::function<void(fair_queue &)> queued(int count, const char *account, int priority = 5, int weight = 1)
+{
+    return [=](fair_queue &queue) {
+        for (int each = 0; each < count; ++each) {
+            queue.push(make(100 + static_cast<std::uint64_t>(each), account, priority, weight));
+        }
+    };
+}
+
+/** Account a always has five waiting and is served once in 400 ms, because three other accounts keep arriving. */
+void serveAmongArrivals(fair_queue &queue)
+{
+    queued(5, "a")(queue);
+    for (int step = 0; step < 80; ++step) {
+        const std::string account(1, static_cast<char>('a' + step % 4));
+        queue.push(make(1000 + static_cast<std::uint64_t>(step), account.c_str()));
+        queue.pop(start + std::chrono::milliseconds(100) * (step - 80));
+    }
+}
+
+constexpr std::chrono::milliseconds tenASecond {100};
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, queue_wait,
+    testing::Values(
+        wait_row {"queues_to_be_late", queued(16, "a"), make(1, "a"), tenASecond, false},
+        wait_row {"refused_within_the_longest_wait", queued(15, "a"), make(1, "a"), tenASecond, true},
+        wait_row {"small_account_refused_for_a_flood", queued(30, "a"), make(1, "b"), tenASecond, true},
+        wait_row {"queues_past_its_deadline", queued(15, "a"), make(1, "a", 5, 1, std::chrono::seconds(1)), tenASecond,
+                  false},
+        wait_row {"refused_at_unknown_pace", queued(30, "a"), make(1, "a"), {}, true},
+        wait_row {"higher_priority_refused_for_lower_ones", queued(30, "a", 1), make(1, "a", 9), tenASecond, true},
+        wait_row {"reserved_share_of_lower_priority_ignored", queued(30, "b", 9), make(1, "a", 1), tenASecond, true},
+        wait_row {"larger_weight_ignored",
+                  [](fair_queue &q) {
+                      queued(8, "a", 5, 4)(q);
+                      for (std::uint64_t id = 1; id <= 20; ++id) {
+                          q.push(make(id, "b"));
+                      }
+                  },
+                  make(50, "a", 5, 4), tenASecond, true},
+        wait_row {"later_requests_of_others_ignored", serveAmongArrivals, make(1, "a"), tenASecond, false},
+        wait_row {"pace_of_lower_priority_taken_for_higher", serveAmongArrivals, make(1, "a", 9), tenASecond, true}),
+    [](const auto &row) { return std::string(row.param.name); });
+
 // Guards against an expired request that runs, and one that is never answered.
 TEST(queue_deadline, expiredComeOutAndDoNotRun)
 {
