--- a/tests/standins/model_engine.cpp
+++ b/tests/standins/model_engine.cpp
@@ -16,6 +16,7 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
 constexpr std::chrono::milliseconds watchInterval {200};
+constexpr std::size_t longestOrder = 200; // More would make the statistics of a long run large.
 
 http_reply jsonReply(int status, std::string body)
 {
@@ -114,6 +115,9 @@
     {
         const std::scoped_lock lock(m_mutex);
         ++m_runs[findHeader(request.headers, "X-Request-Id").value_or("")];
+        if (m_order.size() < longestOrder) {
+            m_order.push_back({{"prompt", parsed->prompt}, {"priority", parsed->priority}});
+        }
     }
     auto sequence = std::make_shared<engine_sequence>();
     sequence->prompt = parsed->prompt;
@@ -159,6 +163,7 @@
                            {"cold", now.cold}};
     const std::scoped_lock lock(m_mutex);
     object["requests"] = m_runs;
+    object["order"] = m_order;
     return jsonReply(200, object.dump());
 }
 
--- a/tests/standins/model_engine.h
+++ b/tests/standins/model_engine.h
@@ -10,8 +10,10 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace bronzechute::standins {
 
@@ -64,6 +66,7 @@
     std::condition_variable_any m_stopping;
     bool m_stopped = false;
     std::map<std::string, std::uint64_t> m_runs; ///< Requests run by X-Request-Id.
+    std::vector<nlohmann::json> m_order; ///< Prompt and priority of the first requests, in order of arrival.
     std::unique_ptr<http_server> m_server;
     std::thread m_watcher;
 };
