tests: concurrent streams beside a killed endpoint process that may continue elsewhere

Cause: continued_streams has one caller at a time, so that text mixed between callers would not be seen.

--- a/tests/process/request_faults_test.cpp
+++ b/tests/process/request_faults_test.cpp
@@ -324,14 +324,14 @@
     return nlohmann::json::parse(system.stats(endpoint + ".engine"), nullptr, false).value("tokens", 0);
 }
 
-fetch_request streamRequest(const std::string &url, bool chat)
+fetch_request streamRequest(const std::string &url, bool chat, const std::string &prompt = "hello")
 {
     fetch_request request;
     request.url = url + (chat ? "/v1/chat/completions" : "/v1/completions");
     request.method = "POST";
     request.headers = {{"Authorization", "Bearer example-office-key"}};
     request.body = std::string(R"({"model":"iroda-nyelv","max_tokens":100,"stream":true,)")
-        + (chat ? R"("messages":[{"role":"user","content":"hello"}]})" : R"("prompt":"hello"})");
+        + (chat ? R"("messages":[{"role":"user","content":")" + prompt + R"("}]})" : R"("prompt":")" + prompt + "\"}");
     return request;
 }
 
@@ -364,6 +364,14 @@
     }
 };
 
+std::string configurationThatContinues(bool resumeElsewhere)
+{
+    std::string text = local_system::exampleConfiguration();
+    const std::string place = "priority: 9";
+    return text.replace(text.find(place), place.size(),
+                        place + "\n    resume_elsewhere: " + (resumeElsewhere ? "true" : "false"));
+}
+
 TEST_P(continued_streams, showTheSameTextOrAVisibleCut)
 {
     const continued_stream_row &row = GetParam();
@@ -373,11 +381,7 @@
         system.startModel(name, "buda", {"--step_ms", "30"});
     }
     system.startEntry("entry-1", "buda");
-    std::string configuration = local_system::exampleConfiguration();
-    const std::string place = "priority: 9";
-    configuration.replace(configuration.find(place), place.size(),
-                          place + "\n    resume_elsewhere: " + (row.resumeElsewhere ? "true" : "false"));
-    system.apply(configuration);
+    system.apply(configurationThatContinues(row.resumeElsewhere));
     ASSERT_TRUE(system.waitReady("entry-1", 2));
     auto stream = std::async(std::launch::async, [&] { return fetch(streamRequest(system.url("entry-1"), row.chat)); });
     ASSERT_TRUE(
@@ -439,6 +443,53 @@
                               false}),
     [](const auto &row) { return std::string(row.param.name); });
 
+// One caller's text would be mixed into another's stream. How many streams continue is left open: requests that
+// waited in the queue of the dead process take from the same retry budget.
+TEST(continued_streams_together, keepTheirOwnTextOrAreCut)
+{
+    constexpr int streamCount = 8;
+    local_system system;
+    system.startStore();
+    for (const char *name : {"model-1", "model-2"}) {
+        system.startModel(name, "buda", {"--step_ms", "10"});
+    }
+    system.startEntry("entry-1", "buda");
+    system.apply(configurationThatContinues(true));
+    ASSERT_TRUE(system.waitReady("entry-1", 2));
+    std::vector<std::future<fetch_answer>> streams;
+    streams.reserve(streamCount);
+    const auto prompt = [](int index) {
+        return "stream " + std::to_string(index);
+    };
+    for (int index = 0; index < streamCount; ++index) {
+        streams.push_back(std::async(std::launch::async, [&system, text = prompt(index)] {
+            return fetch(streamRequest(system.url("entry-1"), true, text));
+        }));
+    }
+    // Beyond the first answer, which has 100 tokens: the cold start admits several streams by then.
+    ASSERT_TRUE(eventuallyTrue([&] { return tokensOf(system, "model-1") >= 150; }));
+    system.process("model-1").kill();
+    int whole = 0;
+    for (int index = 0; index < streamCount; ++index) {
+        const fetch_answer answer = streams[static_cast<std::size_t>(index)].get();
+        if (endingOf(answer) != cut && answer.status != 200) {
+            EXPECT_NE(endingOf(answer), answered) << answer.body;
+            continue;
+        }
+        if (answer.code != CURLE_OK) {
+            EXPECT_EQ(answer.body.find("[DONE]"), std::string::npos) << answer.body;
+            continue;
+        }
+        ++whole;
+        const stream_view direct(fetch(streamRequest(system.url("model-2.engine"), true, prompt(index))).body);
+        const stream_view seen(answer.body);
+        EXPECT_EQ(seen.text, direct.text);
+        EXPECT_EQ(seen.ids.size(), 1U);
+        EXPECT_EQ(seen.usages, direct.usages);
+    }
+    EXPECT_GT(whole, 0);
+}
+
 struct first_token_row
 {
     const char *name; ///< The failure that the row guards against.
