policy: requests that arrive within a step are not the engine's queue

The limiter lowered its limit on each load report with more waiting requests than a tenth of the running ones. An engine that admits requests only between two steps shows what arrived during the step as waiting, so that the limit fell although nothing was overloaded.

Change: the largest number of requests that were started within one step (warm time between tokens, or the engine's mean) in the second before the report does not count as waiting; a second is the lag of the report and the interval between two. Ruled out by argument, not by a run: two reports in a row (many arrivals make most reports show some) and a longer interval (a report shows one instant).

New rows: requests_between_two_steps_lower gives a limit of 11 instead of 32 without the change; steady_arrivals_hide_the_engine_queue guards the change itself and passes with and without it.

--- a/src/policy/adaptive_limiter.cpp
+++ b/src/policy/adaptive_limiter.cpp
@@ -29,6 +29,11 @@
 // An entry reconnects within 2 s, or 2.5 s after a silent connection. A message that comes later than this after the
 // first cold start is older than what the process has measured since.
 constexpr std::chrono::seconds rememberedPaceGrace {10};
+// Age of what a load report shows, at most: the engine's own lag and the interval between two reports.
+constexpr std::chrono::seconds reportAge {1};
+// A request waits at most for the end of the step that it arrives in. Half a step more costs up to 1% of the goodput in
+// overload (policy_bench).
+constexpr double admissionSteps = 1;
 
 } // namespace
 
@@ -48,8 +53,12 @@
     return m_cold;
 }
 
-void adaptive_limiter::onStarted(time_point)
+void adaptive_limiter::onStarted(time_point now)
 {
+    while (!m_starts.empty() && now - m_starts.front() >= reportAge) {
+        m_starts.pop_front();
+    }
+    m_starts.push_back(now);
     ++m_inFlight;
     m_peakInFlight = std::max(m_peakInFlight, m_inFlight);
 }
@@ -181,12 +190,30 @@
         std::optional<double> &reference = m_paces[0].reference;
         reference = std::min(reference.value_or(load.meanTokenSeconds), load.meanTokenSeconds);
     }
-    // The engine queues what its batch cannot hold; waiting here instead keeps the order fair and cancellable.
-    if (!m_cold && load.waiting > std::max(1.0, 0.1 * load.running)) {
+    while (!m_starts.empty() && now - m_starts.front() >= reportAge) {
+        m_starts.pop_front();
+    }
+    // The engine queues what its batch cannot hold; waiting here instead keeps the order fair and cancellable. An
+    // engine that admits requests only between steps also shows those that came during a step, which is no overload.
+    if (!m_cold && load.waiting - mostStartsInAStep(load) > std::max(1.0, 0.1 * load.running)) {
         decrease(now);
     }
 }
 
+int adaptive_limiter::mostStartsInAStep(const back_end_load &load) const
+{
+    const double window = m_paces[0].warm.value_or(load.meanTokenSeconds) * admissionSteps;
+    int most = 0;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < m_starts.size(); ++last) {
+        while (seconds(m_starts[last] - m_starts[first]) > window) {
+            ++first;
+        }
+        most = std::max(most, static_cast<int>(last - first + 1));
+    }
+    return most;
+}
+
 void adaptive_limiter::markCold(time_point now)
 {
     m_cold = true;
--- a/src/policy/adaptive_limiter.h
+++ b/src/policy/adaptive_limiter.h
@@ -4,6 +4,7 @@
 #include "policy/limiter_settings.h"
 
 #include <array>
+#include <deque>
 #include <optional>
 #include <string>
 
@@ -55,6 +56,7 @@
     void onWarm(time_point now, const answer_sample &sample, double pace);
     void decrease(time_point now);
     void changeCap(time_point now, int cap);
+    int mostStartsInAStep(const back_end_load &load) const;
 
     const limiter_settings m_settings;
     double m_adaptive; ///< Limit of the warm engine.
@@ -73,6 +75,7 @@
     time_point m_capChangedAt {};
     time_point m_decreasedAt {};
     std::string m_startId;
+    std::deque<time_point> m_starts; ///< Of the requests that a load report may still show as waiting.
 };
 
 } // namespace bronzechute
--- a/tests/policy/adaptive_limiter_test.cpp
+++ b/tests/policy/adaptive_limiter_test.cpp
@@ -271,6 +271,31 @@
                      },
                      16, 32, false},
         limiter_row {"grows_above_maximum", [](driver &d) { d.rounds(500, fast); }, 32, 32, false},
+        limiter_row {"requests_between_two_steps_lower",
+                     [](driver &d) {
+                         d.rounds(500, fast);
+                         for (int report = 0; report < 10; ++report) {
+                             d.now += milliseconds(1000);
+                             for (int each = 0; each < 10; ++each) {
+                                 d.limiter.onStarted(d.now);
+                             }
+                             d.now += milliseconds(5);
+                             d.report("first", 32, 10);
+                         }
+                     },
+                     32, 32, false},
+        limiter_row {"steady_arrivals_hide_the_engine_queue",
+                     [](driver &d) {
+                         d.rounds(500, fast);
+                         for (int report = 0; report < 10; ++report) {
+                             for (int each = 0; each < 20; ++each) {
+                                 d.now += milliseconds(50);
+                                 d.limiter.onStarted(d.now);
+                             }
+                             d.report("first", 10, 10);
+                         }
+                     },
+                     10, 12, false},
         limiter_row {"engine_queue_does_not_lower",
                      [](driver &d) {
                          d.rounds(500, fast);
