--- a/src/endpoint/endpoint_gate.cpp
+++ b/src/endpoint/endpoint_gate.cpp
@@ -114,11 +114,14 @@
         return;
     }
     const auto budget = std::chrono::milliseconds(submit.startBeforeMs - clockMilliseconds(now));
-    const queued_request waiting {submit.id.request, submit.account, submit.accountShare, submit.priority,
-                                  now + budget};
-    if (m_active >= m_limiter->limit(now) && !m_queue.startsInTime(waiting, now, startIntervalLocked(now))) {
-        refuseLocked(connection, submit.id, refusal_reason::overloaded, now);
-        return;
+    queued_request waiting {submit.id.request, submit.account, submit.accountShare, submit.priority, now + budget};
+    if (m_active >= m_limiter->limit(now)) {
+        const auto latestStart = m_queue.latestStart(waiting, now, startIntervalLocked(now));
+        if (!latestStart) {
+            refuseLocked(connection, submit.id, refusal_reason::overloaded, now);
+            return;
+        }
+        waiting.deadline = *latestStart;
     }
     const queue_push_result pushed = m_queue.push(waiting);
     if (pushed.displaced) {
--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -88,22 +88,27 @@
     return top;
 }
 
-bool fair_queue::startsInTime(const queued_request &request, time_point now, boot_clock::duration startInterval) const
+std::optional<time_point> fair_queue::latestStart(const queued_request &request, time_point now,
+                                                  boot_clock::duration startInterval) const
 {
     if (startInterval <= startInterval.zero()) {
-        return true;
-    }
-    auto wait = startInterval * static_cast<int>(startsBefore(request) + 1);
+        return request.deadline;
+    }
+    const int level = -request.priority;
+    const position where = positionOf(request);
+    auto wait = startInterval * (where.higher + where.same + 1);
+    // What is queued says nothing about the requests of other accounts, or of a higher priority, that will arrive and
+    // be served first; the pace at which the priority and the account were served lately does.
+    wait = std::max(wait, intervalAt(m_paces, level) * (where.same + 1));
     const auto own = m_accounts.find(request.account);
     if (own != m_accounts.end()) {
-        // What is queued says nothing about the requests of other accounts that will arrive and be served first; the
-        // pace at which the account was served lately does.
-        const auto lately = own->second.paces.find(-request.priority);
-        if (lately != own->second.paces.end()) {
-            wait = std::max(wait, lately->second.interval * (waitingAt(own->second, -request.priority) + 1));
-        }
+        wait = std::max(wait, intervalAt(own->second.paces, level) * (waitingAt(own->second, level) + 1));
     }
-    return wait <= std::min<boot_clock::duration>(request.deadline - now, m_settings.longestWait);
+    const boot_clock::duration left = request.deadline - now;
+    if (wait > std::min(left, m_settings.longestWait)) {
+        return std::nullopt;
+    }
+    return m_settings.longestWait < left / 2 ? now + m_settings.longestWait * 2 : request.deadline;
 }
 
 int fair_queue::waitingAt(const account_queue &account, int level)
@@ -112,8 +117,17 @@
         std::distance(account.waiting.lower_bound(place(level, 0)), account.waiting.lower_bound(place(level + 1, 0))));
 }
 
+int fair_queue::waitingAt(int level) const
+{
+    int waiting = 0;
+    for (const auto &[name, account] : m_accounts) {
+        waiting += waitingAt(account, level);
+    }
+    return waiting;
+}
+
 /** @returns how many of the queued requests are served before a newcomer, if no other arrives. */
-std::size_t fair_queue::startsBefore(const queued_request &newcomer) const
+fair_queue::position fair_queue::positionOf(const queued_request &newcomer) const
 {
     const int level = -newcomer.priority;
     const auto own = m_accounts.find(newcomer.account);
@@ -122,26 +136,20 @@
         start = std::max(start, own->second.virtualTime)
             + static_cast<double>(waitingAt(own->second, level)) / std::max(1, newcomer.weight);
     }
-    std::size_t higher = 0;
-    std::size_t lower = 0; // Below the highest priority, this account and level included.
-    std::size_t before = 0;
-    int top = level;
-    for (const auto &[name, account] : m_accounts) {
-        if (!account.waiting.empty()) {
-            top = std::min(top, account.waiting.begin()->first.first);
-        }
-    }
+    position result;
+    int lower = 0; // Of this priority and below.
     for (const auto &[name, account] : m_accounts) {
         const auto first = account.waiting.lower_bound(place(level, 0));
-        const double same = waitingAt(account, level);
-        higher += static_cast<std::size_t>(std::distance(account.waiting.begin(), first));
-        lower += static_cast<std::size_t>(
-            std::distance(account.waiting.lower_bound(place(top + 1, 0)), account.waiting.end()));
-        const double ahead = std::ceil((start - account.virtualTime) * account.weight);
-        before += static_cast<std::size_t>(name == newcomer.account ? same : std::clamp(ahead, 0.0, same));
-    }
-    before += higher;
-    return top < level ? std::min(before, (lower + 1) * static_cast<std::size_t>(m_settings.lowerShare)) : before;
+        const int same = waitingAt(account, level);
+        const int higher = static_cast<int>(std::distance(account.waiting.begin(), first));
+        const double ahead = std::floor((start - account.virtualTime) * account.weight) + 1; // Of equals, older first.
+        result.higher += higher;
+        result.same += name == newcomer.account ? same : static_cast<int>(std::clamp<double>(ahead, 0, same));
+        lower += static_cast<int>(account.waiting.size()) - higher;
+    }
+    // The reserved share of the lower priorities bounds what goes before.
+    result.higher = std::min(result.higher, (lower + 1) * m_settings.lowerShare);
+    return result;
 }
 
 queue_pop_result fair_queue::pop(time_point now)
@@ -169,19 +177,20 @@
     best->virtualTime += 1.0 / best->weight;
     const request_id id = next->second.id;
     result.next = remove(id);
-    measurePace(*best, *level, now);
+    measurePace(best->paces, *level, waitingAt(*best, *level), now);
+    measurePace(m_paces, *level, waitingAt(*level), now);
     forgetIdleAccounts();
     return result;
 }
 
-void fair_queue::measurePace(account_queue &account, int level, time_point now)
+void fair_queue::measurePace(pace_table &paces, int level, int waiting, time_point now)
 {
     constexpr int smoothing = 8; // Pops that count: the pace of a flood is known before its queue is full.
-    if (waitingAt(account, level) == 0) {
-        account.paces.erase(level);
+    if (waiting == 0) {
+        paces.erase(level);
         return;
     }
-    const auto [position, first] = account.paces.try_emplace(level, pace {.poppedAt = now});
+    const auto [position, first] = paces.try_emplace(level, pace {.poppedAt = now});
     pace &known = position->second;
     if (!first) {
         known.interval += (now - known.poppedAt - known.interval) / smoothing;
@@ -189,6 +198,12 @@
     known.poppedAt = now;
 }
 
+boot_clock::duration fair_queue::intervalAt(const pace_table &paces, int level)
+{
+    const auto found = paces.find(level);
+    return found == paces.end() ? boot_clock::duration::zero() : found->second.interval;
+}
+
 std::vector<queued_request> fair_queue::takeExpired(time_point now)
 {
     std::vector<queued_request> expired;
--- a/src/policy/fair_queue.h
+++ b/src/policy/fair_queue.h
@@ -34,13 +34,17 @@
     queue_push_result push(queued_request request);
 
     /**
-     * Whether a request that is not queued yet is expected to start before its deadline and within the longest wait.
-     * Refusing the others at once keeps a flood from filling the queue with requests that expire or are answered late.
+     * Decides whether a request that is not queued yet is worth queueing: it is expected to start before its deadline
+     * and within the longest wait. Refusing the others at once keeps a flood from filling the queue with requests that
+     * expire or are answered late.
      *
      * @param startInterval mean time between two starts of any account; zero when unknown, then every request is worth
-     * queueing.
+     * queueing until its deadline.
+     * @returns until when it may wait, at most twice the longest wait because the estimate may be too low, or nothing
+     * when it is to be refused.
      */
-    bool startsInTime(const queued_request &request, time_point now, boot_clock::duration startInterval) const;
+    std::optional<time_point> latestStart(const queued_request &request, time_point now,
+                                          boot_clock::duration startInterval) const;
 
     /** Removes the request to run next and every request whose deadline is at or before now. */
     queue_pop_result pop(time_point now);
@@ -68,24 +72,35 @@
         boot_clock::duration interval {}; ///< Smoothed, between pops that left requests waiting.
     };
 
+    using pace_table = std::map<int, pace>; ///< By negated priority, of those with requests waiting.
+
     struct account_queue
     {
         double weight = 1;
         double virtualTime = 0;
-        std::map<int, pace> paces; ///< By negated priority, of those with requests waiting.
+        pace_table paces;
         std::map<place, queued_request> waiting;
     };
 
     queued_request remove(const request_id &id);
-    std::size_t startsBefore(const queued_request &newcomer) const;
+    struct position
+    {
+        int higher = 0; ///< Requests of a higher priority that are served before.
+        int same = 0; ///< Requests of the same priority that are served before.
+    };
+
+    position positionOf(const queued_request &newcomer) const;
     std::string mostOverShare(const queued_request &newcomer) const;
     std::optional<int> nextPriority();
     static int waitingAt(const account_queue &account, int level);
-    static void measurePace(account_queue &account, int level, time_point now);
+    int waitingAt(int level) const;
+    static void measurePace(pace_table &paces, int level, int waiting, time_point now);
+    static boot_clock::duration intervalAt(const pace_table &paces, int level);
     void forgetIdleAccounts();
 
     const queue_settings m_settings;
     std::map<std::string, account_queue, std::less<>> m_accounts;
+    pace_table m_paces; ///< Of all accounts together.
     std::unordered_map<request_id, std::pair<std::string, place>> m_places;
     std::map<std::pair<time_point, std::uint64_t>, request_id> m_deadlines; ///< By deadline and sequence.
     std::uint64_t m_sequence = 0;
