bench: policies with a remote data centre and with calls that differ in length

The policy model covered one data centre and model answers only, so the remote penalty of the chooser and the limiter's rules for plain services took part in no measurement. `remote` puts half of the entries and endpoints 15 ms away and lets 65% of the requests arrive in the first half; `plain_calls` makes one call in ten ten times as long and measures whole calls.

The simulated engine is as before.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -71,7 +71,9 @@
             {.name = "no_flood", .load = 0.5},
             {.name = "flood", .load = 0.5, .floodLoad = 1.5},
             {.name = "priorities", .load = 1.5, .highShare = 0.3},
-            {.name = "weights", .load = 0.3, .floodLoad = 1.7, .floodAccounts = 2, .firstWeight = 3}};
+            {.name = "weights", .load = 0.3, .floodLoad = 1.7, .floodAccounts = 2, .firstWeight = 3},
+            {.name = "remote", .remoteHop = 0.015, .firstShare = 0.65},
+            {.name = "plain_calls", .load = 0.7, .calls = true, .plain = true}};
 }
 
 double percentile(std::vector<double> &values, double share)
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -102,7 +102,6 @@
     }
 
 private:
-    static constexpr double hop = 0.0015; ///< Seconds one way between processes.
     static constexpr int fixedLimit = engine::mostInBatch;
 
     struct event
@@ -170,6 +169,23 @@
         return time_point(std::chrono::hours(1)) + std::chrono::nanoseconds(static_cast<std::int64_t>(m_now * 1e9));
     }
 
+    bool inFirst(int index, int count) const
+    {
+        return m_course.remoteHop == 0 || index < count / 2;
+    }
+
+    /** @returns seconds one way between an entry and an endpoint process. */
+    double hopBetween(int entry, int node) const
+    {
+        constexpr double local = 0.0015;
+        return inFirst(entry, entryCount) == inFirst(node, endpointCount) ? local : m_course.remoteHop;
+    }
+
+    double hop(int request, int node) const
+    {
+        return hopBetween(m_arrivals[request].entry, node);
+    }
+
     bool measured(int request) const
     {
         const double when = m_arrivals[request].at;
--- a/bench/policy_model_endpoint.h
+++ b/bench/policy_model_endpoint.h
@@ -33,7 +33,7 @@
         pump(node);
     }
     endpoint_candidate status;
-    status.dataCentre = "a";
+    status.dataCentre = inFirst(node, endpointCount) ? "a" : "b";
     status.state = here.serving ? serving_state::serving : serving_state::starting;
     status.cold = m_kind.adaptive && here.limiter->cold();
     status.inFlight = here.running;
@@ -41,14 +41,14 @@
     status.limit = m_kind.adaptive ? here.limiter->limit(clock()) : fixedLimit;
     status.meanServiceMs = here.meanServiceMs;
     for (int entry = 0; entry < entryCount; ++entry) {
-        at(m_now + hop,
+        at(m_now + hopBetween(entry, node),
            [this, entry, node, status, starts = here.starts] { onHeartbeat(entry, node, status, starts); });
     }
 }
 
 inline void simulation::refuse(int node, int request, bool mayRetry)
 {
-    at(m_now + hop, [this, node, request, mayRetry] { onRefused(request, node, mayRetry); });
+    at(m_now + hop(request, node), [this, node, request, mayRetry] { onRefused(request, node, mayRetry); });
 }
 
 inline void simulation::receive(int node, int request)
@@ -164,10 +164,13 @@
     const auto result = here.machine.endStep();
     for (const int request : result.firstTokens) {
         m_requests[request].firstTokenAt = m_now;
-        if (measured(request)) {
-            m_counts.firstTokens.push_back(m_now - m_arrivals[request].at);
+        if (measured(request) && !m_course.calls) {
+            // A way back of 1.5 ms is left out, so that figures with one data centre stay comparable.
+            const double back =
+                inFirst(m_arrivals[request].entry, entryCount) == inFirst(node, endpointCount) ? 0 : m_course.remoteHop;
+            m_counts.firstTokens.push_back(m_now + back - m_arrivals[request].at);
             if (m_arrivals[request].priority > 5) {
-                m_counts.highFirstTokens.push_back(m_now - m_arrivals[request].at);
+                m_counts.highFirstTokens.push_back(m_now + back - m_arrivals[request].at);
             }
         }
     }
@@ -183,9 +186,9 @@
                                  {.outcome = answer_outcome::answered,
                                   .firstToken = nanoseconds(state.firstTokenAt - state.startedAt),
                                   .service = nanoseconds(service),
-                                  .tokens = m_arrivals[request].tokens});
+                                  .tokens = m_course.calls ? 0 : m_arrivals[request].tokens});
         m_requests[request].atEngine = false;
-        at(m_now + hop, [this, node, request] { onFinished(request, node); });
+        at(m_now + hop(request, node), [this, node, request] { onFinished(request, node); });
     }
     pump(node);
     step(node);
@@ -217,7 +220,7 @@
         m_requests[request].atEngine = false;
         --here.running;
         here.limiter->onFinished(clock(), {.outcome = answer_outcome::failed});
-        at(m_now + hop, [this, node, request] { onFailed(request, node); });
+        at(m_now + hop(request, node), [this, node, request] { onFailed(request, node); });
     }
     at(m_now + awaySeconds, [this, node, epoch = here.epoch] {
         if (m_nodes[node].epoch == epoch) {
--- a/bench/policy_model_entry.h
+++ b/bench/policy_model_entry.h
@@ -57,8 +57,10 @@
     entry_state &entry = entryOf(request);
     request_state &state = m_requests[request];
     const auto chain = chainOf(request);
-    const choice_request wanted {
-        .localDataCentre = "a", .prefixChain = chain, .priority = m_arrivals[request].priority, .tried = state.tried};
+    const choice_request wanted {.localDataCentre = inFirst(m_arrivals[request].entry, entryCount) ? "a" : "b",
+                                 .prefixChain = chain,
+                                 .priority = m_arrivals[request].priority,
+                                 .tried = state.tried};
     const auto chosen = entry.chooser->choose(candidates(entry, request), wanted, m_random);
     if (!chosen) {
         state.done = true;
@@ -71,7 +73,7 @@
     entry.views[node].own.insert(request);
     entry.breaker.onSent(clock(), m_nodes[node].name);
     entry.prefixes.record(chain, hashName(m_nodes[node].name));
-    at(m_now + hop, [this, node, request] { receive(node, request); });
+    at(m_now + hop(request, node), [this, node, request] { receive(node, request); });
 }
 
 inline void simulation::onHeartbeat(int entry, int node, const endpoint_candidate &status, int starts)
@@ -139,10 +141,14 @@
     }
     state.done = true;
     const double pace = (m_now - state.firstTokenAt) / std::max(1, m_arrivals[request].tokens - 1);
-    entry.breaker.onAnswered(clock(), m_nodes[node].name, pace * 1000);
+    const double callPace = m_now - m_arrivals[request].at;
+    entry.breaker.onAnswered(clock(), m_nodes[node].name, (m_course.calls ? callPace : pace) * 1000);
     if (measured(request)) {
         ++m_counts.good;
         m_counts.paces.push_back(pace);
+        if (m_course.calls) {
+            m_counts.firstTokens.push_back(callPace); // A call has no first token; its whole answer counts.
+        }
         const arrival &each = m_arrivals[request];
         m_counts.smallGood += each.account >= m_course.floodAccounts ? 1 : 0;
         m_counts.highGood += each.priority > 5 ? 1 : 0;
@@ -161,7 +167,7 @@
     const int node = state.node;
     entryOf(request).views[node].own.erase(request);
     entryOf(request).breaker.onNeutral(m_nodes[node].name);
-    at(m_now + hop, [this, node, request] { cancel(node, request); });
+    at(m_now + hop(request, node), [this, node, request] { cancel(node, request); });
 }
 
 inline void simulation::onSilence(int node)
--- a/bench/policy_scenario.h
+++ b/bench/policy_scenario.h
@@ -27,6 +27,9 @@
     double floodLoad = 0; ///< Load over capacity that the flooding accounts add.
     int floodAccounts = 1; ///< Accounts that flood, from account 0 on, and send nothing else.
     int firstWeight = 1; ///< Of account 0; the others have 1.
+    double remoteHop = 0; ///< Seconds one way to the other data centre; 0: there is only one.
+    double firstShare = 0.5; ///< Share of the requests that arrive in the first of two data centres.
+    bool calls = false; ///< Calls of a plain service, one in ten of them ten times as long as the others.
     double highShare = 0; ///< Share of the requests with a higher priority than the others.
     double slowness = 1; ///< Of endpoint 0, from second 20.
     int restarts = 0; ///< Engines that restart at second 30, from endpoint 0 on; they are away for 10 s.
@@ -72,6 +75,12 @@
         each.prefix = course.plain || part(random) < course.hotShare ? 0 : static_cast<int>(random() % prefixCount);
         each.tokens = 10 + std::min(140, tokens(random));
         each.entry = static_cast<int>(random() % entryCount);
+        if (course.remoteHop > 0) {
+            each.entry = each.entry / 2 + (part(random) < course.firstShare ? 0 : entryCount / 2);
+        }
+        if (course.calls) {
+            each.tokens = part(random) < 0.1 ? 200 : 20;
+        }
         arrivals.push_back(each);
     }
     return arrivals;
