--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -38,13 +38,18 @@
 {
     int offered = 0;
     int good = 0; ///< Complete within the deadline.
-    int smallOffered = 0; ///< Of all accounts but account 0.
+    int smallOffered = 0; ///< Of all accounts but those that flood.
     int smallGood = 0;
+    int highOffered = 0; ///< Of the higher priority.
+    int highGood = 0;
+    int firstGood = 0; ///< Of account 0.
+    int secondGood = 0; ///< Of account 1.
     int retries = 0;
     int fallen = 0; ///< Engines that failed because of too much load while cold.
     int coldLoad = 0; ///< Load and bearable load of a cold engine where their ratio was highest.
     int coldBearable = 0;
     std::vector<double> firstTokens; ///< Seconds from arrival, of the requests that got one.
+    std::vector<double> highFirstTokens; ///< The same of the higher priority.
     std::vector<double> paces; ///< Seconds a token after the first, of complete answers.
 };
 
@@ -97,7 +102,6 @@
     }
 
 private:
-    static constexpr double hop = 0.0015; ///< Seconds one way between processes.
     static constexpr int fixedLimit = engine::mostInBatch;
 
     struct event
@@ -165,6 +169,23 @@
         return time_point(std::chrono::hours(1)) + std::chrono::nanoseconds(static_cast<std::int64_t>(m_now * 1e9));
     }
 
+    bool inFirst(int index, int count) const
+    {
+        return m_course.remoteHop == 0 || index < count / 2;
+    }
+
+    /** @returns seconds one way between an entry and an endpoint process. */
+    double hopBetween(int entry, int node) const
+    {
+        constexpr double local = 0.0015;
+        return inFirst(entry, entryCount) == inFirst(node, endpointCount) ? local : m_course.remoteHop;
+    }
+
+    double hop(int request, int node) const
+    {
+        return hopBetween(m_arrivals[request].entry, node);
+    }
+
     bool measured(int request) const
     {
         const double when = m_arrivals[request].at;
