--- a/src/backend/transfer_loop.cpp
+++ b/src/backend/transfer_loop.cpp
@@ -19,8 +19,11 @@
 
 } // namespace
 
-transfer_loop::transfer_loop()
-    : m_multi(createMulti()), m_queue(std::make_shared<transfer_queue>(m_multi.get())), m_thread([this] { run(); })
+transfer_loop::transfer_loop(round_runner around)
+    : m_around(std::move(around))
+    , m_multi(createMulti())
+    , m_queue(std::make_shared<transfer_queue>(m_multi.get()))
+    , m_thread([this] { run(); })
 {
 }
 
@@ -42,13 +45,7 @@
 void transfer_loop::run()
 {
     while (!m_queue->stopRequested()) {
-        for (const transfer_command &command : m_queue->take()) {
-            apply(command);
-        }
-        int stillRunning = 0;
-        curl_multi_perform(m_multi.get(), &stillRunning);
-        collectFinished();
-        endOverdue(boot_clock::now());
+        m_around([this] { runRound(); });
         curl_multi_poll(m_multi.get(), nullptr, 0, waitMilliseconds(boot_clock::now()), nullptr);
     }
     for (const transfer_command &command : m_queue->close()) {
@@ -61,6 +58,17 @@
     }
 }
 
+void transfer_loop::runRound()
+{
+    for (const transfer_command &command : m_queue->take()) {
+        apply(command);
+    }
+    int stillRunning = 0;
+    curl_multi_perform(m_multi.get(), &stillRunning);
+    collectFinished();
+    endOverdue(boot_clock::now());
+}
+
 void transfer_loop::apply(const transfer_command &command)
 {
     if (command.what == transfer_command::kind::start) {
--- a/src/backend/transfer_loop.h
+++ b/src/backend/transfer_loop.h
@@ -7,6 +7,7 @@
 
 #include <curl/curl.h>
 
+#include <functional>
 #include <memory>
 #include <thread>
 #include <unordered_map>
@@ -21,7 +22,11 @@
 class transfer_loop
 {
 public:
-    transfer_loop();
+    /** Runs one round of work on the transfers, with whatever belongs before and after it. */
+    using round_runner = std::function<void(const std::function<void()> &round)>;
+
+    /** @param around called for each round, from the thread of the loop; by default the round alone is run */
+    explicit transfer_loop(round_runner around = [](const std::function<void()> &round) { round(); });
 
     /** Cancels what still runs. Must not be called from a sink. */
     ~transfer_loop();
@@ -41,6 +46,7 @@
     };
 
     void run();
+    void runRound();
     void apply(const transfer_command &command);
     void begin(const std::shared_ptr<running_transfer> &subject);
     void collectFinished();
@@ -48,6 +54,7 @@
     int waitMilliseconds(time_point now) const;
     std::shared_ptr<running_transfer> release(CURL *easy);
 
+    const round_runner m_around;
     std::unique_ptr<CURLM, multi_deleter> m_multi;
     std::shared_ptr<transfer_queue> m_queue;
     std::unordered_map<CURL *, std::shared_ptr<running_transfer>> m_running; ///< Used by the thread only.
--- a/src/endpoint/endpoint_role.cpp
+++ b/src/endpoint/endpoint_role.cpp
@@ -1,5 +1,6 @@
 #include "endpoint/endpoint_role.h"
 
+#include "link/send_batch.h"
 #include "node/server_options.h"
 #include "observe/log.h"
 #include "policy/adaptive_limiter.h"
@@ -19,7 +20,12 @@
     options.what = settings.endpoint.kind == endpoint_kind::model ? http_back_end_options::kind::engine
                                                                   : http_back_end_options::kind::service;
     options.baseUrl = settings.endpoint.engineUrl;
-    return std::make_shared<http_back_end>(options, std::make_shared<transfer_loop>());
+    // Head, data and end of a short answer arrive in one round and leave in one write.
+    const auto inOneWrite = [](const std::function<void()> &round) {
+        const send_batch batch;
+        round();
+    };
+    return std::make_shared<http_back_end>(options, std::make_shared<transfer_loop>(inOneWrite));
 }
 
 std::unique_ptr<admission_limiter> makeLimiter(const daemon_settings &settings)
--- a/src/link/nng_link.cpp
+++ b/src/link/nng_link.cpp
@@ -1,5 +1,7 @@
 #include "link/nng_link.h"
 
+#include "link/send_batch.h"
+
 #include <algorithm>
 #include <mutex>
 
@@ -9,6 +11,9 @@
 
 constexpr std::size_t retainedBytes = std::size_t {1024} * 1024;
 
+/** More than this does not wait for the end of a batch: there is enough for a write. */
+constexpr std::size_t batchedBytes = std::size_t {64} * 1024;
+
 } // namespace
 
 nng_link::nng_link(nng_stream *stream, std::string address, const link_options &options, link_handler &handler,
@@ -67,7 +72,12 @@
         encodeFrame(message, m_pending);
         if (m_pending.size() <= m_options.maxQueuedBytes) {
             if (urgent && !m_sending) {
-                startSendLocked();
+                send_batch *batch = send_batch::current();
+                if (batch != nullptr && m_pending.size() < batchedBytes) {
+                    batch->add(shared_from_this());
+                } else {
+                    startSendLocked();
+                }
             }
             return true;
         }
--- a/src/link/nng_link.h
+++ b/src/link/nng_link.h
@@ -53,6 +53,10 @@
 
     bool send(const frame &message) override;
     bool sendSoon(const frame &message) override;
+
+    /** Writes frames that wait for a send_batch or for the next urgent frame. */
+    void flush();
+
     void close(const std::string &reason) override;
     std::int64_t peerClockMs() const override;
 
@@ -75,7 +79,6 @@
     static void onSent(void *self);
     static void onReceived(void *self);
     bool enqueue(const frame &message, bool urgent);
-    void flush();
     void startReceive();
     void startSendLocked();
     void handleSent();
--- a/tests/link/link_hub_test.cpp
+++ b/tests/link/link_hub_test.cpp
@@ -1,4 +1,5 @@
 #include "link/link_hub.h"
+#include "link/send_batch.h"
 
 #include <gtest/gtest.h>
 
@@ -97,8 +98,8 @@
     }
 }
 
-// Guards against a frame that stays in the queue for ever because no urgent one follows, or that a later one overtakes.
-TEST(link_hub, sendsFramesThatAreNotUrgentWithoutAnUrgentOne)
+// Guards against frames that are lost or overtake each other when some wait for a later write or the end of a batch.
+TEST(link_hub, keepsTheOrderOfFramesThatWaitForAWrite)
 {
     recording_handler serverHandler;
     recording_handler clientHandler;
@@ -109,10 +110,18 @@
     client.value()->dial("server", "127.0.0.1:" + std::to_string(server.value()->port()));
     ASSERT_TRUE(clientHandler.waitFor([](auto &seen) { return !seen.m_up.empty(); }));
     const link_ptr connection = clientHandler.m_up[0];
+    constexpr std::uint64_t frames = 200;
     ASSERT_TRUE(connection->sendSoon(data_frame {{}, 0, "a"}));
     ASSERT_TRUE(connection->send(data_frame {{}, 1, "b"}));
-    ASSERT_TRUE(connection->sendSoon(data_frame {{}, 2, "c"}));
-    ASSERT_TRUE(serverHandler.waitFor([](auto &seen) { return seen.m_data.size() == 3; }));
+    {
+        const send_batch batch;
+        // More than a batch holds back.
+        for (std::uint64_t sequence = 2; sequence < frames - 1; ++sequence) {
+            ASSERT_TRUE(connection->send(data_frame {{}, sequence, std::string(1000, 'c')}));
+        }
+    }
+    ASSERT_TRUE(connection->sendSoon(data_frame {{}, frames - 1, "d"}));
+    ASSERT_TRUE(serverHandler.waitFor([](auto &seen) { return seen.m_data.size() == frames; }));
     for (std::uint64_t sequence = 0; sequence < serverHandler.m_data.size(); ++sequence) {
         EXPECT_EQ(serverHandler.m_data[sequence].sequence, sequence);
     }
