entry: a log line and a metric for a store that is out of reach

Cause: an entry that started without its store, or lost it later, wrote no line and showed no metric: operators saw only an old revision. Ruled out: a line for each failed call (two a second) and one for each watch (two of them). Change: configuration_watcher logs the first failed check of an outage at WARN, with the store's address, and the first check that succeeds again; bronzechute_store_contact_age_seconds shows the time since the last contact. Conclusion: an outage is visible from its first second.

--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -172,6 +172,12 @@
                         "Times that the store's configuration was not what this process had accepted.",
                         [this, count] { return static_cast<double>(m_watcher->counts().*count); });
     };
+    m_metrics.gauge("bronzechute_store_contact_age_seconds", "",
+                    "Seconds since the store last answered, or since the start when it never did.",
+                    [this, startedAt = boot_clock::now()] {
+                        const auto age = boot_clock::now() - m_watcher->lastContact().value_or(startedAt);
+                        return std::chrono::duration<double>(age).count();
+                    });
     alarm("behind", &configuration_watcher_counts::storeBehind);
     alarm("diverged", &configuration_watcher_counts::storeDiverged);
     alarm("unreadable", &configuration_watcher_counts::unreadable);
--- a/src/store/configuration_watcher.cpp
+++ b/src/store/configuration_watcher.cpp
@@ -2,10 +2,12 @@
 
 #include "base/request_id.h"
 #include "config/configuration_parser.h"
+#include "observe/log.h"
 #include "store/store_paths.h"
 
 #include <algorithm>
 #include <mutex>
+#include <utility>
 
 namespace bronzechute {
 
@@ -91,8 +93,15 @@
 {
     const auto entry = m_store.get(store_paths::currentConfiguration);
     if (!entry) {
+        if (!std::exchange(m_outageLogged, true)) {
+            logLine(log_level::warn, "store", "store is out of reach; the configuration in force stays",
+                    {{"peer", entry.error().peer}, {"error", entry.error().toString()}});
+        }
         return false;
     }
+    if (std::exchange(m_outageLogged, false)) {
+        logLine(log_level::info, "store", "store answers again");
+    }
     recordContact();
     const std::int64_t modRevision = entry.value() ? entry.value()->modRevision : 0;
     const auto stored =
--- a/src/store/configuration_watcher.h
+++ b/src/store/configuration_watcher.h
@@ -74,6 +74,7 @@
     bool m_checkRequested = true;
     bool m_stopping = false;
     std::optional<time_point> m_lastContact;
+    bool m_outageLogged = false; ///< Of the thread that checks; a line for each outage, not for each failed check.
     std::thread m_thread;
     std::unique_ptr<store_watch> m_watch;
 };
