policy: an old pace no longer refuses an account or a priority

Cause: found by reading. The pace at which an account and a priority were served is kept while requests of them wait, and was dropped only by a pop. When the last waiting request expired, was cancelled or displaced, an interval above 1.6 s stayed, and latestStart refused every later request of that priority or account while the endpoint was at its limit, so that none was ever queued, popped or measured again. Ruled out: ageing the interval by the time since its last pop, which would make it larger still. Change: removing the last waiting request forgets the pace, however it was removed. Conclusion: the bound on the wait can no longer shut out a priority for good.

--- a/src/policy/fair_queue.cpp
+++ b/src/policy/fair_queue.cpp
@@ -187,7 +187,6 @@
 {
     constexpr int smoothing = 8; // Pops that count: the pace of a flood is known before its queue is full.
     if (waiting == 0) {
-        paces.erase(level);
         return;
     }
     const auto [position, first] = paces.try_emplace(level, pace {.poppedAt = now});
@@ -236,6 +235,14 @@
     account.waiting.erase(entry);
     m_deadlines.erase(std::pair(request.deadline, found->second.second.second));
     m_places.erase(found);
+    // Without requests that wait, the pace is no longer measured, and an old one would refuse whoever comes next.
+    const int level = -request.priority;
+    if (waitingAt(account, level) == 0) {
+        account.paces.erase(level);
+    }
+    if (waitingAt(level) == 0) {
+        m_paces.erase(level);
+    }
     return request;
 }
 
--- a/tests/policy/fair_queue_test.cpp
+++ b/tests/policy/fair_queue_test.cpp
@@ -170,6 +170,10 @@
     };
 }
 
+constexpr std::chrono::milliseconds tenth {100};
+constexpr std::chrono::milliseconds twice {3200}; // The longest wait.
+constexpr std::chrono::seconds second {1};
+
 /** Account a always has five waiting and is served once in 400 ms, because three other accounts keep arriving. */
 void serveAmongArrivals(fair_queue &queue)
 {
@@ -201,6 +205,18 @@
     }
 }
 
+/** Served once in 2 s, then the requests that still wait expire, so that no further pop measures a pace. */
+void expireAfterSlowPace(fair_queue &queue)
+{
+    for (std::uint64_t id = 100; id < 120; ++id) {
+        queue.push(make(id, "a", 5, 1, -second));
+    }
+    for (int step = 0; step < 15; ++step) {
+        queue.pop(start + 2 * second * (step - 20));
+    }
+    queue.takeExpired(start);
+}
+
 void queueBesideSmallerWeight(fair_queue &queue)
 {
     queued(8, "a", 5, 4)(queue);
@@ -209,10 +225,6 @@
     }
 }
 
-constexpr std::chrono::milliseconds tenth {100};
-constexpr std::chrono::milliseconds twice {3200}; // The longest wait.
-constexpr std::chrono::seconds second {1};
-
 INSTANTIATE_TEST_SUITE_P(
     rows, queue_wait,
     testing::Values(
@@ -225,6 +237,7 @@
         wait_row {"higher_priority_refused_for_lower", queued(30, "a", 1), make(1, "a", 9), tenth, twice},
         wait_row {"reserved_share_of_lower_priority_ignored", queued(30, "b", 9), make(1, "a", 1), tenth, twice},
         wait_row {"larger_weight_ignored", queueBesideSmallerWeight, make(50, "a", 5, 4), tenth, twice},
+        wait_row {"refused_at_the_pace_of_expired_requests", expireAfterSlowPace, make(1, "a"), tenth, twice},
         wait_row {"later_requests_of_others_ignored", serveAmongArrivals, make(1, "a"), tenth, std::nullopt},
         wait_row {"later_requests_of_higher_priority_ignored", serveHigherAmongLower, make(1, "a"), tenth,
                   std::nullopt},
