entry, policy: one visitor for a frame's attempt; less state by hand

Found by reading the change again. entry_role and pending_request each had a visitor that takes the attempt from a frame, and pending_request compared the id once more for each type of frame: wire/frame_attempt.h serves all of them. continueElsewhere set attemptCounted in five places, although only an attempt whose answer is relayed is counted later: it is set once at the start and reset where the relay goes on. adaptive_limiter trimmed its list of starts with the same loop twice and named its two paces by index. Ruled out: one function for the start of both roles, because the entry connects to the store between its two listeners and a failure to listen would then write to the store first.

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -138,7 +138,6 @@
     const std::string endpoint = connection->peer().node;
     context.tried.push_back(endpoint);
     context.attemptAt = boot_clock::now();
-    context.attemptCounted = false;
     context.attemptSpan = startSpan(context.span->tracer(), "entry.attempt", traceparentOf(*context.span));
     context.attemptSpan->SetTag("peer", endpoint);
     if (!context.pending->beginAttempt(makeSubmit(context, connection), connection)) {
@@ -287,6 +286,7 @@
     // The old process may only be out of reach: where it still hears this, it stops work that nobody waits for.
     context.pending->cancel();
     m_directory.onFailed(context.pending->endpoint(), boot_clock::now());
+    // Attempts that fail below tell the directory themselves; only one whose answer is relayed is counted at its end.
     context.attemptCounted = true;
     context.request.body = std::move(body);
     while (context.tried.size() < maxAttempts && remaining(context) > leastContinuationTime && mayRetry(context)) {
@@ -296,15 +296,14 @@
         }
         const attempt_result result = tryEndpoint(context, connection);
         if (result.end == attempt_end::settled) {
-            context.attemptCounted = true;
             return false;
         }
         if (result.end == attempt_end::try_next) {
-            context.attemptCounted = true;
             continue;
         }
         const response_head_frame head = context.pending->head();
         if (isEventStream(head)) {
+            context.attemptCounted = false;
             context.headAt = boot_clock::now();
             m_metrics.continuedStreams.add();
             return true;
@@ -312,7 +311,6 @@
         // An engine that rejects the request would be asked in vain anywhere else.
         context.pending->cancel();
         m_directory.onNeutral(context.pending->endpoint());
-        context.attemptCounted = true;
         if (head.status < statusServerError) {
             return false;
         }
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -5,6 +5,7 @@
 #include "store/etcd_store.h"
 #include "store/grouping_store.h"
 #include "store/store_configuration_repository.h"
+#include "wire/frame_attempt.h"
 
 #include <mutex>
 #include <set>
@@ -268,17 +269,11 @@
 
 void entry_role::onAnswerFrame(const frame &message)
 {
-    const auto idOf = [](const auto &each) -> std::optional<request_id> {
-        if constexpr (requires { each.id.request; }) {
-            return each.id.request;
-        }
-        return std::nullopt;
-    };
-    const std::optional<request_id> id = std::visit(idOf, message);
-    if (!id) {
+    const auto attempt = attemptOf(message);
+    if (!attempt) {
         return;
     }
-    if (const auto pending = m_pending.find(*id)) {
+    if (const auto pending = m_pending.find(attempt->request)) {
         pending->onFrame(message);
     }
 }
--- a/src/entry/pending_request.cpp
+++ b/src/entry/pending_request.cpp
@@ -2,6 +2,7 @@
 
 #include "request/attempt_limits.h"
 #include "request/window_size.h"
+#include "wire/frame_attempt.h"
 
 #include <algorithm>
 #include <cstring>
@@ -20,19 +21,6 @@
  */
 constexpr std::chrono::seconds quietPatience {2};
 
-bool belongsTo(const frame &message, const attempt_id &attempt)
-{
-    return std::visit(
-        [&attempt](const auto &each) {
-            if constexpr (requires { each.id == attempt; }) {
-                return each.id == attempt;
-            } else {
-                return false;
-            }
-        },
-        message);
-}
-
 } // namespace
 
 pending_request::pending_request(const request_id &id) : m_id(id)
@@ -69,7 +57,6 @@
 {
     {
         const std::scoped_lock lock(m_mutex);
-        m_heard = m_heard || belongsTo(message, m_attempt);
         acceptLocked(message);
     }
     if (std::holds_alternative<accepted_frame>(message)) {
@@ -81,6 +68,8 @@
 
 void pending_request::acceptLocked(const frame &message)
 {
+    const bool isCurrent = attemptOf(message) == m_attempt;
+    m_heard = m_heard || isCurrent;
     if (const auto *data = std::get_if<data_frame>(&message)) {
         const frame_verdict verdict = m_assembler->addData(*data, m_ready);
         m_corrupt = m_corrupt || verdict == frame_verdict::corrupt || verdict == frame_verdict::overflow;
@@ -90,17 +79,16 @@
         m_corrupt = m_corrupt || m_assembler->addEnd(*end) == frame_verdict::corrupt;
         return;
     }
-    const auto isCurrent = [this](const auto &each) {
-        return each.id == m_attempt;
-    };
-    if (const auto *head = std::get_if<response_head_frame>(&message); head != nullptr && isCurrent(*head)) {
+    if (!isCurrent) {
+        return;
+    }
+    if (const auto *head = std::get_if<response_head_frame>(&message)) {
         m_head = *head;
-    } else if (const auto *refused = std::get_if<refused_frame>(&message); refused != nullptr && isCurrent(*refused)) {
+    } else if (const auto *refused = std::get_if<refused_frame>(&message)) {
         m_refusal = *refused;
-    } else if (const auto *failed = std::get_if<failed_frame>(&message); failed != nullptr && isCurrent(*failed)) {
+    } else if (const auto *failed = std::get_if<failed_frame>(&message)) {
         m_failure = *failed;
-    } else if (const auto *cancelled = std::get_if<cancelled_frame>(&message);
-               cancelled != nullptr && isCurrent(*cancelled)) {
+    } else if (const auto *cancelled = std::get_if<cancelled_frame>(&message)) {
         m_cancelled = *cancelled;
     }
 }
--- a/src/policy/adaptive_limiter.cpp
+++ b/src/policy/adaptive_limiter.cpp
@@ -55,9 +55,7 @@
 
 void adaptive_limiter::onStarted(time_point now)
 {
-    while (!m_starts.empty() && now - m_starts.front() >= reportAge) {
-        m_starts.pop_front();
-    }
+    forgetOldStarts(now);
     m_starts.push_back(now);
     ++m_inFlight;
     m_peakInFlight = std::max(m_peakInFlight, m_inFlight);
@@ -102,7 +100,7 @@
     pace_record &record = recordOf(sample);
     if (!record.reference && sample.tokens <= 1) {
         // The time of a token is too strict for a call, but without any reference a cold answer would be a proof.
-        record.reference = m_paces[0].reference;
+        record.reference = m_streamPace.reference;
     }
     const bool atWarmSpeed = meetsTargets(sample, pace, record.reference)
         && (!record.reference || pace <= *record.reference * m_settings.warmFactor);
@@ -187,12 +185,10 @@
     // replaced by a faster one.
     if (m_cold && m_firstStart && !m_meanTaken && load.tokens >= learnedTokens) {
         m_meanTaken = true;
-        std::optional<double> &reference = m_paces[0].reference;
+        std::optional<double> &reference = m_streamPace.reference;
         reference = std::min(reference.value_or(load.meanTokenSeconds), load.meanTokenSeconds);
     }
-    while (!m_starts.empty() && now - m_starts.front() >= reportAge) {
-        m_starts.pop_front();
-    }
+    forgetOldStarts(now);
     // The engine queues what its batch cannot hold; waiting here instead keeps the order fair and cancellable. An
     // engine that admits requests only between steps also shows those that came during a step, which is no overload.
     if (!m_cold && load.waiting - mostStartsInAStep(load) > std::max(1.0, 0.1 * load.running)) {
@@ -200,9 +196,16 @@
     }
 }
 
+void adaptive_limiter::forgetOldStarts(time_point now)
+{
+    while (!m_starts.empty() && now - m_starts.front() >= reportAge) {
+        m_starts.pop_front();
+    }
+}
+
 int adaptive_limiter::mostStartsInAStep(const back_end_load &load) const
 {
-    const double window = m_paces[0].warm.value_or(load.meanTokenSeconds) * admissionSteps;
+    const double window = m_streamPace.warm.value_or(load.meanTokenSeconds) * admissionSteps;
     int most = 0;
     std::size_t first = 0;
     for (std::size_t last = 0; last < m_starts.size(); ++last) {
@@ -220,8 +223,8 @@
     m_drops = 0;
     m_missShare = 0;
     // A ramp that is cut short must not leave the next one a slower pace to be measured against.
-    for (pace_record &each : m_paces) {
-        each.reference = each.warm;
+    for (pace_record *each : {&m_streamPace, &m_callPace}) {
+        each->reference = each->warm;
     }
     m_meanTaken = false;
     changeCap(now, 1);
@@ -229,7 +232,7 @@
 
 adaptive_limiter::pace_record &adaptive_limiter::recordOf(const answer_sample &sample)
 {
-    return m_paces[sample.tokens > 1 ? 0 : 1];
+    return sample.tokens > 1 ? m_streamPace : m_callPace;
 }
 
 bool adaptive_limiter::rememberPace(pace_record &record, double remembered) const
@@ -250,10 +253,10 @@
     }
     bool stricter = false;
     if (remembered.tokenSeconds > 0) {
-        stricter = rememberPace(m_paces[0], remembered.tokenSeconds);
+        stricter = rememberPace(m_streamPace, remembered.tokenSeconds);
     }
     if (remembered.callSeconds > 0) {
-        stricter = rememberPace(m_paces[1], remembered.callSeconds) || stricter;
+        stricter = rememberPace(m_callPace, remembered.callSeconds) || stricter;
     }
     if (stricter && !m_cold) {
         markCold(now);
@@ -264,7 +267,7 @@
 
 warm_pace adaptive_limiter::warmPace() const
 {
-    return {m_paces[0].warm.value_or(0), m_paces[1].warm.value_or(0)};
+    return {m_streamPace.warm.value_or(0), m_callPace.warm.value_or(0)};
 }
 
 } // namespace bronzechute
--- a/src/policy/adaptive_limiter.h
+++ b/src/policy/adaptive_limiter.h
@@ -3,7 +3,6 @@
 #include "policy/admission_limiter.h"
 #include "policy/limiter_settings.h"
 
-#include <array>
 #include <deque>
 #include <optional>
 #include <string>
@@ -56,6 +55,7 @@
     void onWarm(time_point now, const answer_sample &sample, double pace);
     void decrease(time_point now);
     void changeCap(time_point now, int cap);
+    void forgetOldStarts(time_point now);
     int mostStartsInAStep(const back_end_load &load) const;
 
     const limiter_settings m_settings;
@@ -68,7 +68,8 @@
     bool m_decreased = false; ///< Whether the limit has been lowered since the start of the process.
     double m_missShare = 0; ///< Smoothed share of answers that miss a target.
     int m_drops = 0; ///< Consecutive answers far below warm speed.
-    std::array<pace_record, 2> m_paces; ///< Of token streams and of calls.
+    pace_record m_streamPace;
+    pace_record m_callPace;
     bool m_firstStart = true; ///< No warm pace of this process's own has been measured.
     bool m_meanTaken = false; ///< The engine's mean has been compared with the reference.
     std::optional<time_point> m_firstWarmAt; ///< End of the first cold start.
