gateway: whole path on the users' platform, straight from the gateway to the workers

Cause: nothing of the daemon spoke the platform's protocol, and its entry reaches endpoints only through an endpoint process beside each of them, which plain services do not have there. Change: a third role, gateway, with one event loop on Boost.Asio and Boost.Beast; decisions in src/balance, values of the operators' routing in src/routing, the platform's store, documents and header names in platform/, the deployment in deploy/. platform_store gets an implementation on the platform's key-value service. Ruled out: libcurl as the client of endpoints, because it sends a request again by itself when a kept connection fails; one thread a connection, because each wake-up is charged.

--- /dev/null
+++ b/src/balance/waiting_line.cpp
@@ -0,0 +1,73 @@
+#include "balance/waiting_line.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace bronzechute {
+
+bool servedBefore(const waiting_request &left, const waiting_request &right, time_point now)
+{
+    const auto rank = [now](const waiting_request &request) {
+        const bool inTime = now <= request.inTimeUntil;
+        const time_point order = inTime ? request.inTimeUntil : request.arrivedAt;
+        return std::make_tuple(request.priority, !request.returned, !inTime, order, request.ticket);
+    };
+    return rank(left) < rank(right);
+}
+
+void waiting_line::push(waiting_request request)
+{
+    m_waiting.push_back(std::move(request));
+}
+
+std::optional<waiting_request> waiting_line::pop(time_point now)
+{
+    const auto first =
+        std::ranges::min_element(m_waiting, [now](const waiting_request &left, const waiting_request &right) {
+            return servedBefore(left, right, now);
+        });
+    if (first == m_waiting.end()) {
+        return std::nullopt;
+    }
+    waiting_request request = std::move(*first);
+    m_waiting.erase(first);
+    return request;
+}
+
+std::vector<waiting_request> waiting_line::takeExpired(time_point now)
+{
+    std::vector<waiting_request> expired;
+    std::erase_if(m_waiting, [&](waiting_request &request) {
+        if (request.giveUpAt > now) {
+            return false;
+        }
+        expired.push_back(std::move(request));
+        return true;
+    });
+    return expired;
+}
+
+bool waiting_line::erase(std::uint64_t ticket)
+{
+    return std::erase_if(m_waiting, [ticket](const waiting_request &request) { return request.ticket == ticket; }) > 0;
+}
+
+std::size_t waiting_line::countAhead(const waiting_request &request, time_point now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_waiting, [&](const waiting_request &other) { return servedBefore(other, request, now); }));
+}
+
+std::size_t waiting_line::countOf(std::string_view account) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_waiting, [&](const waiting_request &other) { return other.account == account; }));
+}
+
+std::optional<time_point> waiting_line::nextExpiry() const
+{
+    const auto first = std::ranges::min_element(m_waiting, {}, &waiting_request::giveUpAt);
+    return first == m_waiting.end() ? std::nullopt : std::optional(first->giveUpAt);
+}
+
+} // namespace bronzechute
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,7 +1,9 @@
 #include "endpoint/endpoint_role.h"
 #include "entry/entry_role.h"
+#include "gateway/gateway_role.h"
 #include "node/node_role.h"
 #include "observe/log.h"
+#include "platform_gateway.h"
 #include "settings/daemon_settings.h"
 
 #include <gflags/gflags.h>
@@ -42,13 +44,20 @@
     hello_frame self;
     self.node = settings.node;
     self.incarnation = (static_cast<std::uint64_t>(entropy()) << 32) | entropy();
-    self.role = settings.role == daemon_role::entry ? "entry" : "endpoint";
+    self.role = roleName(settings.role);
     self.dataCentre = settings.dataCentre;
     return self;
 }
 
 result<std::unique_ptr<node_role>> startRole(const daemon_settings &settings)
 {
+    if (settings.role == daemon_role::gateway) {
+        auto role = gateway_role::start(settings, platform::gatewayOptions(settings));
+        if (!role) {
+            return role.error();
+        }
+        return std::unique_ptr<node_role>(std::move(role.value()));
+    }
     const hello_frame self = describeSelf(settings);
     if (settings.role == daemon_role::entry) {
         auto role = entry_role::start(settings, self);
@@ -64,6 +73,24 @@
     return std::unique_ptr<node_role>(std::move(role.value()));
 }
 
+/** Re-reads the settings on each SIGHUP. @returns the signal that ends the process. */
+int waitForStop(const sigset_t &signals, node_role &role)
+{
+    for (;;) {
+        int received = 0;
+        sigwait(&signals, &received);
+        if (received != SIGHUP) {
+            return received;
+        }
+        const auto settings = loadSettings(FLAGS_settings);
+        logLine(settings ? log_level::info : log_level::error, "daemon",
+                settings ? "settings read again" : "changed settings refused; the earlier ones stay", {});
+        if (settings) {
+            role.reload(*settings);
+        }
+    }
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -81,6 +108,7 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
@@ -93,8 +121,7 @@
     std::fflush(stdout);
     logLine(log_level::info, "daemon", "started", {{"addresses", role.value()->addresses()}});
 
-    int received = 0;
-    sigwait(&signals, &received);
+    const int received = waitForStop(signals, *role.value());
     logLine(log_level::info, "daemon", "stopping", {{"signal", received}});
     const bool finished = role.value()->drain();
     logLine(log_level::info, "daemon", finished ? "stopped" : "stopped with work in flight");
--- /dev/null
+++ b/src/gateway/gateway_context.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "gateway/endpoint_table.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/request_dispatcher.h"
+#include "gateway/wire_headers.h"
+
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+
+namespace bronzechute {
+
+/** What the requests of a gateway share. Used from the thread of the event loop. */
+struct gateway_context
+{
+    boost::asio::io_context &loop;
+    const wire_headers &headers;
+    endpoint_table &endpoints;
+    request_dispatcher &dispatch;
+    gateway_metrics &metrics;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/gateway/gateway_listener.cpp
@@ -0,0 +1,111 @@
+#include "gateway/gateway_listener.h"
+
+#include "observe/log.h"
+
+#include <algorithm>
+
+namespace bronzechute {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr int backlog = 1024;
+constexpr std::size_t acceptsPerCleanup = 64;
+// Accepting fails while descriptors or memory are used up.
+constexpr std::chrono::milliseconds pauseAfterFailure {50};
+
+} // namespace
+
+gateway_listener::gateway_listener(asio::io_context &loop, request_handler &handler, const session_options &options)
+    : m_acceptor(loop), m_retryTimer(loop), m_handler(handler), m_options(options)
+{
+}
+
+boost::system::error_code gateway_listener::start(const socket_address &address)
+{
+    boost::system::error_code code;
+    const tcp::endpoint local(asio::ip::make_address_v4(address.host, code), address.port);
+    if (!code) {
+        m_acceptor.open(tcp::v4(), code);
+    }
+    if (!code) {
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), code);
+    }
+    if (!code) {
+        m_acceptor.bind(local, code);
+    }
+    if (!code) {
+        m_acceptor.listen(backlog, code);
+    }
+    if (!code) {
+        accept();
+    }
+    return code;
+}
+
+std::string gateway_listener::address() const
+{
+    boost::system::error_code ignored; // An acceptor that has not been started has no address.
+    const tcp::endpoint local = m_acceptor.local_endpoint(ignored);
+    return local.address().to_string() + ":" + std::to_string(local.port());
+}
+
+void gateway_listener::accept()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code &code, tcp::socket socket) {
+        if (code == asio::error::operation_aborted) {
+            return;
+        }
+        if (code) {
+            logLine(log_level::warn, "gateway", "a connection was not accepted", {{"cause", code.message()}});
+            m_retryTimer.expires_after(pauseAfterFailure);
+            m_retryTimer.async_wait([this](const boost::system::error_code &aborted) {
+                if (!aborted) {
+                    accept();
+                }
+            });
+            return;
+        }
+        const auto session = std::make_shared<caller_session>(std::move(socket), m_handler, m_options);
+        m_sessions.push_back(session);
+        if (++m_acceptsSinceCleanup >= acceptsPerCleanup) {
+            forgetClosed();
+        }
+        session->start();
+        accept();
+    });
+}
+
+void gateway_listener::forgetClosed()
+{
+    m_acceptsSinceCleanup = 0;
+    std::erase_if(m_sessions, [](const std::weak_ptr<caller_session> &session) { return session.expired(); });
+}
+
+void gateway_listener::closeIdle()
+{
+    for (const auto &weak : m_sessions) {
+        if (const auto session = weak.lock()) {
+            session->closeIfIdle();
+        }
+    }
+}
+
+std::size_t gateway_listener::busyCount()
+{
+    return static_cast<std::size_t>(std::ranges::count_if(m_sessions, [](const auto &weak) {
+        const auto session = weak.lock();
+        return session != nullptr && session->busy();
+    }));
+}
+
+void gateway_listener::stop()
+{
+    boost::system::error_code ignored; // The process is about to end.
+    m_acceptor.close(ignored);
+    m_retryTimer.cancel();
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/gateway/gateway_metrics.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "observe/metrics.h"
+
+#include <string>
+
+namespace bronzechute {
+
+/** Metrics of a gateway's request path. */
+class gateway_metrics
+{
+public:
+    explicit gateway_metrics(metrics_registry &registry)
+        : m_registry(registry)
+        , firstByte(registry.histogram("bronzechute_gateway_first_byte_seconds", "",
+                                       "Time from a request's arrival to the first byte of its answer."))
+        , total(registry.histogram("bronzechute_gateway_request_seconds", "", "Time to the end of the answer."))
+        , wait(registry.histogram("bronzechute_gateway_wait_seconds", "", "Time in line before the first endpoint."))
+        , repeats(registry.counter("bronzechute_gateway_repeats_total", "", "Requests sent to a further endpoint."))
+    {
+    }
+
+    /** @param outcome as in the log line of the request */
+    void countOutcome(const std::string &outcome)
+    {
+        m_registry.counter("bronzechute_gateway_requests_total", "outcome=\"" + outcome + "\"", "Requests by outcome.")
+            .add();
+    }
+
+private:
+    metrics_registry &m_registry;
+
+public:
+    metric_histogram &firstByte;
+    metric_histogram &total;
+    metric_histogram &wait;
+    metric_counter &repeats;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/gateway/gateway_request.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "base/boot_clock.h"
+#include "http/header_list.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace bronzechute {
+
+/** A whole request as a caller sent it. */
+struct gateway_request
+{
+    std::string method;
+    std::string target; ///< Path and query, unchanged.
+    header_list headers; ///< Without those of one connection only.
+    std::shared_ptr<const std::string> body; ///< Never null.
+    time_point arrivedAt {}; ///< When its first byte was read.
+    bool keepAlive = true; ///< Whether the caller keeps the connection.
+
+    /** @returns the target without the query. */
+    std::string_view path() const
+    {
+        return std::string_view(target).substr(0, target.find('?'));
+    }
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/gateway/gateway_role.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "base/result.h"
+#include "gateway/gateway_context.h"
+#include "gateway/gateway_listener.h"
+#include "gateway/gateway_options.h"
+#include "gateway/load_exchange.h"
+#include "gateway/request_handler.h"
+#include "gateway/request_matcher.h"
+#include "node/node_role.h"
+#include "routing/routing_observer.h"
+#include "routing/routing_source.h"
+
+#include <atomic>
+#include <future>
+#include <map>
+#include <memory>
+#include <thread>
+
+namespace bronzechute {
+
+/**
+ * An entry for deployments in which nothing of this project runs beside the endpoints: it accepts callers and sends
+ * their requests straight to the endpoints. All requests are served by one event loop.
+ */
+class gateway_role : public node_role, public request_handler, public routing_observer, public session_options
+{
+public:
+    /** @returns errc::unavailable when an address cannot be used. */
+    static result<std::unique_ptr<gateway_role>> start(const daemon_settings &settings, gateway_options options);
+
+    ~gateway_role() override;
+
+    std::string addresses() const override;
+    bool drain() override;
+    void reload(const daemon_settings &settings) override;
+
+    std::shared_ptr<running_exchange> handle(gateway_request request, caller_response &response) override;
+
+    void onRouting(std::shared_ptr<const routing_table> table) override;
+    void onEndpoint(const endpoint_record &record) override;
+    void onEndpointGone(const std::string &id, bool afterOutage) override;
+    void onDataCentre(const std::string &name, bool inService) override;
+    void onListed() override;
+
+    caller_limits limits() const override;
+    bool closing() const override;
+
+private:
+    /** Answers the platform's balancer and the collector of metrics. */
+    class status_handler : public request_handler
+    {
+    public:
+        explicit status_handler(gateway_role &role) : m_role(role)
+        {
+        }
+
+        std::shared_ptr<running_exchange> handle(gateway_request request, caller_response &response) override;
+
+    private:
+        gateway_role &m_role;
+    };
+
+    gateway_role(const daemon_settings &settings, gateway_options options);
+    result<void> listen();
+    bool ready() const;
+    void adopt(std::shared_ptr<const routing_table> table);
+    void scheduleRemoval(const std::string &id);
+    void refreshShares();
+    void reject(const gateway_request &request, const request_rejection &rejection, caller_response &response);
+    void registerGauges();
+
+    const daemon_settings m_settings;
+    const gateway_options m_options;
+    boost::asio::io_context m_loop;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    metrics_registry m_registry;
+    gateway_metrics m_metrics;
+    endpoint_table m_endpoints;
+    request_dispatcher m_dispatcher;
+    gateway_context m_context;
+    load_exchange m_exchange;
+    status_handler m_status;
+    gateway_listener m_callers;
+    gateway_listener m_statusListener;
+    std::shared_ptr<const routing_table> m_table;
+    std::map<std::string, std::unique_ptr<boost::asio::steady_timer>> m_removals; ///< By endpoint id.
+    bool m_listed = false;
+    int m_gateways = 0;
+    std::atomic<bool> m_draining {false};
+    std::unique_ptr<routing_source> m_source;
+    std::thread m_thread;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/gateway/load_exchange.cpp
@@ -0,0 +1,151 @@
+#include "gateway/load_exchange.h"
+
+#include "observe/log.h"
+
+#include <algorithm>
+#include <random>
+
+namespace bronzechute {
+
+namespace asio = boost::asio;
+using udp = asio::ip::udp;
+
+namespace {
+
+// Between two reports the others place requests with an older view; a request runs for some hundreds of ms.
+constexpr std::chrono::milliseconds reportInterval {40};
+// Sent also without a change, so that the others know that this gateway is alive.
+constexpr std::chrono::milliseconds quietInterval {400};
+// Until the others were heard, this many are assumed to share the fleet's bounds.
+constexpr int assumedGateways = 4;
+constexpr std::chrono::seconds discoveryTime {3};
+
+} // namespace
+
+load_exchange::load_exchange(asio::io_context &loop, std::string host, std::uint16_t port, std::string node,
+                             std::vector<std::string> seeds, endpoint_table &endpoints, std::function<void()> onReport)
+    : m_socket(loop)
+    , m_timer(loop)
+    , m_host(std::move(host))
+    , m_port(port)
+    , m_seeds(std::move(seeds))
+    , m_endpoints(endpoints)
+    , m_onReport(std::move(onReport))
+    , m_peers(m_host)
+{
+    std::random_device entropy;
+    m_report.node = std::move(node);
+    m_report.incarnation = (static_cast<std::uint64_t>(entropy()) << 32) | entropy();
+}
+
+boost::system::error_code load_exchange::start()
+{
+    boost::system::error_code code;
+    m_socket.open(udp::v4(), code);
+    if (!code) {
+        m_socket.bind({asio::ip::make_address_v4(m_host), m_port}, code);
+    }
+    if (!code) {
+        m_socket.non_blocking(true, code);
+    }
+    if (!code) {
+        m_startedAt = boot_clock::now();
+        m_peers.addCandidates(m_seeds, m_startedAt);
+        receive();
+        scheduleReport();
+    }
+    return code;
+}
+
+void load_exchange::setSeeds(std::vector<std::string> seeds)
+{
+    m_seeds = std::move(seeds);
+    m_peers.addCandidates(m_seeds, boot_clock::now());
+}
+
+int load_exchange::gateways() const
+{
+    const time_point now = boot_clock::now();
+    const int known = m_peers.alive(now) + 1;
+    return now - m_startedAt < discoveryTime ? std::max(known, assumedGateways) : std::max(known, m_mostAlive);
+}
+
+void load_exchange::receive()
+{
+    m_socket.async_receive_from(asio::buffer(m_datagram), m_sender,
+                                [this](const boost::system::error_code &code, std::size_t size) {
+                                    if (code == asio::error::operation_aborted) {
+                                        return;
+                                    }
+                                    if (!code) {
+                                        onDatagram(size);
+                                    }
+                                    receive();
+                                });
+}
+
+void load_exchange::onDatagram(std::size_t size)
+{
+    const auto report = decodeLoadReport({m_datagram.data(), size});
+    if (!report) {
+        logLine(log_level::warn, "gateway", "datagram is not a load report",
+                {{"peer", m_sender.address().to_string()}, {"bytes", size}});
+        return;
+    }
+    const time_point now = boot_clock::now();
+    m_peers.record(m_sender.address().to_string(), *report, now);
+    m_endpoints.setPeersRunning(m_peers.running(now));
+    m_onReport();
+}
+
+void load_exchange::scheduleReport()
+{
+    m_timer.expires_after(reportInterval);
+    m_timer.async_wait([this](const boost::system::error_code &code) {
+        if (code) {
+            return;
+        }
+        sendReport();
+        scheduleReport();
+    });
+}
+
+std::map<std::string, int> load_exchange::ownRunning() const
+{
+    std::map<std::string, int> running;
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        if (endpoint->ownRunning > 0) {
+            running.emplace(id, endpoint->ownRunning);
+        }
+    }
+    return running;
+}
+
+void load_exchange::sendReport()
+{
+    const time_point now = boot_clock::now();
+    const int alive = m_peers.alive(now);
+    if (alive != m_lastAlive) {
+        logLine(log_level::info, "gateway", "other gateways in reach changed",
+                {{"before", m_lastAlive}, {"now", alive}});
+        m_lastAlive = alive;
+        m_mostAlive = std::max(m_mostAlive, alive + 1);
+        m_endpoints.setPeersRunning(m_peers.running(now));
+    }
+    auto running = ownRunning();
+    if (running == m_report.running && now - m_sentAt < quietInterval) {
+        return;
+    }
+    m_sentAt = now;
+    m_report.running = std::move(running);
+    m_report.peers = m_peers.heard(now);
+    ++m_report.sequence;
+    const std::string datagram = encodeLoadReport(m_report);
+    for (const std::string &host : m_peers.targets(now)) {
+        boost::system::error_code ignored; // A datagram that cannot be sent is like a lost one.
+        const auto address = asio::ip::make_address_v4(host, ignored);
+        m_socket.send_to(asio::buffer(datagram), {address, m_port}, 0, ignored);
+    }
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/gateway/load_report.cpp
@@ -0,0 +1,41 @@
+#include "gateway/load_report.h"
+
+#include <nlohmann/json.hpp>
+
+namespace bronzechute {
+
+namespace {
+
+constexpr int formatVersion = 1;
+
+} // namespace
+
+std::string encodeLoadReport(const load_report &report)
+{
+    const nlohmann::json message = {formatVersion,   report.node,  report.incarnation,
+                                    report.sequence, report.peers, report.running};
+    std::string datagram;
+    nlohmann::json::to_msgpack(message, datagram);
+    return datagram;
+}
+
+std::optional<load_report> decodeLoadReport(std::string_view datagram)
+{
+    const nlohmann::json message = nlohmann::json::from_msgpack(datagram, true, false);
+    try {
+        if (!message.is_array() || message.at(0) != formatVersion) {
+            return std::nullopt;
+        }
+        load_report report;
+        message.at(1).get_to(report.node);
+        message.at(2).get_to(report.incarnation);
+        message.at(3).get_to(report.sequence);
+        message.at(4).get_to(report.peers);
+        message.at(5).get_to(report.running);
+        return report;
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt; // Datagrams come from anywhere; the caller counts those that are not reports.
+    }
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/gateway/load_report.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bronzechute {
+
+/** What a gateway tells the others about its work, in one datagram. */
+struct load_report
+{
+    std::string node;
+    std::uint64_t incarnation = 0; ///< Of the sending process.
+    std::uint64_t sequence = 0; ///< Rises with each report of an incarnation.
+    std::vector<std::string> peers; ///< Hosts of the gateways that the sender knows.
+    std::map<std::string, int> running; ///< Requests under way, by endpoint id; endpoints without any are left out.
+
+    friend bool operator==(const load_report &, const load_report &) = default;
+};
+
+std::string encodeLoadReport(const load_report &report);
+
+/** @returns nothing when the datagram is not a report. */
+std::optional<load_report> decodeLoadReport(std::string_view datagram);
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/gateway/peer_loads.cpp
@@ -0,0 +1,96 @@
+#include "gateway/peer_loads.h"
+
+namespace bronzechute {
+
+namespace {
+
+// A gateway that has been silent for longer is stopped or cut off; its work ends or times out.
+constexpr std::chrono::milliseconds reportLifetime {3000};
+// Hosts that never answer are tried for this long after they were last named.
+constexpr std::chrono::seconds candidateLifetime {30};
+
+} // namespace
+
+peer_loads::peer_loads(std::string self) : m_self(std::move(self))
+{
+}
+
+void peer_loads::record(const std::string &host, const load_report &report, time_point now)
+{
+    if (host == m_self) {
+        return;
+    }
+    peer &known = m_peers[host];
+    const bool sameProcess = known.report.incarnation == report.incarnation;
+    if (sameProcess && report.sequence <= known.report.sequence) {
+        return;
+    }
+    known.heardAt = now;
+    known.learnedAt = now;
+    known.report = report;
+    for (const std::string &other : report.peers) {
+        if (other != m_self && !m_peers.contains(other)) {
+            m_peers[other].learnedAt = now;
+        }
+    }
+}
+
+void peer_loads::addCandidates(const std::vector<std::string> &hosts, time_point now)
+{
+    for (const std::string &host : hosts) {
+        if (host != m_self) {
+            m_peers[host].learnedAt = now;
+        }
+    }
+}
+
+bool peer_loads::recent(const peer &known, time_point now)
+{
+    return known.heardAt != time_point {} && now - known.heardAt <= reportLifetime;
+}
+
+std::map<std::string, int> peer_loads::running(time_point now) const
+{
+    std::map<std::string, int> total;
+    for (const auto &[host, known] : m_peers) {
+        if (recent(known, now)) {
+            for (const auto &[endpoint, count] : known.report.running) {
+                total[endpoint] += count;
+            }
+        }
+    }
+    return total;
+}
+
+int peer_loads::alive(time_point now) const
+{
+    int count = 0;
+    for (const auto &[host, known] : m_peers) {
+        count += recent(known, now) ? 1 : 0;
+    }
+    return count;
+}
+
+std::vector<std::string> peer_loads::targets(time_point now) const
+{
+    std::vector<std::string> hosts;
+    for (const auto &[host, known] : m_peers) {
+        if (now - known.learnedAt <= candidateLifetime) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
+std::vector<std::string> peer_loads::heard(time_point now) const
+{
+    std::vector<std::string> hosts;
+    for (const auto &[host, known] : m_peers) {
+        if (recent(known, now)) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/gateway/request_matcher.cpp
@@ -0,0 +1,94 @@
+#include "gateway/request_matcher.h"
+
+#include <algorithm>
+#include <charconv>
+#include <numeric>
+
+namespace bronzechute {
+
+namespace {
+
+constexpr int statusBadRequest = 400;
+constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+// A caller that waits shorter than this share of the route's timeout has been refused before and has come back.
+constexpr double returnedShare = 0.98;
+
+std::optional<std::string> keyOf(const gateway_request &request, const wire_headers &names)
+{
+    const auto value = findHeader(request.headers, "Authorization");
+    const std::string prefix = names.keyScheme + " ";
+    if (!value || value->size() <= prefix.size()
+        || !headerNamesEqual(std::string_view(*value).substr(0, prefix.size()), prefix)) {
+        return std::nullopt;
+    }
+    return value->substr(prefix.size());
+}
+
+std::string pickService(const route &matched, std::mt19937_64 &random)
+{
+    if (matched.services.size() == 1) {
+        return matched.services.front().service;
+    }
+    const int total = std::accumulate(matched.services.begin(), matched.services.end(), 0,
+                                      [](int sum, const weighted_service &share) { return sum + share.weight; });
+    int drawn = std::uniform_int_distribution<int>(0, total - 1)(random);
+    for (const weighted_service &share : matched.services) {
+        drawn -= share.weight;
+        if (drawn < 0) {
+            return share.service;
+        }
+    }
+    return matched.services.back().service;
+}
+
+} // namespace
+
+std::variant<exchange_plan, request_rejection> matchRequest(const gateway_request &request,
+                                                            std::shared_ptr<const routing_table> table,
+                                                            const wire_headers &names, std::mt19937_64 &random)
+{
+    if (table == nullptr) {
+        return request_rejection {statusUnavailable, "no routing configuration is known yet"};
+    }
+    if (!request.target.starts_with('/')) {
+        return request_rejection {statusBadRequest, "the target is no path"};
+    }
+    exchange_plan plan;
+    plan.matched = table->findRoute(findHeader(request.headers, "Host").value_or(""), request.path());
+    if (plan.matched == nullptr) {
+        return request_rejection {statusNotFound, "no route matches host and path"};
+    }
+    plan.priority = plan.matched->priority;
+    if (table->asksForKeys()) {
+        const auto key = keyOf(request, names);
+        const keyed_account *account = key ? table->findAccount(*key) : nullptr;
+        if (account == nullptr && !plan.matched->anonymous) {
+            return request_rejection {statusUnauthorized, key ? "the key is unknown" : "the request has no key"};
+        }
+        if (account != nullptr) {
+            plan.account = account->name;
+            plan.priority = account->priority.value_or(plan.priority);
+        }
+    }
+    plan.callerDeadline = request.arrivedAt + plan.matched->timeout;
+    plan.deadline = plan.callerDeadline;
+    if (const auto text = findHeader(request.headers, names.timeLeft)) {
+        std::int64_t left = 0;
+        const auto parsed = std::from_chars(text->data(), text->data() + text->size(), left);
+        if (parsed.ec != std::errc() || left < 0) {
+            return request_rejection {statusBadRequest, names.timeLeft + " is no number of milliseconds"};
+        }
+        const std::chrono::milliseconds time(std::min<std::int64_t>(left, plan.matched->timeout.count() * 100));
+        plan.callerDeadline = request.arrivedAt + time;
+        plan.deadline = std::min(plan.deadline, plan.callerDeadline);
+        plan.returned =
+            static_cast<double>(time.count()) < returnedShare * static_cast<double>(plan.matched->timeout.count());
+    }
+    plan.service = pickService(*plan.matched, random);
+    plan.table = std::move(table);
+    return plan;
+}
+
+} // namespace bronzechute
--- a/src/node/node_role.h
+++ b/src/node/node_role.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "settings/daemon_settings.h"
+
 #include <string>
 
 namespace bronzechute {
@@ -18,6 +20,11 @@
      * @returns whether everything in flight was finished
      */
     virtual bool drain() = 0;
+
+    /** Takes over what may change while the process runs; roles without such settings do nothing. */
+    virtual void reload(const daemon_settings & /*settings*/)
+    {
+    }
 };
 
 } // namespace bronzechute
--- /dev/null
+++ b/src/routing/routing_document.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "routing/caller_limits.h"
+#include "routing/keyed_account.h"
+#include "routing/route.h"
+#include "routing/routed_service.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace bronzechute {
+
+/** One accepted version of the operators' routing configuration. */
+struct routing_document
+{
+    std::int64_t version = 0; ///< Rises with each change.
+    std::vector<route> routes;
+    std::vector<routed_service> services;
+    std::vector<keyed_account> accounts; ///< Empty: keys are not asked for.
+    caller_limits limits;
+
+    friend bool operator==(const routing_document &, const routing_document &) = default;
+};
+
+} // namespace bronzechute
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balance/repeat_limits.h"
 #include "base/result.h"
 #include "config/configuration_problem.h"
 #include "config/endpoint_pool.h"
@@ -14,7 +15,11 @@
 
 namespace bronzechute {
 
-enum class daemon_role { entry, endpoint };
+/** What a process does; see gateway_role, entry_role and endpoint_role. */
+enum class daemon_role { entry, endpoint, gateway };
+
+/** @returns the role's name in settings. */
+const char *roleName(daemon_role role);
 
 /** An IPv4 address and port to listen on or to connect to. */
 struct socket_address
@@ -63,6 +68,16 @@
     friend bool operator==(const endpoint_settings &, const endpoint_settings &) = default;
 };
 
+/** Settings that only a gateway has. */
+struct gateway_settings
+{
+    socket_address status; ///< Readiness and metrics.
+    std::vector<socket_address> seeds; ///< Other gateways; some may be gone. Only their hosts are used.
+    repeat_limits repeats;
+
+    friend bool operator==(const gateway_settings &, const gateway_settings &) = default;
+};
+
 /** Settings of one bronzechuted process, checked whole at start. */
 struct daemon_settings
 {
@@ -71,11 +86,12 @@
     std::string dataCentre;
     std::string region;
     listen_settings listen;
-    std::vector<std::string> storeEndpoints; ///< URLs of the platform's store; entry only.
+    std::vector<std::string> storeEndpoints; ///< URLs of the platform's store; entry and gateway.
     std::chrono::milliseconds storeTimeout {1500};
     std::vector<peer_settings> endpoints; ///< Endpoint processes known from settings; entry only.
     std::vector<peer_settings> peers; ///< Other entries; entry only.
     endpoint_settings endpoint;
+    gateway_settings gateway;
     std::size_t bodyLimit = std::size_t {1024} * 1024; ///< Bytes of a caller's request body.
     std::chrono::milliseconds drainTimeout {60000};
     std::string logLevel = "info"; ///< trace, debug, info, warn or error.
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "config/text_check.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
 #include <set>
@@ -60,16 +61,55 @@
     return false;
 }
 
+daemon_role readRole(document_mapping &document)
+{
+    const std::string name = document.choice("role", {"entry", "endpoint", "gateway"}, true);
+    for (const daemon_role role : {daemon_role::endpoint, daemon_role::gateway}) {
+        if (name == roleName(role)) {
+            return role;
+        }
+    }
+    return daemon_role::entry;
+}
+
+/** Reads a number from 0 to 1. */
+double readShare(document_mapping &node, const std::string &key, double fallback)
+{
+    const std::string text = node.text(key);
+    if (text.empty()) {
+        return fallback;
+    }
+    double share = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), share);
+    if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size() || share < 0 || share > 1) {
+        node.report(key, "a number from 0 to 1");
+        return fallback;
+    }
+    return share;
+}
+
 } // namespace
 
+const char *roleName(daemon_role role)
+{
+    switch (role) {
+    case daemon_role::entry:
+        return "entry";
+    case daemon_role::endpoint:
+        return "endpoint";
+    case daemon_role::gateway:
+        return "gateway";
+    }
+    return "entry";
+}
+
 daemon_settings settings_reader::read(const std::string &yaml)
 {
     document_mapping document = document_mapping::load(yaml, m_problems);
     if (!document.isReadable()) {
         return m_settings;
     }
-    m_settings.role =
-        document.choice("role", {"entry", "endpoint"}, true) == "entry" ? daemon_role::entry : daemon_role::endpoint;
+    m_settings.role = readRole(document);
     m_settings.node = document.requiredName("node");
     m_settings.dataCentre = document.requiredName("data_centre");
     m_settings.region = document.text("region");
@@ -77,15 +117,18 @@
         document.report("region", nameExpectation);
     }
     m_settings.listen = readListen(document.mapping("listen"));
-    if (belongsTo(daemon_role::entry, document, "store")) {
+    if (belongsTo({daemon_role::entry, daemon_role::gateway}, document, "store")) {
         readStore(document.mapping("store"));
     }
-    if (belongsTo(daemon_role::entry, document, "entry")) {
+    if (belongsTo({daemon_role::entry}, document, "entry")) {
         readEntry(document.mapping("entry"));
     }
-    if (belongsTo(daemon_role::endpoint, document, "endpoint")) {
+    if (belongsTo({daemon_role::endpoint}, document, "endpoint")) {
         m_settings.endpoint = readEndpoint(document.mapping("endpoint"));
     }
+    if (belongsTo({daemon_role::gateway}, document, "gateway")) {
+        readGateway(document.mapping("gateway"));
+    }
     document_mapping limits = document.mapping("limits");
     m_settings.bodyLimit = static_cast<std::size_t>(
         limits.integer("body_bytes", 1, largestBody, static_cast<std::int64_t>(m_settings.bodyLimit)));
@@ -105,7 +148,7 @@
     listen_settings listen;
     listen.http = readAddress(node, "http", true, 0).value_or(listen.http);
     listen.peers = readAddress(node, "peers", true, 0).value_or(listen.peers);
-    if (belongsTo(daemon_role::entry, node, "admin")) {
+    if (belongsTo({daemon_role::entry}, node, "admin")) {
         listen.admin = readAddress(node, "admin", false, 0);
     }
     document_mapping tls = node.mapping("tls");
@@ -143,6 +186,27 @@
     node.rejectUnknownKeys();
 }
 
+void settings_reader::readGateway(document_mapping node)
+{
+    constexpr std::int64_t mostRepeats = 1000000;
+    m_settings.gateway.status = readAddress(node, "status", true, 0).value_or(m_settings.gateway.status);
+    const std::vector<std::string> seeds = node.texts("seeds");
+    for (std::size_t index = 0; index < seeds.size(); ++index) {
+        if (const auto address = parseAddress(seeds[index])) {
+            m_settings.gateway.seeds.push_back(*address);
+        } else {
+            node.reportItem("seeds", index, "\"" + seeds[index] + "\"", "IP:PORT");
+        }
+    }
+    repeat_limits &repeats = m_settings.gateway.repeats;
+    repeats.window =
+        std::chrono::milliseconds(node.integer("repeat_window_ms", 1, longestTimeoutMs, repeats.window.count()));
+    repeats.share = readShare(node, "repeat_share", repeats.share);
+    repeats.fixed =
+        static_cast<double>(node.integer("repeat_fixed", 0, mostRepeats, static_cast<std::int64_t>(repeats.fixed)));
+    node.rejectUnknownKeys();
+}
+
 endpoint_settings settings_reader::readEndpoint(document_mapping node)
 {
     constexpr const char *urlExpectation = "http://HOST:PORT";
@@ -204,15 +268,14 @@
     return peers;
 }
 
-bool settings_reader::belongsTo(daemon_role role, document_mapping &node, const std::string &key)
+bool settings_reader::belongsTo(std::initializer_list<daemon_role> roles, document_mapping &node,
+                                const std::string &key)
 {
-    if (m_settings.role == role) {
+    if (std::ranges::find(roles, m_settings.role) != roles.end()) {
         return true;
     }
     if (node.has(key)) {
-        node.reportFound(key, "the key",
-                         std::string("no such key, because the role is ")
-                             + (m_settings.role == daemon_role::entry ? "entry" : "endpoint"));
+        node.reportFound(key, "the key", std::string("no such key, because the role is ") + roleName(m_settings.role));
     }
     node.mapping(key); // Counts as known, so that it is reported once only.
     return false;
--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -24,13 +24,14 @@
     listen_settings readListen(document_mapping node);
     void readStore(document_mapping node);
     void readEntry(document_mapping node);
+    void readGateway(document_mapping node);
     endpoint_settings readEndpoint(document_mapping node);
     std::optional<socket_address> readAddress(document_mapping &node, const std::string &key, bool required,
                                               int lowestPort);
     std::vector<peer_settings> readPeers(document_mapping &node, const std::string &key);
 
-    /** Reports a key that belongs to the other role. @returns whether the key belongs to the process's role. */
-    bool belongsTo(daemon_role role, document_mapping &node, const std::string &key);
+    /** Reports a key that belongs to other roles. @returns whether the key belongs to the process's role. */
+    bool belongsTo(std::initializer_list<daemon_role> roles, document_mapping &node, const std::string &key);
 
     std::vector<configuration_problem> &m_problems;
     daemon_settings m_settings;
--- a/src/store/platform_store.h
+++ b/src/store/platform_store.h
@@ -29,6 +29,7 @@
     bool deleted = false;
     store_entry entry; ///< For a deletion only the key and the revision are set.
     bool moreFollow = false; ///< Further events of the same listing or message follow at once.
+    bool afterOutage = false; ///< The store was out of reach until just before; a deletion may stem from lapsed leases.
 
     friend bool operator==(const store_event &, const store_event &) = default;
 };
