gateway: refuse requests that arrive late in a drain

Ruled out: a longer drain, because the platform kills the process after the grace period. Change: from 2.8 s after the signal, when the balancer has long stopped sending, new requests get 503 with Retry-After. Conclusion: requests that are accepted have the time that they need.

--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -18,11 +18,14 @@
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
-constexpr const char *retryWithoutConfiguration = "0.5";
+// Another gateway, or this one a moment later, can serve the caller.
+constexpr const char *retryElsewhere = "0.2";
 // An entry that lapsed while the directory was away is written again within about two seconds of its return.
 constexpr std::chrono::milliseconds removalDelay {1900};
 // The platform's balancer takes this long to notice that the process is not ready any more.
 constexpr std::chrono::milliseconds rotationDelay {2500};
+// Later requests might not end before the process does; another gateway serves them.
+constexpr std::chrono::milliseconds acceptWhileDraining {2800};
 constexpr std::chrono::milliseconds drainPoll {20};
 // The process has to end by itself before the drain timeout is over.
 constexpr std::chrono::milliseconds exitMargin {400};
@@ -111,7 +114,10 @@
     const time_point stopAt = begin + std::max(m_settings.drainTimeout - exitMargin, std::chrono::milliseconds(0));
     const time_point earliest = std::min(begin + rotationDelay, stopAt);
     m_draining = true;
-    asio::post(m_loop, [this] { m_callers.closeIdle(); });
+    asio::post(m_loop, [this, begin] {
+        m_refuseFrom = begin + acceptWhileDraining;
+        m_callers.closeIdle();
+    });
     for (;;) {
         std::promise<std::size_t> busy;
         asio::post(m_loop, [&] { busy.set_value(m_callers.busyCount()); });
@@ -132,6 +138,9 @@
 std::shared_ptr<running_exchange> gateway_role::handle(gateway_request request, caller_response &response)
 {
     auto matched = matchRequest(request, m_table, m_options.headers, m_dispatcher.random());
+    if (m_refuseFrom && request.arrivedAt >= *m_refuseFrom && std::holds_alternative<exchange_plan>(matched)) {
+        matched = request_rejection {statusUnavailable, "the gateway is about to stop"};
+    }
     if (const auto *rejection = std::get_if<request_rejection>(&matched)) {
         reject(request, *rejection, response);
         return nullptr;
@@ -153,7 +162,7 @@
     m_metrics.countOutcome("rejected");
     answer_head head {rejection.status, reasonOf(rejection.status), {}};
     if (rejection.status == statusUnavailable) {
-        head.headers.emplace_back("Retry-After", retryWithoutConfiguration);
+        head.headers.emplace_back("Retry-After", retryElsewhere);
     }
     response.respond(head, {});
 }
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -88,6 +88,7 @@
     bool m_listed = false;
     int m_gateways = 0;
     std::atomic<bool> m_draining {false};
+    std::optional<time_point> m_refuseFrom; ///< While draining: requests that arrive later are refused.
     std::unique_ptr<routing_source> m_source;
     std::thread m_thread;
 };
