gateway, expert_map: expert maps of the platform's rank groups follow demand

Ruled out: waiting at the gateway (0 ms in those windows); the number of requests an engine gets (1.08 of the mean). Change: one gateway holds a lease in the store and coordinates. Counts of one rank show the demand, which is steady for seconds and then shifts at once; planPlacement gets the engine's bound of new experts by rank and layer; group_switch prepares, holds the group, arms every rank, and releases. A change begins only while pauses come near the accepted one and each load has to bring a share of the gain. Reading the counts is the next price to look at.

--- a/src/expert_map/layer_search.cpp
+++ b/src/expert_map/layer_search.cpp
@@ -18,7 +18,12 @@
 
 layer_search::layer_search(const expert_map &map, const load_matrix &load, std::size_t layer,
                            const std::vector<double> &speeds, std::size_t slots)
-    : m_slots(slots), m_load(map.experts), m_speeds(speeds), m_held(map.ranks), m_relative(map.ranks, 0.0)
+    : m_slots(slots)
+    , m_load(map.experts)
+    , m_speeds(speeds)
+    , m_held(map.ranks)
+    , m_closed(map.ranks, false)
+    , m_relative(map.ranks, 0.0)
 {
     double total = 0;
     for (std::size_t expert = 0; expert < map.experts; ++expert) {
@@ -85,7 +90,7 @@
         relief += changed(rank, shareWithOneMore - share);
     }
     for (std::size_t to = 0; to < m_held.size(); ++to) {
-        if (to == from || holds(expert, to)) {
+        if (to == from || m_closed[to] || holds(expert, to)) {
             continue;
         }
         if (m_held[to].size() < m_slots) {
@@ -94,7 +99,7 @@
         for (const auto evicted : m_held[to]) {
             const auto evictedCopies = static_cast<double>(m_copies[evicted].size());
             const double evictedShare = m_load[evicted] / evictedCopies;
-            if (!holds(evicted, from) && evictedShare < share) {
+            if (!m_closed[from] && !holds(evicted, from) && evictedShare < share) {
                 consider(best, {expert, from, to, evicted, true, 0},
                          changed(from, evictedShare - share) + changed(to, share - evictedShare));
             }
@@ -170,4 +175,9 @@
     m_norm = normOf(m_powerSum);
 }
 
+void layer_search::close(std::size_t rank)
+{
+    m_closed[rank] = true;
+}
+
 } // namespace bronzechute
--- a/src/expert_map/layer_search.h
+++ b/src/expert_map/layer_search.h
@@ -35,6 +35,9 @@
 
     void apply(const layer_move &move);
 
+    /** The rank takes no further experts. */
+    void close(std::size_t rank);
+
     const std::vector<std::vector<std::uint16_t>> &copies() const
     {
         return m_copies;
@@ -55,6 +58,7 @@
     std::vector<double> m_speeds;
     std::vector<std::vector<std::uint16_t>> m_copies; ///< By expert.
     std::vector<std::vector<std::uint16_t>> m_held; ///< By rank.
+    std::vector<bool> m_closed; ///< By rank: takes no further experts.
     std::vector<double> m_relative; ///< By rank.
     double m_powerSum = 0; ///< Of the relative loads to the power of 16.
     double m_norm = 0; ///< Its 16th root.
--- a/src/expert_map/placement_planner.cpp
+++ b/src/expert_map/placement_planner.cpp
@@ -28,20 +28,36 @@
         prepare(layer);
     }
     std::vector<std::size_t> loads(current.ranks, 0);
+    std::vector<std::size_t> loadsOfLayer(current.layers * current.ranks, 0);
+    const auto isFull = [&](std::size_t layer, std::size_t rank) {
+        return loads[rank] >= limits.maxLoadsPerRank
+            || loadsOfLayer[layer * current.ranks + rank] >= limits.maxLoadsPerRankAndLayer;
+    };
     std::size_t total = 0;
     while (!ready.empty()) {
         const std::size_t layer = ready.top().second;
         ready.pop();
         const layer_move &move = *moves[layer];
         const std::size_t needed = move.exchange ? 2 : 1;
-        const bool fits = total + needed <= limits.maxLoads && loads[move.to] < limits.maxLoadsPerRank
-            && (!move.exchange || loads[move.from] < limits.maxLoadsPerRank);
-        if (!fits) {
+        if (total + needed > limits.maxLoads) {
             continue; // The layer stays as it is for now; the next plan continues there.
         }
+        if (isFull(layer, move.to)) {
+            layers[layer].close(move.to);
+            prepare(layer);
+            continue;
+        }
+        if (move.exchange && isFull(layer, move.from)) {
+            layers[layer].close(move.from);
+            prepare(layer);
+            continue;
+        }
         total += needed;
-        ++loads[move.to];
-        loads[move.from] += move.exchange ? 1 : 0;
+        for (const std::size_t rank : {move.to, move.from}) {
+            const bool loadsExpert = rank == move.to || move.exchange;
+            loads[rank] += loadsExpert ? 1 : 0;
+            loadsOfLayer[layer * current.ranks + rank] += loadsExpert ? 1 : 0;
+        }
         layers[layer].apply(move);
         prepare(layer);
     }
--- a/src/expert_map/placement_planner.h
+++ b/src/expert_map/placement_planner.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <vector>
 
 namespace bronzechute {
@@ -17,6 +18,7 @@
     std::uint64_t expertBytes = 0;
     double storeBytesPerSecond = 0; ///< This group's share of the weight store's rate.
     double queueSeconds = 0; ///< Loads of other groups that are ahead in the weight store's queue.
+    std::size_t maxLoadsPerRankAndLayer = std::numeric_limits<std::size_t>::max();
 
     friend bool operator==(const planner_limits &, const planner_limits &) = default;
 };
--- /dev/null
+++ b/src/gateway/coordinator_lease.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/boot_clock.h"
+#include "base/ranked_mutex.h"
+#include "store/platform_store.h"
+
+#include <condition_variable>
+#include <cstdint>
+#include <string>
+#include <thread>
+
+namespace bronzechute {
+
+/**
+ * Makes one gateway of a deployment the coordinator of expert maps, by a key of the platform's store under a lease.
+ * Calls to the store are made by a thread of its own.
+ */
+class coordinator_lease
+{
+public:
+    /**
+     * @param store must outlive this object
+     * @param owner unique to this process
+     */
+    coordinator_lease(platform_store &store, std::string key, std::string owner);
+    ~coordinator_lease();
+    coordinator_lease(const coordinator_lease &) = delete;
+    coordinator_lease &operator=(const coordinator_lease &) = delete;
+
+    /** @param wanted whether to try to become the coordinator while no other one is known */
+    void setWanted(bool wanted);
+
+    /**
+     * @returns a number that is higher than that of each earlier holder while this process holds the lease for some
+     *          time to come; 0 otherwise
+     */
+    std::int64_t term(time_point now) const;
+
+private:
+    void run();
+    void acquire();
+    void renew();
+    void drop(const char *cause);
+
+    platform_store &m_store;
+    const std::string m_key;
+    const std::string m_owner;
+    mutable ranked_mutex m_mutex {lock_rank::store};
+    std::condition_variable_any m_changed;
+    bool m_wanted = false;
+    bool m_stopping = false;
+    std::int64_t m_term = 0;
+    time_point m_validUntil {};
+    lease_id m_lease = 0; ///< Used by the thread only.
+    std::thread m_thread;
+};
+
+} // namespace bronzechute
--- a/src/gateway/gateway_endpoint.h
+++ b/src/gateway/gateway_endpoint.h
@@ -20,6 +20,7 @@
     int peersRunning = 0; ///< Requests of the other gateways, as last heard.
     int failures = 0; ///< In a row.
     time_point avoidUntil {}; ///< Suspect until then.
+    double longestGapMs = 0; ///< Of its recent streams; falls slowly after a long pause.
     double gapMs = 0; ///< Smoothed pause between the events of its streams; 0 before the first.
     send_allowance allowance; ///< Keeps all gateways together within what it bears when cold.
     std::vector<std::shared_ptr<endpoint_channel>> idleChannels;
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_exchange.h"
 
+#include "gateway/endpoint_call.h"
 #include "gateway/message_head.h"
 #include "observe/log.h"
 
@@ -37,6 +38,7 @@
 constexpr int returnShare = 3;
 constexpr std::size_t unsentLimit = std::size_t {256} * 1024;
 constexpr double gapSmoothing = 0.1;
+constexpr double longestGapDecay = 0.02;
 
 void replaceHeader(header_list &headers, const std::string &name, const std::string &value)
 {
@@ -119,6 +121,7 @@
 {
     m_ticket.reset();
     m_endpoint = endpoint;
+    m_waited += boot_clock::now() - m_waitFrom;
     if (m_tried.empty()) {
         m_context.metrics.wait.observe(boot_clock::now() - m_waitFrom);
     } else {
@@ -156,19 +159,7 @@
     m_cutter = {};
     m_body.clear();
     m_relaying = false;
-    m_channel = nullptr;
-    auto &idle = m_endpoint->idleChannels;
-    while (!idle.empty() && m_channel == nullptr) {
-        m_channel = std::move(idle.back());
-        idle.pop_back();
-        if (!m_channel->reusable(m_attemptAt)) {
-            m_channel->cancel();
-            m_channel = nullptr;
-        }
-    }
-    if (m_channel == nullptr) {
-        m_channel = std::make_shared<endpoint_channel>(m_context.loop, m_endpoint->record.address);
-    }
+    m_channel = takeChannel(m_context.loop, *m_endpoint);
     ++m_sends;
     startAttemptTimer();
     m_channel->start(formatRequestHead(m_request.method, m_request.target, attemptHeaders()), m_request.body,
@@ -254,8 +245,11 @@
         }
         if (m_eventsRelayed > 1) {
             const double gap = std::chrono::duration<double, std::milli>(now - m_lastEventAt).count();
+            m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
             double &smoothed = m_endpoint->gapMs;
             smoothed = smoothed == 0 ? gap : smoothed + gapSmoothing * (gap - smoothed);
+            double &longest = m_endpoint->longestGapMs;
+            longest = std::max(gap, longest + longestGapDecay * (gap - longest));
         }
         m_lastEventAt = now;
     }
@@ -372,11 +366,7 @@
     const time_point now = boot_clock::now();
     if (end == attempt_end::answered) {
         endpoint->failures = 0;
-        if (endpoint->listed && channel->reusable(now)) {
-            endpoint->idleChannels.push_back(channel);
-        } else {
-            channel->cancel();
-        }
+        returnChannel(*endpoint, channel);
     } else {
         channel->cancel();
         endpoint->avoidUntil = now + avoidance * (1 << std::min(endpoint->failures, mostDoublings));
@@ -427,6 +417,8 @@
              {"endpoints", m_tried},
              {"events", m_eventsRelayed},
              {"first_byte_ms", m_firstByteAt ? milliseconds(*m_firstByteAt - m_request.arrivedAt) : -1},
+             {"wait_ms", milliseconds(m_waited)},
+             {"longest_gap_ms", milliseconds(m_longestGap)},
              {"total_ms", milliseconds(now - m_request.arrivedAt)},
              {"left_ms", milliseconds(m_plan.deadline - now)}});
 }
--- a/src/gateway/gateway_exchange.h
+++ b/src/gateway/gateway_exchange.h
@@ -97,6 +97,8 @@
     gateway_endpoint_ptr m_endpoint; ///< Of the attempt under way.
     std::shared_ptr<endpoint_channel> m_channel;
     time_point m_waitFrom {};
+    boot_clock::duration m_waited {}; ///< In line, over all attempts.
+    boot_clock::duration m_longestGap {}; ///< Between two events.
     time_point m_attemptAt {};
     time_point m_lastEventAt {};
     answer_head m_head;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_role.h"
 
+#include "base/request_id.h"
 #include "gateway/gateway_exchange.h"
 #include "gateway/message_head.h"
 #include "gateway/request_matcher.h"
@@ -27,6 +28,10 @@
 // Later requests might not end before the process does; another gateway serves them.
 constexpr std::chrono::milliseconds acceptWhileDraining {2800};
 constexpr std::chrono::milliseconds drainPoll {20};
+const std::string coordinatorKey = "bronzechute/expert-maps/coordinator";
+constexpr std::chrono::milliseconds coordinatorPoll {200};
+constexpr std::chrono::milliseconds coordinatorPatience {1500};
+constexpr std::chrono::milliseconds coordinatorTurn {400};
 // The process has to end by itself before the drain timeout is over.
 constexpr std::chrono::milliseconds exitMargin {400};
 
@@ -48,6 +53,7 @@
     if (!listening) {
         return listening.error();
     }
+    role->startCoordinator();
     role->m_source = role->m_options.openSource(*role);
     role->m_thread = std::thread([loop = &role->m_loop] { loop->run(); });
     return role;
@@ -66,6 +72,7 @@
     , m_status(*this)
     , m_callers(m_loop, *this, *this)
     , m_statusListener(m_loop, m_status, *this)
+    , m_leaseTimer(m_loop)
 {
     registerGauges();
 }
@@ -73,6 +80,7 @@
 gateway_role::~gateway_role()
 {
     m_source.reset();
+    m_lease.reset();
     m_work.reset();
     m_loop.stop();
     if (m_thread.joinable()) {
@@ -117,10 +125,15 @@
     asio::post(m_loop, [this, begin] {
         m_refuseFrom = begin + acceptWhileDraining;
         m_callers.closeIdle();
+        if (m_coordinator != nullptr) {
+            m_coordinator->stop();
+        }
     });
     for (;;) {
         std::promise<std::size_t> busy;
-        asio::post(m_loop, [&] { busy.set_value(m_callers.busyCount()); });
+        asio::post(m_loop, [&] {
+            busy.set_value(m_callers.busyCount() + (m_coordinator != nullptr && m_coordinator->switching() ? 1 : 0));
+        });
         const std::size_t count = busy.get_future().get();
         const time_point now = boot_clock::now();
         if ((count == 0 && now >= earliest) || now >= stopAt) {
@@ -209,6 +222,9 @@
     }
     m_table = std::move(table);
     m_endpoints.applyAllowances(*m_table, m_exchange.gateways());
+    if (m_coordinator != nullptr) {
+        m_coordinator->setRouting(m_table);
+    }
 }
 
 void gateway_role::onEndpoint(const endpoint_record &record)
@@ -262,6 +278,40 @@
     });
 }
 
+void gateway_role::startCoordinator()
+{
+    if (!m_options.openStore || !m_options.openEngines) {
+        return;
+    }
+    m_leaseStore = m_options.openStore();
+    m_engines = m_options.openEngines(m_loop);
+    m_lease = std::make_unique<coordinator_lease>(
+        *m_leaseStore, coordinatorKey, m_settings.node + "/" + request_id::generate(m_dispatcher.random()).toString());
+    m_coordinator = std::make_unique<map_coordinator>(m_loop, m_endpoints, *m_engines, *m_lease);
+    m_coordinator->start();
+    m_noCoordinatorSince = boot_clock::now();
+    watchCoordinator();
+}
+
+void gateway_role::watchCoordinator()
+{
+    m_leaseTimer.expires_after(coordinatorPoll);
+    m_leaseTimer.async_wait([this](const boost::system::error_code &code) {
+        if (code) {
+            return;
+        }
+        const time_point now = boot_clock::now();
+        m_exchange.setCoordinates(m_lease->term(now) != 0);
+        if (m_exchange.otherCoordinates()) {
+            m_noCoordinatorSince = now;
+        }
+        // One after the other tries, so that a vacant lease costs the store few calls.
+        const auto patience = coordinatorPatience + m_exchange.turn() * coordinatorTurn;
+        m_lease->setWanted(!m_draining && now - m_noCoordinatorSince >= patience);
+        watchCoordinator();
+    });
+}
+
 void gateway_role::refreshShares()
 {
     const int gateways = m_exchange.gateways();
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -5,6 +5,7 @@
 #include "gateway/gateway_listener.h"
 #include "gateway/gateway_options.h"
 #include "gateway/load_exchange.h"
+#include "gateway/map_coordinator.h"
 #include "gateway/request_handler.h"
 #include "gateway/request_matcher.h"
 #include "node/node_role.h"
@@ -67,6 +68,8 @@
     void adopt(std::shared_ptr<const routing_table> table);
     void scheduleRemoval(const std::string &id);
     void refreshShares();
+    void startCoordinator();
+    void watchCoordinator();
     void reject(const gateway_request &request, const request_rejection &rejection, caller_response &response);
     void registerGauges();
 
@@ -83,6 +86,12 @@
     status_handler m_status;
     gateway_listener m_callers;
     gateway_listener m_statusListener;
+    boost::asio::steady_timer m_leaseTimer;
+    std::unique_ptr<platform_store> m_leaseStore;
+    std::unique_ptr<coordinator_lease> m_lease;
+    std::unique_ptr<rank_engine_client> m_engines;
+    std::unique_ptr<map_coordinator> m_coordinator;
+    time_point m_noCoordinatorSince {};
     std::shared_ptr<const routing_table> m_table;
     std::map<std::string, std::unique_ptr<boost::asio::steady_timer>> m_removals; ///< By endpoint id.
     bool m_listed = false;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -70,6 +70,23 @@
     return now - m_startedAt < discoveryTime ? std::max(known, assumedGateways) : std::max(known, m_mostAlive);
 }
 
+bool load_exchange::otherCoordinates() const
+{
+    return m_peers.anyCoordinates(boot_clock::now());
+}
+
+std::size_t load_exchange::turn() const
+{
+    const auto hosts = m_peers.heard(boot_clock::now());
+    return static_cast<std::size_t>(
+        std::ranges::count_if(hosts, [this](const std::string &host) { return host < m_host; }));
+}
+
+void load_exchange::setCoordinates(bool coordinates)
+{
+    m_report.coordinates = coordinates;
+}
+
 void load_exchange::receive()
 {
     m_socket.async_receive_from(asio::buffer(m_datagram), m_sender,
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -36,6 +36,15 @@
     /** @returns how many gateways share the fleet's bounds, this one included; on the safe side while unknown. */
     int gateways() const;
 
+    /** @returns whether another gateway coordinates the expert maps. */
+    bool otherCoordinates() const;
+
+    /** @returns how many of the other gateways come before this one, for taking turns. */
+    std::size_t turn() const;
+
+    /** Tells the others whether this gateway coordinates the expert maps. */
+    void setCoordinates(bool coordinates);
+
     /** @param seeds that replace those from before */
     void setSeeds(std::vector<std::string> seeds);
 
--- a/src/gateway/load_report.cpp
+++ b/src/gateway/load_report.cpp
@@ -12,8 +12,8 @@
 
 std::string encodeLoadReport(const load_report &report)
 {
-    const nlohmann::json message = {formatVersion,   report.node,  report.incarnation,
-                                    report.sequence, report.peers, report.running};
+    const nlohmann::json message = {formatVersion,      report.node,  report.incarnation, report.sequence,
+                                    report.coordinates, report.peers, report.running};
     std::string datagram;
     nlohmann::json::to_msgpack(message, datagram);
     return datagram;
@@ -30,8 +30,9 @@
         message.at(1).get_to(report.node);
         message.at(2).get_to(report.incarnation);
         message.at(3).get_to(report.sequence);
-        message.at(4).get_to(report.peers);
-        message.at(5).get_to(report.running);
+        message.at(4).get_to(report.coordinates);
+        message.at(5).get_to(report.peers);
+        message.at(6).get_to(report.running);
         return report;
     } catch (const nlohmann::json::exception &) {
         return std::nullopt; // Datagrams come from anywhere; the caller counts those that are not reports.
--- /dev/null
+++ b/src/gateway/map_coordinator.cpp
@@ -0,0 +1,446 @@
+#include "gateway/map_coordinator.h"
+
+#include "expert_map/placement_planner.h"
+#include "observe/log.h"
+
+#include <algorithm>
+
+namespace bronzechute {
+
+namespace {
+
+constexpr std::chrono::milliseconds tickInterval {20};
+constexpr std::chrono::milliseconds idleInterval {100};
+constexpr std::chrono::milliseconds countsInterval {400};
+// After a shift, a short sample shows the new demand alone.
+constexpr std::chrono::milliseconds shiftedInterval {150};
+constexpr std::chrono::milliseconds discoverInterval {500};
+constexpr std::chrono::milliseconds monitorInterval {1000};
+constexpr std::chrono::milliseconds shortestPause {600};
+// Versions of one term; those of a later one are higher, because terms are revisions of the store.
+constexpr std::int64_t versionsPerTerm = 10000;
+// A switch has to shorten the slowest ranks' work by this share to pay for its loads and orders.
+constexpr double smallestGain = 0.12;
+constexpr double smallestGainPerLoad = 0.05;
+// Share of the longest accepted pause between events from which on a group is worth speeding up.
+constexpr double slowShare = 0.7;
+constexpr double usualGapTargetMs = 100;
+constexpr double loadMargin = 1.1;
+constexpr std::chrono::milliseconds longestCopy {750};
+
+/** The map of a group that has just formed: experts are dealt to the ranks in turn. */
+expert_map dealtMap(std::size_t layers, std::size_t experts, std::size_t ranks)
+{
+    expert_map map {layers, experts, ranks, {}};
+    for (std::size_t layer = 0; layer < layers; ++layer) {
+        for (std::size_t expert = 0; expert < experts; ++expert) {
+            map.copies.push_back({static_cast<std::uint16_t>(expert % ranks)});
+        }
+    }
+    return map;
+}
+
+} // namespace
+
+map_coordinator::map_coordinator(boost::asio::io_context &loop, endpoint_table &endpoints, rank_engine_client &engines,
+                                 coordinator_lease &lease)
+    : m_timer(loop), m_endpoints(endpoints), m_engines(engines), m_lease(lease)
+{
+}
+
+void map_coordinator::start()
+{
+    schedule();
+}
+
+void map_coordinator::setRouting(std::shared_ptr<const routing_table> table)
+{
+    m_table = std::move(table);
+}
+
+void map_coordinator::stop()
+{
+    m_stopping = true;
+}
+
+bool map_coordinator::switching() const
+{
+    return std::ranges::any_of(m_groups, [](const auto &entry) { return entry.second.change.has_value(); });
+}
+
+std::string map_coordinator::groupKey(const std::string &service, const std::string &name)
+{
+    return service + "/" + name;
+}
+
+const engine_profile *map_coordinator::profileOf(const std::string &service) const
+{
+    const routed_service *known = m_table == nullptr ? nullptr : m_table->findService(service);
+    const bool grouped = known != nullptr && known->engine && known->engine->expertLayers > 0;
+    return grouped ? &*known->engine : nullptr;
+}
+
+void map_coordinator::schedule()
+{
+    m_timer.expires_after(m_term == 0 ? idleInterval : tickInterval);
+    m_timer.async_wait([this](const boost::system::error_code &code) {
+        if (!code) {
+            tick();
+            schedule();
+        }
+    });
+}
+
+void map_coordinator::tick()
+{
+    const time_point now = boot_clock::now();
+    const std::int64_t term = m_lease.term(now);
+    if (term != m_term) {
+        m_term = term;
+        m_versions = 0;
+        m_groups.clear();
+        m_services.clear();
+        m_groupOfEndpoint.clear();
+        m_discoverAt = now;
+    }
+    if (term == 0) {
+        return;
+    }
+    discover(now);
+    for (auto &[service, state] : m_services) {
+        readDemand(service, state, now);
+    }
+    for (auto &[key, group] : m_groups) {
+        if (group.change) {
+            drive(group, now);
+        } else if (!m_stopping) {
+            decide(group, m_services[group.service], now);
+        }
+    }
+}
+
+void map_coordinator::discover(time_point now)
+{
+    const bool monitor = now >= m_monitorAt;
+    const bool search = now >= m_discoverAt;
+    if (!monitor && !search) {
+        return;
+    }
+    if (monitor) {
+        m_monitorAt = now + monitorInterval;
+    }
+    if (search) {
+        m_discoverAt = now + discoverInterval;
+    }
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        if (profileOf(endpoint->record.service) == nullptr || !endpoint->listed) {
+            continue;
+        }
+        const auto known = m_groupOfEndpoint.find(id);
+        const bool holder =
+            known != m_groupOfEndpoint.end() && m_groups[known->second].ranks[group_switch::holdingRank] == endpoint;
+        const bool ask = known == m_groupOfEndpoint.end() ? search : monitor && holder;
+        if (!ask) {
+            continue;
+        }
+        m_engines.readReport(endpoint, [this, endpoint, term = m_term](const result<rank_report> &report) {
+            if (report && term == m_term && m_term != 0) {
+                onReport(endpoint, report.value());
+            }
+        });
+    }
+}
+
+void map_coordinator::onReport(const gateway_endpoint_ptr &endpoint, const rank_report &report)
+{
+    if (report.group.empty() || report.rank >= report.ranks) {
+        return;
+    }
+    const std::string key = groupKey(endpoint->record.service, report.group);
+    rank_group &group = m_groups[key];
+    group.name = report.group;
+    group.service = endpoint->record.service;
+    m_services.try_emplace(group.service);
+    group.ranks.resize(std::max(group.ranks.size(), report.ranks));
+    if (group.ranks[report.rank] != endpoint) {
+        group.ranks[report.rank] = endpoint;
+    }
+    m_groupOfEndpoint[endpoint->record.id] = key;
+    if (report.epoch > group.epoch || (report.open && !group.map && group.expertsToRead == 0)) {
+        adoptEpoch(group, report);
+    }
+    if (report.epoch == group.epoch && report.held && !group.change && group.complete()) {
+        resumeHeld(group, report);
+    }
+}
+
+void map_coordinator::adoptEpoch(rank_group &group, const rank_report &report)
+{
+    if (report.epoch > group.epoch) {
+        logLine(log_level::info, "coordinator", "rank group formed",
+                {{"group", group.name}, {"epoch", report.epoch}, {"before", group.epoch}, {"map", report.map}});
+        group.epoch = report.epoch;
+        group.change.reset();
+        group.next.reset();
+        group.map.reset();
+        group.expertsToRead = 0;
+    }
+    const engine_profile *profile = profileOf(group.service);
+    if (!report.open || profile == nullptr || report.epoch != group.epoch) {
+        return;
+    }
+    group.version = report.map;
+    if (report.map == 0) {
+        group.map = dealtMap(profile->expertLayers, profile->expertsPerLayer, report.ranks);
+    } else if (group.complete()) {
+        readMap(group);
+    }
+}
+
+void map_coordinator::readMap(rank_group &group)
+{
+    const engine_profile *profile = profileOf(group.service);
+    group.next = expert_map {profile->expertLayers, profile->expertsPerLayer, group.ranks.size(), {}};
+    group.next->copies.resize(profile->expertLayers * profile->expertsPerLayer);
+    group.expertsToRead = group.ranks.size();
+    const std::string key = groupKey(group.service, group.name);
+    for (std::size_t rank = 0; rank < group.ranks.size(); ++rank) {
+        m_engines.readExperts(
+            group.ranks[rank],
+            [this, key, rank, epoch = group.epoch, term = m_term](const result<rank_experts> &experts) {
+                if (term == m_term && m_term != 0) {
+                    onExperts(key, epoch, rank, experts);
+                }
+            });
+    }
+}
+
+void map_coordinator::onExperts(const std::string &key, std::int64_t epoch, std::size_t rank,
+                                const result<rank_experts> &experts)
+{
+    rank_group &group = m_groups[key];
+    if (group.epoch != epoch || group.expertsToRead == 0 || !group.next) {
+        return;
+    }
+    --group.expertsToRead;
+    expert_map &map = *group.next;
+    const bool fits =
+        experts && experts.value().version == group.version && experts.value().byLayer.size() == map.layers;
+    if (!fits) {
+        group.next.reset(); // The map is read again with the next report.
+        group.expertsToRead = 0;
+        return;
+    }
+    for (std::size_t layer = 0; layer < map.layers; ++layer) {
+        for (const std::uint16_t expert : experts.value().byLayer[layer]) {
+            if (expert < map.experts) {
+                auto &copies = map.copies[layer * map.experts + expert];
+                copies.insert(std::ranges::upper_bound(copies, rank), static_cast<std::uint16_t>(rank));
+            }
+        }
+    }
+    if (group.expertsToRead > 0) {
+        return;
+    }
+    const bool whole = std::ranges::none_of(map.copies, [](const auto &copies) { return copies.empty(); });
+    if (whole) {
+        group.map = std::move(group.next);
+    }
+    group.next.reset();
+}
+
+void map_coordinator::resumeHeld(rank_group &group, const rank_report &report)
+{
+    const std::int64_t version = report.armed.value_or(report.prepared.value_or(0));
+    logLine(log_level::warn, "coordinator", "rank group is held by a switch that was left behind",
+            {{"group", group.name}, {"epoch", group.epoch}, {"step", *report.held}, {"version", version}});
+    if (version == 0) {
+        return; // The holding rank has not finished its loads; the next report shows the version.
+    }
+    group.map.reset();
+    group.change = group_switch::resume(group.epoch, version, group.ranks.size(), *report.held, boot_clock::now());
+}
+
+void map_coordinator::readDemand(const std::string &service, service_state &state, time_point now)
+{
+    const engine_profile *profile = profileOf(service);
+    if (profile == nullptr || state.countsAsked || now < state.countsDue) {
+        return;
+    }
+    gateway_endpoint_ptr source;
+    for (const gateway_endpoint_ptr &endpoint : m_endpoints.endpointsOf(service)) {
+        const endpoint_view view = m_endpoints.viewOf(*endpoint, {}, now);
+        if (!view.usable || view.suspect || !m_groupOfEndpoint.contains(endpoint->record.id)) {
+            continue;
+        }
+        if (source == nullptr || endpoint->record.id == state.source) {
+            source = endpoint;
+        }
+    }
+    if (source == nullptr) {
+        return;
+    }
+    state.source = source->record.id;
+    state.countsAsked = true;
+    m_engines.readCounts(source, profile->expertLayers,
+                         [this, service, id = source->record.id, term = m_term](const result<rank_counts> &counts) {
+                             if (term != m_term || m_term == 0) {
+                                 return;
+                             }
+                             service_state &asked = m_services[service];
+                             asked.countsAsked = false;
+                             auto next = countsInterval;
+                             if (!counts) {
+                                 asked.source.clear();
+                             } else if (asked.demand.record(id, counts.value()) == demand_tracker::change::shifted) {
+                                 logLine(log_level::info, "coordinator", "demand for experts has shifted",
+                                         {{"service", service}, {"endpoint", id}, {"step", counts.value().step}});
+                                 next = shiftedInterval;
+                             }
+                             asked.countsDue = boot_clock::now() + next;
+                         });
+}
+
+void map_coordinator::decide(rank_group &group, const service_state &state, time_point now)
+{
+    const auto &demand = state.demand.demand();
+    const engine_profile *profile = profileOf(group.service);
+    if (!group.map || !demand || profile == nullptr || !group.complete() || now - group.changedAt < shortestPause
+        || !slow(group)) {
+        return;
+    }
+    const double copyMs = profile->expertCopyMs;
+    planner_limits limits;
+    limits.slots = profile->expertPlaces;
+    limits.maxLoads = std::numeric_limits<std::size_t>::max();
+    limits.maxLoadsPerRank = std::max<std::size_t>(
+        1, static_cast<std::size_t>(static_cast<double>(longestCopy.count()) / std::max(copyMs, 1.0)));
+    limits.maxLoadsPerRankAndLayer = profile->expertSpare;
+    limits.minGainPerLoad = smallestGainPerLoad;
+    limits.storeBytesPerSecond = 1;
+    const std::vector<double> speeds(group.ranks.size(), 1.0);
+    placement_plan plan = planPlacement(*group.map, *demand, speeds, limits);
+    const double gain = plan.loadBefore > 0 ? 1.0 - plan.loadAfter / plan.loadBefore : 0.0;
+    group.changedAt = now;
+    if (gain < smallestGain) {
+        return;
+    }
+    const auto loads = loadsPerRank(*group.map, plan.map);
+    const double slowest = static_cast<double>(*std::ranges::max_element(loads)) * copyMs * loadMargin;
+    const std::int64_t version = m_term * versionsPerTerm + ++m_versions;
+    logLine(log_level::info, "coordinator", "expert map begins to change",
+            {{"group", group.name},
+             {"epoch", group.epoch},
+             {"version", version},
+             {"loads", plan.loads},
+             {"copy_ms", slowest},
+             {"skew_before", loadSkew(*group.map, *demand, speeds)},
+             {"skew_after", loadSkew(plan.map, *demand, speeds)}});
+    group.next = std::move(plan.map);
+    group.stepAsked = false;
+    group.change.emplace(
+        group.epoch, version, group.ranks.size(),
+        std::chrono::duration_cast<boot_clock::duration>(std::chrono::duration<double, std::milli>(slowest)), now);
+}
+
+bool map_coordinator::slow(const rank_group &group) const
+{
+    double target = usualGapTargetMs;
+    for (const route &candidate : m_table->document().routes) {
+        const bool serves = std::ranges::any_of(
+            candidate.services, [&](const weighted_service &share) { return share.service == group.service; });
+        if (serves && candidate.gapTarget.count() > 0) {
+            target = static_cast<double>(candidate.gapTarget.count());
+            break;
+        }
+    }
+    double sum = 0;
+    for (const gateway_endpoint_ptr &rank : group.ranks) {
+        sum += rank->longestGapMs;
+    }
+    return sum / static_cast<double>(group.ranks.size()) > slowShare * target;
+}
+
+void map_coordinator::drive(rank_group &group, time_point now)
+{
+    static const expert_map none;
+    const std::string key = groupKey(group.service, group.name);
+    for (const addressed_order &order : group.change->due(now)) {
+        m_engines.send(group.ranks[order.rank], order.order, group.next ? *group.next : none,
+                       [this, key, order, version = group.change->version()](order_outcome outcome) {
+                           const auto found = m_groups.find(key);
+                           if (found == m_groups.end() || !found->second.change
+                               || found->second.change->version() != version) {
+                               return;
+                           }
+                           found->second.change->onOutcome(order, outcome, boot_clock::now());
+                           if (outcome != order_outcome::accepted) {
+                               logLine(log_level::info, "coordinator", "order was not accepted",
+                                       {{"group", found->second.name},
+                                        {"rank", order.rank},
+                                        {"order", static_cast<int>(order.order.kind)},
+                                        {"version", version},
+                                        {"step", order.order.step},
+                                        {"outcome", outcome == order_outcome::rejected ? "rejected" : "unknown"}});
+                           }
+                           drive(found->second, boot_clock::now());
+                       });
+    }
+    if (!group.change) {
+        return; // Ended by an outcome that arrived at once.
+    }
+    if (group.change->phase() == switch_phase::locating && !group.stepAsked) {
+        locate(group);
+    }
+    if (group.change->ended()) {
+        finish(group, now);
+    }
+}
+
+void map_coordinator::locate(rank_group &group)
+{
+    group.stepAsked = true;
+    const std::string key = groupKey(group.service, group.name);
+    m_engines.readReport(group.ranks[group_switch::holdingRank],
+                         [this, key, version = group.change->version()](const result<rank_report> &report) {
+                             const auto found = m_groups.find(key);
+                             if (found == m_groups.end() || !found->second.change
+                                 || found->second.change->version() != version) {
+                                 return;
+                             }
+                             rank_group &located = found->second;
+                             located.stepAsked = false;
+                             if (!report) {
+                                 return; // Asked again with the next tick.
+                             }
+                             if (report.value().epoch != located.epoch) {
+                                 located.change->onNewEpoch();
+                                 return;
+                             }
+                             located.change->onStep(report.value().step);
+                             drive(located, boot_clock::now());
+                         });
+}
+
+void map_coordinator::finish(rank_group &group, time_point now)
+{
+    const bool done = group.change->phase() == switch_phase::done;
+    logLine(
+        log_level::info, "coordinator", done ? "expert map changes" : "change of the expert map given up",
+        {{"group", group.name},
+         {"epoch", group.epoch},
+         {"version", group.change->version()},
+         {"step", group.change->step()},
+         {"held_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - group.change->heldSince()).count()}});
+    if (done && group.next) {
+        group.map = std::move(group.next);
+        group.version = group.change->version();
+    } else if (done) {
+        group.map.reset(); // Of a resumed switch: the map is read with the next report.
+    }
+    group.next.reset();
+    group.change.reset();
+    group.changedAt = now;
+}
+
+} // namespace bronzechute
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peer_loads.h"
 
+#include <algorithm>
+
 namespace bronzechute {
 
 namespace {
@@ -8,6 +10,8 @@
 constexpr std::chrono::milliseconds reportLifetime {3000};
 // Hosts that never answer are tried for this long after they were last named.
 constexpr std::chrono::seconds candidateLifetime {30};
+// Longer than the interval of reports; the lease alone decides who coordinates.
+constexpr std::chrono::milliseconds coordinatorSilence {1200};
 
 } // namespace
 
@@ -71,6 +75,13 @@
     return count;
 }
 
+bool peer_loads::anyCoordinates(time_point now) const
+{
+    return std::ranges::any_of(m_peers, [now](const auto &entry) {
+        return entry.second.report.coordinates && now - entry.second.heardAt <= coordinatorSilence;
+    });
+}
+
 std::vector<std::string> peer_loads::targets(time_point now) const
 {
     std::vector<std::string> hosts;
--- a/src/gateway/peer_loads.h
+++ b/src/gateway/peer_loads.h
@@ -28,6 +28,9 @@
     /** @returns how many other gateways were heard recently. */
     int alive(time_point now) const;
 
+    /** @returns whether another gateway coordinates the expert maps. */
+    bool anyCoordinates(time_point now) const;
+
     /** @returns hosts to report to. */
     std::vector<std::string> targets(time_point now) const;
 
--- /dev/null
+++ b/src/gateway/rank_engine_client.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "base/result.h"
+#include "expert_map/expert_map.h"
+#include "expert_map/rank_counts.h"
+#include "expert_map/rank_order.h"
+#include "expert_map/rank_report.h"
+#include "gateway/gateway_endpoint.h"
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+namespace bronzechute {
+
+/** Experts that one rank holds, by layer. */
+struct rank_experts
+{
+    std::int64_t version = 0;
+    std::vector<std::vector<std::uint16_t>> byLayer;
+
+    friend bool operator==(const rank_experts &, const rank_experts &) = default;
+};
+
+/** Speaks with the engines of a rank group. Callbacks run in the thread of the event loop, each exactly once. */
+class rank_engine_client
+{
+public:
+    virtual ~rank_engine_client() = default;
+
+    virtual void readReport(const gateway_endpoint_ptr &endpoint,
+                            std::function<void(const result<rank_report> &)> done) = 0;
+
+    /** @param layers of the model, over which the engine's counts are spread evenly */
+    virtual void readCounts(const gateway_endpoint_ptr &endpoint, std::size_t layers,
+                            std::function<void(const result<rank_counts> &)> done) = 0;
+
+    /** Reads which experts the rank uses. */
+    virtual void readExperts(const gateway_endpoint_ptr &endpoint,
+                             std::function<void(const result<rank_experts> &)> done) = 0;
+
+    /** @param map of a prepare; other orders ignore it */
+    virtual void send(const gateway_endpoint_ptr &endpoint, const rank_order &order, const expert_map &map,
+                      std::function<void(order_outcome)> done) = 0;
+};
+
+} // namespace bronzechute
--- /dev/null
+++ b/src/gateway/rank_group.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/boot_clock.h"
+#include "expert_map/expert_map.h"
+#include "expert_map/group_switch.h"
+#include "gateway/gateway_endpoint.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bronzechute {
+
+/** What the coordinator knows of one rank group. */
+struct rank_group
+{
+    std::string name;
+    std::string service;
+    std::int64_t epoch = 0;
+    std::vector<gateway_endpoint_ptr> ranks; ///< Null where the rank's engine was not found yet.
+    std::int64_t version = 0; ///< Of the map in use.
+    std::optional<expert_map> map; ///< In use; nothing until it is known.
+    std::size_t expertsToRead = 0; ///< Ranks whose part of the map was asked for and not answered yet.
+    std::optional<expert_map> next; ///< Of the switch under way.
+    std::optional<group_switch> change;
+    bool stepAsked = false;
+    time_point changedAt {}; ///< End of the last switch.
+
+    /** @returns whether the engines of all ranks are known. */
+    bool complete() const
+    {
+        for (const gateway_endpoint_ptr &rank : ranks) {
+            if (rank == nullptr || !rank->listed) {
+                return false;
+            }
+        }
+        return !ranks.empty();
+    }
+};
+
+} // namespace bronzechute
--- a/src/routing/engine_profile.h
+++ b/src/routing/engine_profile.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 namespace bronzechute {
@@ -20,6 +21,11 @@
     int chunkTokens = 0; ///< Most prompt tokens that are read in one step.
     double meanPromptTokens = 0; ///< Of this service's usual requests.
     double meanAnswerTokens = 0; ///< Of this service's usual requests.
+    std::size_t expertLayers = 0; ///< Layers with experts; 0: the engines form no rank groups.
+    std::size_t expertsPerLayer = 0;
+    std::size_t expertPlaces = 0; ///< Experts of a layer that fit into the memory of a rank.
+    std::size_t expertSpare = 0; ///< Experts of a layer that a rank can load beside those in use.
+    double expertCopyMs = 0; ///< Time to load one expert.
 
     friend bool operator==(const engine_profile &, const engine_profile &) = default;
 };
