expert maps: stale holds start no switch; counts are read only while a group is slow

Ruled out: unfinished loads (the refusals came after the switch had ended); a second coordinator (one term in the log). Change: a hold has to be seen twice 700 ms apart before its step; a switch that does not go on asks the engine whether the step has begun or the group has formed anew; counts are read while a group's pauses are near the accepted one.

--- a/src/expert_map/demand_tracker.cpp
+++ b/src/expert_map/demand_tracker.cpp
@@ -27,6 +27,13 @@
 
 } // namespace
 
+void demand_tracker::restart()
+{
+    m_last.reset();
+    m_sample.reset();
+    m_demand.reset();
+}
+
 demand_tracker::change demand_tracker::record(const std::string &source, const rank_counts &counts)
 {
     const bool continues = m_last && m_source == source && m_last->epoch == counts.epoch
--- a/src/expert_map/demand_tracker.h
+++ b/src/expert_map/demand_tracker.h
@@ -27,6 +27,9 @@
     /** @param source names the rank's engine; another one than before starts anew */
     change record(const std::string &source, const rank_counts &counts);
 
+    /** Forgets what is known: the next samples begin anew. */
+    void restart();
+
     /** @returns the demand, or nothing while it is not known or is just changing. */
     const std::optional<load_matrix> &demand() const
     {
--- a/src/expert_map/group_switch.cpp
+++ b/src/expert_map/group_switch.cpp
@@ -141,6 +141,11 @@
     }
 }
 
+void group_switch::onStepBegun()
+{
+    enter(switch_phase::done);
+}
+
 void group_switch::onNewEpoch()
 {
     enter(switch_phase::abandoned);
--- a/src/expert_map/group_switch.h
+++ b/src/expert_map/group_switch.h
@@ -58,6 +58,9 @@
     /** @param step the last one that the group has begun, as read while the switch was locating */
     void onStep(std::int64_t step);
 
+    /** The group was seen to have begun the step of the switch, so that all its ranks use one map already. */
+    void onStepBegun();
+
     /** The group has formed anew, which ended everything that the switch had begun. */
     void onNewEpoch();
 
--- a/src/gateway/map_coordinator.cpp
+++ b/src/gateway/map_coordinator.cpp
@@ -17,13 +17,17 @@
 constexpr std::chrono::milliseconds discoverInterval {500};
 constexpr std::chrono::milliseconds monitorInterval {1000};
 constexpr std::chrono::milliseconds shortestPause {600};
+constexpr std::chrono::milliseconds heldPatience {700};
+constexpr std::chrono::milliseconds checkInterval {300};
+// Counts that cover a longer time mix demand from before a shift with that after it.
+constexpr std::chrono::milliseconds longestSample {1000};
 // Versions of one term; those of a later one are higher, because terms are revisions of the store.
 constexpr std::int64_t versionsPerTerm = 10000;
 // A switch has to shorten the slowest ranks' work by this share to pay for its loads and orders.
 constexpr double smallestGain = 0.12;
 constexpr double smallestGainPerLoad = 0.05;
 // Share of the longest accepted pause between events from which on a group is worth speeding up.
-constexpr double slowShare = 0.7;
+constexpr double slowShare = 0.75;
 constexpr double usualGapTargetMs = 100;
 constexpr double loadMargin = 1.1;
 constexpr std::chrono::milliseconds longestCopy {750};
@@ -251,9 +255,19 @@
 
 void map_coordinator::resumeHeld(rank_group &group, const rank_report &report)
 {
+    const time_point now = boot_clock::now();
+    if (group.heldStep != *report.held) {
+        group.heldStep = *report.held;
+        group.heldSeenAt = now;
+    }
+    // Reports are some hundred ms old: a hold that was released since is still in the first of them.
+    if (now - group.heldSeenAt < heldPatience || report.step >= *report.held) {
+        return;
+    }
     const std::int64_t version = report.armed.value_or(report.prepared.value_or(0));
     logLine(log_level::warn, "coordinator", "rank group is held by a switch that was left behind",
             {{"group", group.name}, {"epoch", group.epoch}, {"step", *report.held}, {"version", version}});
+    group.heldSeenAt = now;
     if (version == 0) {
         return; // The holding rank has not finished its loads; the next report shows the version.
     }
@@ -264,9 +278,14 @@
 void map_coordinator::readDemand(const std::string &service, service_state &state, time_point now)
 {
     const engine_profile *profile = profileOf(service);
-    if (profile == nullptr || state.countsAsked || now < state.countsDue) {
+    if (profile == nullptr || state.countsAsked || now < state.countsDue || !anySlow(service)) {
         return;
     }
+    const bool restarts = now - state.countsReadAt > longestSample;
+    if (restarts) {
+        state.demand.restart();
+    }
+    state.countsReadAt = now;
     gateway_endpoint_ptr source;
     for (const gateway_endpoint_ptr &endpoint : m_endpoints.endpointsOf(service)) {
         const endpoint_view view = m_endpoints.viewOf(*endpoint, {}, now);
@@ -282,23 +301,24 @@
     }
     state.source = source->record.id;
     state.countsAsked = true;
-    m_engines.readCounts(source, profile->expertLayers,
-                         [this, service, id = source->record.id, term = m_term](const result<rank_counts> &counts) {
-                             if (term != m_term || m_term == 0) {
-                                 return;
-                             }
-                             service_state &asked = m_services[service];
-                             asked.countsAsked = false;
-                             auto next = countsInterval;
-                             if (!counts) {
-                                 asked.source.clear();
-                             } else if (asked.demand.record(id, counts.value()) == demand_tracker::change::shifted) {
-                                 logLine(log_level::info, "coordinator", "demand for experts has shifted",
-                                         {{"service", service}, {"endpoint", id}, {"step", counts.value().step}});
-                                 next = shiftedInterval;
-                             }
-                             asked.countsDue = boot_clock::now() + next;
-                         });
+    m_engines.readCounts(
+        source, profile->expertLayers,
+        [this, service, restarts, id = source->record.id, term = m_term](const result<rank_counts> &counts) {
+            if (term != m_term || m_term == 0) {
+                return;
+            }
+            service_state &asked = m_services[service];
+            asked.countsAsked = false;
+            auto next = restarts ? shiftedInterval : countsInterval;
+            if (!counts) {
+                asked.source.clear();
+            } else if (asked.demand.record(id, counts.value()) == demand_tracker::change::shifted) {
+                logLine(log_level::info, "coordinator", "demand for experts has shifted",
+                        {{"service", service}, {"endpoint", id}, {"step", counts.value().step}});
+                next = shiftedInterval;
+            }
+            asked.countsDue = boot_clock::now() + next;
+        });
 }
 
 void map_coordinator::decide(rank_group &group, const service_state &state, time_point now)
@@ -343,6 +363,14 @@
         std::chrono::duration_cast<boot_clock::duration>(std::chrono::duration<double, std::milli>(slowest)), now);
 }
 
+bool map_coordinator::anySlow(const std::string &service) const
+{
+    return std::ranges::any_of(m_groups, [&](const auto &entry) {
+        const rank_group &group = entry.second;
+        return group.service == service && group.complete() && slow(group);
+    });
+}
+
 bool map_coordinator::slow(const rank_group &group) const
 {
     double target = usualGapTargetMs;
@@ -392,11 +420,37 @@
     if (group.change->phase() == switch_phase::locating && !group.stepAsked) {
         locate(group);
     }
+    if (group.change->phase() == switch_phase::arming && now - group.change->heldSince() > checkInterval) {
+        check(group, now);
+    }
     if (group.change->ended()) {
         finish(group, now);
     }
 }
 
+void map_coordinator::check(rank_group &group, time_point now)
+{
+    if (now - group.checkedAt < checkInterval) {
+        return;
+    }
+    group.checkedAt = now;
+    const std::string key = groupKey(group.service, group.name);
+    m_engines.readReport(group.ranks[group_switch::holdingRank],
+                         [this, key, version = group.change->version()](const result<rank_report> &report) {
+                             const auto found = m_groups.find(key);
+                             if (!report || found == m_groups.end() || !found->second.change
+                                 || found->second.change->version() != version) {
+                                 return;
+                             }
+                             rank_group &checked = found->second;
+                             if (report.value().epoch != checked.epoch) {
+                                 checked.change->onNewEpoch();
+                             } else if (report.value().step >= checked.change->step()) {
+                                 checked.change->onStepBegun();
+                             }
+                         });
+}
+
 void map_coordinator::locate(rank_group &group)
 {
     group.stepAsked = true;
--- a/src/gateway/map_coordinator.h
+++ b/src/gateway/map_coordinator.h
@@ -45,6 +45,7 @@
         demand_tracker demand;
         std::string source; ///< Id of the endpoint whose counts are read.
         time_point countsDue {};
+        time_point countsReadAt {};
         bool countsAsked = false;
     };
 
@@ -61,6 +62,8 @@
     bool slow(const rank_group &group) const;
     void drive(rank_group &group, time_point now);
     void locate(rank_group &group);
+    void check(rank_group &group, time_point now);
+    bool anySlow(const std::string &service) const;
     void finish(rank_group &group, time_point now);
     void resumeHeld(rank_group &group, const rank_report &report);
     const engine_profile *profileOf(const std::string &service) const;
--- a/src/gateway/rank_group.h
+++ b/src/gateway/rank_group.h
@@ -26,6 +26,9 @@
     std::optional<group_switch> change;
     bool stepAsked = false;
     time_point changedAt {}; ///< End of the last switch.
+    time_point checkedAt {}; ///< When the engines were last asked why a switch does not go on.
+    std::int64_t heldStep = 0; ///< A hold that was reported while no switch was under way.
+    time_point heldSeenAt {};
 
     /** @returns whether the engines of all ranks are known. */
     bool complete() const
