--- /dev/null
+++ b/tests/gateway/map_coordinator_test.cpp
@@ -0,0 +1,218 @@
+#include "gateway/map_coordinator.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <optional>
+#include <thread>
+#include <vector>
+
+namespace bronzechute {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t layers = 1;
+constexpr std::size_t experts = 8;
+constexpr std::size_t ranks = 2;
+
+/** A term that the test sets. */
+class fixed_term : public coordinator_term
+{
+public:
+    std::int64_t term(time_point) const override
+    {
+        return value;
+    }
+
+    std::int64_t value = 1;
+};
+
+/** Engines of one group of two ranks; answers wait until deliver() is called. */
+class fake_engines : public rank_engine_client
+{
+public:
+    void readReport(const gateway_endpoint_ptr &endpoint,
+                    std::function<void(const result<rank_report> &)> done) override
+    {
+        rank_report report;
+        report.group = "g";
+        report.epoch = epoch;
+        report.rank = endpoint->record.id == "e0" ? 0 : 1;
+        report.ranks = ranks;
+        report.open = true;
+        report.step = step;
+        report.map = map;
+        report.held = reportedHold;
+        report.prepared = reportedPrepared;
+        m_waiting.emplace_back([done, report] { done(report); });
+    }
+
+    void readCounts(const gateway_endpoint_ptr &, std::size_t,
+                    std::function<void(const result<rank_counts> &)> done) override
+    {
+        rank_counts counts;
+        counts.epoch = epoch;
+        counts.chosen = load_matrix(layers, experts);
+        ++m_countsRead;
+        for (std::size_t expert = 0; expert < experts; ++expert) {
+            counts.chosen.at(0, expert) = (expert == 0 ? 9000.0 : 100.0) * m_countsRead;
+        }
+        m_waiting.emplace_back([done, counts] { done(counts); });
+    }
+
+    void readExperts(const gateway_endpoint_ptr &, std::function<void(const result<rank_experts> &)> done) override
+    {
+        m_waiting.emplace_back([done] { done(error {errc::unavailable, "test", {}, {}}); });
+    }
+
+    void send(const gateway_endpoint_ptr &, const rank_order &order, const expert_map &,
+              std::function<void(order_outcome)> done) override
+    {
+        sent.push_back(order);
+        const bool arms = order.kind == rank_order_kind::arm;
+        m_waiting.emplace_back(
+            [this, done, arms] { done(arms && armsLost ? order_outcome::unknown : order_outcome::accepted); });
+    }
+
+    void deliver()
+    {
+        std::vector<std::function<void()>> ready;
+        ready.swap(m_waiting);
+        for (const auto &answer : ready) {
+            answer();
+        }
+    }
+
+    std::size_t count(rank_order_kind kind) const
+    {
+        return static_cast<std::size_t>(std::ranges::count(sent, kind, &rank_order::kind));
+    }
+
+    std::vector<rank_order> sent;
+    std::int64_t epoch = 1;
+    std::int64_t step = 10;
+    std::int64_t map = 0;
+    bool armsLost = false;
+    std::optional<std::int64_t> reportedHold;
+    std::optional<std::int64_t> reportedPrepared;
+
+private:
+    std::vector<std::function<void()>> m_waiting;
+    double m_countsRead = 0;
+};
+
+class coordinated_group : public testing::Test
+{
+protected:
+    coordinated_group()
+    {
+        routing_document document;
+        route streams;
+        streams.services = {{"models", 1}};
+        streams.gapTarget = 120ms;
+        routed_service models;
+        models.name = "models";
+        models.engine = engine_profile {};
+        models.engine->expertLayers = layers;
+        models.engine->expertsPerLayer = experts;
+        models.engine->expertPlaces = experts;
+        models.engine->expertSpare = 4;
+        models.engine->expertCopyMs = 1;
+        document.routes = {streams};
+        document.services = {models};
+        m_coordinator.setRouting(std::make_shared<routing_table>(document));
+        for (const char *id : {"e0", "e1"}) {
+            endpoint_record record;
+            record.id = id;
+            record.service = "models";
+            record.address = "127.0.0.1:9";
+            m_endpoints.update(record, boot_clock::now());
+            m_endpoints.all().at(id)->longestGapMs = 110;
+        }
+    }
+
+    /** Runs the coordinator until the condition holds. @returns whether it did within the time. */
+    bool runUntil(const std::function<bool()> &holds, std::chrono::milliseconds limit = 5000ms)
+    {
+        const time_point end = boot_clock::now() + limit;
+        while (!holds() && boot_clock::now() < end) {
+            m_coordinator.tick();
+            m_engines.deliver();
+            std::this_thread::sleep_for(2ms);
+        }
+        return holds();
+    }
+
+    boost::asio::io_context m_loop;
+    endpoint_table m_endpoints {"here"};
+    fake_engines m_engines;
+    fixed_term m_term;
+    map_coordinator m_coordinator {m_loop, m_endpoints, m_engines, m_term};
+};
+
+TEST_F(coordinated_group, changesItsMapByHoldArmAndRelease)
+{
+    ASSERT_TRUE(runUntil([this] { return m_engines.count(rank_order_kind::release) > 0; }));
+    std::vector<rank_order_kind> kinds;
+    for (const rank_order &order : m_engines.sent) {
+        kinds.push_back(order.kind);
+        EXPECT_EQ(order.epoch, 1);
+    }
+    using enum rank_order_kind;
+    EXPECT_EQ(kinds, (std::vector<rank_order_kind> {prepare, prepare, hold, arm, arm, release}));
+    EXPECT_GT(m_engines.sent[2].step, m_engines.step);
+}
+
+TEST_F(coordinated_group, doesNotChangeWhileItsStreamsAreFast)
+{
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        endpoint->longestGapMs = 40;
+    }
+    EXPECT_FALSE(runUntil([this] { return !m_engines.sent.empty(); }, 1500ms));
+}
+
+TEST_F(coordinated_group, isReleasedAlthoughTheLeaseIsLostWhileItIsHeld)
+{
+    m_engines.armsLost = true;
+    ASSERT_TRUE(runUntil([this] { return m_engines.count(rank_order_kind::arm) > 0; }));
+    m_term.value = 0;
+    EXPECT_FALSE(runUntil([this] { return m_engines.count(rank_order_kind::release) > 0; }, 200ms));
+    m_engines.armsLost = false;
+    EXPECT_TRUE(runUntil([this] { return m_engines.count(rank_order_kind::release) > 0; }));
+}
+
+TEST_F(coordinated_group, startsNothingWithoutTheLease)
+{
+    m_term.value = 0;
+    EXPECT_FALSE(runUntil([this] { return !m_engines.sent.empty(); }, 500ms));
+}
+
+TEST_F(coordinated_group, ignoresAHoldThatAnOldReportStillShows)
+{
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        endpoint->longestGapMs = 40;
+    }
+    m_engines.reportedHold = 8; // The group has begun step 10 already.
+    m_engines.reportedPrepared = 5;
+    EXPECT_FALSE(runUntil([this] { return !m_engines.sent.empty(); }, 2500ms));
+}
+
+TEST_F(coordinated_group, isReleasedWhenItsCoordinatorLeftItHeld)
+{
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        endpoint->longestGapMs = 40;
+    }
+    m_engines.reportedHold = 11;
+    m_engines.reportedPrepared = 5;
+    ASSERT_TRUE(runUntil([this] { return m_engines.count(rank_order_kind::release) > 0; }));
+    EXPECT_EQ(m_engines.count(rank_order_kind::arm), ranks);
+    for (const rank_order &order : m_engines.sent) {
+        EXPECT_EQ(order.step, 11);
+    }
+}
+
+} // namespace
+
+} // namespace bronzechute
--- a/tests/settings/daemon_settings_test.cpp
+++ b/tests/settings/daemon_settings_test.cpp
@@ -34,6 +34,19 @@
   queue_length: 0
 )";
 
+constexpr const char *gatewaySettings = R"(role: gateway
+node: gateway-1
+data_centre: buda
+listen: {http: "127.0.0.1:8080", peers: "127.0.0.1:7340"}
+store: {endpoints: ["http://127.0.0.1:8223"], timeout_ms: 1000}
+gateway:
+  status: 127.0.0.1:8220
+  seeds: ["10.1.0.40:8229", "10.2.0.29:8229"]
+  repeat_window_ms: 8000
+  repeat_share: 0.25
+  repeat_fixed: 90
+)";
+
 // Guards against keys that are checked but whose values do not reach the settings.
 TEST(daemon_settings, entryKeysArrive)
 {
@@ -71,6 +84,21 @@
     EXPECT_EQ(parseSettings(endpointSettings).settings, expected);
 }
 
+TEST(daemon_settings, gatewayKeysArrive)
+{
+    daemon_settings expected;
+    expected.role = daemon_role::gateway;
+    expected.node = "gateway-1";
+    expected.dataCentre = "buda";
+    expected.listen.http = {"127.0.0.1", 8080};
+    expected.listen.peers = {"127.0.0.1", 7340};
+    expected.storeEndpoints = {"http://127.0.0.1:8223"};
+    expected.storeTimeout = std::chrono::milliseconds(1000);
+    expected.gateway = {
+        {"127.0.0.1", 8220}, {{"10.1.0.40", 8229}, {"10.2.0.29", 8229}}, {std::chrono::milliseconds(8000), 0.25, 90}};
+    EXPECT_EQ(parseSettings(gatewaySettings).settings, expected);
+}
+
 struct settings_row
 {
     const char *name; ///< The failure that the row guards against.
@@ -106,7 +134,27 @@
                       entrySettings,
                       "role: entry",
                       "role: proxy",
-                      {"s:1: role: found \"proxy\", expected entry or endpoint"}},
+                      {"s:1: role: found \"proxy\", expected entry, endpoint or gateway"}},
+        settings_row {"share_above_one_accepted",
+                      gatewaySettings,
+                      "repeat_share: 0.25",
+                      "repeat_share: 1.25",
+                      {"s:10: gateway.repeat_share: found \"1.25\", expected a number from 0 to 1"}},
+        settings_row {"malformed_seed_accepted",
+                      gatewaySettings,
+                      "10.2.0.29:8229",
+                      "gateway-2",
+                      {"s:8: gateway.seeds[1]: found \"gateway-2\", expected IP:PORT"}},
+        settings_row {"gateway_without_status_accepted",
+                      gatewaySettings,
+                      "  status: 127.0.0.1:8220\n",
+                      "",
+                      {"s:7: gateway.status: found nothing, expected an IPv4 address and port such as 127.0.0.1:8080"}},
+        settings_row {"gateway_with_peers_of_an_entry_accepted",
+                      gatewaySettings,
+                      "gateway:\n",
+                      "entry: {peers: []}\ngateway:\n",
+                      {"s:6: entry: found the key, expected no such key, because the role is gateway"}},
         settings_row {"node_missing",
                       entrySettings,
                       "node: buda-entry-1",
