--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -60,15 +60,4 @@
     return best;
 }
 
-int freeSlots(std::span<const endpoint_view> endpoints)
-{
-    int free = 0;
-    for (const endpoint_view &endpoint : endpoints) {
-        if (endpoint.usable && !endpoint.suspect) {
-            free += std::max(0, endpoint.slots - endpoint.running);
-        }
-    }
-    return free;
-}
-
 } // namespace bronzechute
--- a/src/balance/placement.h
+++ b/src/balance/placement.h
@@ -21,7 +21,4 @@
 std::optional<std::size_t> placeRequest(std::span<const endpoint_view> endpoints, int overcommit,
                                         std::mt19937_64 &random);
 
-/** @returns slots of usable endpoints that are not taken. */
-int freeSlots(std::span<const endpoint_view> endpoints);
-
 } // namespace bronzechute
--- a/src/balance/waiting_line.cpp
+++ b/src/balance/waiting_line.cpp
@@ -58,12 +58,6 @@
         m_waiting, [&](const waiting_request &other) { return servedBefore(other, request, now); }));
 }
 
-std::size_t waiting_line::countOf(std::string_view account) const
-{
-    return static_cast<std::size_t>(
-        std::ranges::count_if(m_waiting, [&](const waiting_request &other) { return other.account == account; }));
-}
-
 std::optional<time_point> waiting_line::nextExpiry() const
 {
     const auto first = std::ranges::min_element(m_waiting, {}, &waiting_request::giveUpAt);
--- a/src/balance/waiting_line.h
+++ b/src/balance/waiting_line.h
@@ -5,7 +5,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <string_view>
 #include <vector>
 
 namespace bronzechute {
@@ -34,9 +33,6 @@
     /** @returns how many requests would be served before this one. */
     std::size_t countAhead(const waiting_request &request, time_point now) const;
 
-    /** @returns requests of this account. */
-    std::size_t countOf(std::string_view account) const;
-
     /** @returns the earliest latest useful start. */
     std::optional<time_point> nextExpiry() const;
 
--- a/src/expert_map/rank_order.h
+++ b/src/expert_map/rank_order.h
@@ -12,6 +12,22 @@
     release, ///< Ends the hold of the step.
 };
 
+/** @returns the kind's name in logs. */
+constexpr const char *nameOf(rank_order_kind kind)
+{
+    switch (kind) {
+    case rank_order_kind::prepare:
+        return "prepare";
+    case rank_order_kind::hold:
+        return "hold";
+    case rank_order_kind::arm:
+        return "arm";
+    case rank_order_kind::release:
+        return "release";
+    }
+    return "unknown";
+}
+
 /** An order to the engine of one rank. */
 struct rank_order
 {
--- a/src/gateway/endpoint_channel.h
+++ b/src/gateway/endpoint_channel.h
@@ -48,11 +48,6 @@
     /** @returns whether another exchange may begin on the connection. */
     bool reusable(time_point now);
 
-    bool connected() const
-    {
-        return m_connected;
-    }
-
 private:
     using response_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
     using error_code = boost::system::error_code;
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -19,9 +19,8 @@
 {
 }
 
-void endpoint_table::update(const endpoint_record &record, time_point now)
+void endpoint_table::update(const endpoint_record &record)
 {
-    (void)now;
     gateway_endpoint_ptr &known = m_endpoints[record.id];
     const bool sameStart = known != nullptr && known->record.startedAtMs == record.startedAtMs
         && known->record.address == record.address && known->record.service == record.service;
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -21,7 +21,7 @@
     explicit endpoint_table(std::string dataCentre);
 
     /** Adds an endpoint or changes its record. A later start under a known id replaces the earlier one. */
-    void update(const endpoint_record &record, time_point now);
+    void update(const endpoint_record &record);
 
     /** The endpoint gets nothing new; requests under way go on. */
     void remove(const std::string &id);
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -138,7 +138,7 @@
         finishExchange("cut", 0);
         return;
     }
-    if (hasRun()) {
+    if (m_mayHaveRun) {
         fail(statusBadGateway, "unknown", retryAfterFailure);
         return;
     }
@@ -153,11 +153,6 @@
     return returnAfter(cause, expectedWait, latest, m_context.dispatch.random());
 }
 
-bool gateway_exchange::hasRun() const
-{
-    return m_mayHaveRun;
-}
-
 void gateway_exchange::send()
 {
     m_attemptAt = boot_clock::now();
@@ -344,7 +339,7 @@
     if (m_headRelayed) {
         m_response.abort();
         finishExchange("cut", 0);
-    } else if (hasRun()) {
+    } else if (m_mayHaveRun) {
         fail(statusBadGateway, "unknown", retryAfterFailure);
     } else {
         fail(statusUnavailable, "not_run", returnTime(refusal_cause::unavailable, {}));
@@ -359,6 +354,21 @@
     return end == attempt_end::failed ? m_plan.matched->repeatable() : true;
 }
 
+const char *gateway_exchange::nameOf(attempt_end end)
+{
+    switch (end) {
+    case attempt_end::answered:
+        return "answered";
+    case attempt_end::not_sent:
+        return "not_sent";
+    case attempt_end::refused:
+        return "refused";
+    case attempt_end::failed:
+        return "failed";
+    }
+    return "failed";
+}
+
 void gateway_exchange::endAttempt(attempt_end end, const std::string &cause)
 {
     m_attemptTimer.cancel();
@@ -382,10 +392,7 @@
                  {"endpoint", endpoint->record.id},
                  {"peer", endpoint->record.address},
                  {"attempt", m_tried.size()},
-                 {"end",
-                  end == attempt_end::not_sent      ? "not_sent"
-                      : end == attempt_end::refused ? "refused"
-                                                    : "failed"},
+                 {"end", nameOf(end)},
                  {"cause", cause},
                  {"after_ms", milliseconds(now - m_attemptAt)},
                  {"own_running", endpoint->ownRunning},
@@ -489,7 +496,7 @@
         m_response.abort();
         finishExchange("deadline", 0);
     } else {
-        fail(hasRun() ? statusGatewayTimeout : statusUnavailable, "deadline", retryAfterFailure);
+        fail(m_mayHaveRun ? statusGatewayTimeout : statusUnavailable, "deadline", retryAfterFailure);
     }
 }
 
--- a/src/gateway/gateway_exchange.h
+++ b/src/gateway/gateway_exchange.h
@@ -62,6 +62,7 @@
         failed, ///< It may have run.
     };
 
+    static const char *nameOf(attempt_end end);
     bool streaming() const;
     void requestPlacement();
     void send();
@@ -82,7 +83,6 @@
     void onAttemptTimeout();
     void onDeadline();
     void recordFirstByte();
-    bool hasRun() const;
 
     const gateway_context &m_context;
     const gateway_request m_request;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -232,7 +232,7 @@
 {
     asio::post(m_loop, [this, record] {
         m_removals.erase(record.id);
-        m_endpoints.update(record, boot_clock::now());
+        m_endpoints.update(record);
         if (m_table != nullptr) {
             m_endpoints.applyAllowances(*m_table, m_exchange.gateways());
         }
--- a/src/gateway/map_coordinator.cpp
+++ b/src/gateway/map_coordinator.cpp
@@ -420,7 +420,7 @@
                                logLine(log_level::info, "coordinator", "order was not accepted",
                                        {{"group", found->second.name},
                                         {"rank", order.rank},
-                                        {"order", static_cast<int>(order.order.kind)},
+                                        {"order", nameOf(order.order.kind)},
                                         {"version", version},
                                         {"step", order.order.step},
                                         {"outcome", outcome == order_outcome::rejected ? "rejected" : "unknown"}});
--- a/src/gateway/wire_headers.h
+++ b/src/gateway/wire_headers.h
@@ -13,7 +13,6 @@
     std::string account = "X-Account"; ///< Name of the client account, set by the gateway.
     std::string notRun = "X-Not-Run"; ///< In an endpoint's refusal: the request has not run and will not.
     std::string signature = "X-Signature"; ///< In each answer of an endpoint that ran the request.
-    std::string tokenCounts = "X-Token-Counts"; ///< "PROMPT,LARGEST ANSWER", of a generation.
     std::string keyScheme = "Bearer"; ///< Scheme of the Authorization field that carries a key.
     std::string readyPath = "/ready"; ///< Where the platform's balancer asks whether to send callers.
 
--- a/tests/balance/placement_test.cpp
+++ b/tests/balance/placement_test.cpp
@@ -95,12 +95,6 @@
     }
 }
 
-TEST(placement, countsFreeSlotsOfEndpointsThatMayBeUsed)
-{
-    const std::vector<endpoint_view> endpoints {view(10), view(14), unusable(), suspect(0)};
-    EXPECT_EQ(freeSlots(endpoints), 2);
-}
-
 } // namespace
 
 } // namespace bronzechute
--- a/tests/gateway/map_coordinator_test.cpp
+++ b/tests/gateway/map_coordinator_test.cpp
@@ -128,7 +128,7 @@
             record.id = id;
             record.service = "models";
             record.address = "127.0.0.1:9";
-            m_endpoints.update(record, boot_clock::now());
+            m_endpoints.update(record);
             m_endpoints.all().at(id)->longestGapMs = 110;
         }
     }
