tests: the unknown key's message names the gateway

Ruled out: a fault of the reader, because the key is one now. Change: the expected text, whole as before.

--- a/tests/daemon/bad_settings_test.cpp
+++ b/tests/daemon/bad_settings_test.cpp
@@ -102,7 +102,7 @@
             "unknown_setting_ignored", fromFile, entryHead + listenLine + storeLine + "drain_timeout: 5\n",
             invalidSettings,
             "bronzechuted: FILE:6: drain_timeout: found an unknown key, expected data_centre, drain_timeout_ms, "
-            "endpoint, entry, limits, listen, log, node, region, role or store\n"},
+            "endpoint, entry, gateway, limits, listen, log, node, region, role or store\n"},
         bad_settings_row {"wrong_type_replaced_by_default", fromFile,
                           entryHead + listenLine + storeLine + "drain_timeout_ms: soon\n", invalidSettings,
                           "bronzechuted: FILE:6: drain_timeout_ms: found \"soon\", expected an integer from 0 to "
