--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,7 +1,7 @@
 #include "gateway/caller_session.h"
 
+#include "gateway/field_list.h"
 #include "gateway/message_head.h"
-#include "http/hop_by_hop.h"
 #include "observe/log.h"
 
 #include <boost/asio/write.hpp>
@@ -21,16 +21,6 @@
 constexpr int statusBodyTooLarge = 413;
 constexpr int statusHeadTooLarge = 431;
 
-header_list requestHeaders(const http::fields &fields)
-{
-    header_list headers;
-    for (const auto &field : fields) {
-        headers.emplace_back(std::string(field.name_string().data(), field.name_string().size()),
-                             std::string(field.value().data(), field.value().size()));
-    }
-    return withoutHopByHop(headers);
-}
-
 } // namespace
 
 caller_session::caller_session(asio::ip::tcp::socket socket, request_handler &handler, const session_options &options)
@@ -151,7 +141,7 @@
     gateway_request request;
     request.method = std::string(message.method_string().data(), message.method_string().size());
     request.target = std::string(message.target().data(), message.target().size());
-    request.headers = requestHeaders(message.base());
+    request.headers = endToEndFields(message.base());
     request.body = std::make_shared<const std::string>(std::move(message.body()));
     request.arrivedAt = m_requestAt;
     request.keepAlive = m_keepAlive;
--- a/src/gateway/endpoint_call.cpp
+++ b/src/gateway/endpoint_call.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds connectTimeout {300};
 constexpr std::size_t answerLimit = std::size_t {4} * 1024 * 1024;
 
 } // namespace
@@ -53,7 +52,7 @@
     });
     call->m_channel = takeChannel(loop, *endpoint);
     call->m_channel->start(formatRequestHead(method, target, headers),
-                           std::make_shared<const std::string>(std::move(body)), connectTimeout, call);
+                           std::make_shared<const std::string>(std::move(body)), call);
 }
 
 endpoint_call::endpoint_call(boost::asio::io_context &loop, gateway_endpoint_ptr endpoint, std::string step,
--- a/src/gateway/endpoint_channel.cpp
+++ b/src/gateway/endpoint_channel.cpp
@@ -1,6 +1,6 @@
 #include "gateway/endpoint_channel.h"
 
-#include "http/hop_by_hop.h"
+#include "gateway/field_list.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -21,6 +21,8 @@
 
 constexpr std::uint32_t headLimitBytes = 64 * 1024;
 constexpr std::uint64_t unlimitedBody = std::numeric_limits<std::uint64_t>::max();
+// A handshake takes one round trip; a lost packet is sent again after about 200 ms.
+constexpr std::chrono::milliseconds connectTimeout {300};
 // Used where the endpoint does not say how long it keeps an idle connection.
 constexpr std::chrono::milliseconds defaultIdleLimit {4000};
 // An endpoint that closes at the stated time must not be reached by a request at that very moment.
@@ -58,16 +60,6 @@
                     std::chrono::milliseconds(std::chrono::seconds(seconds)) - idleMargin);
 }
 
-header_list toHeaderList(const http::fields &fields)
-{
-    header_list headers;
-    for (const auto &field : fields) {
-        headers.emplace_back(std::string(field.name_string().data(), field.name_string().size()),
-                             std::string(field.value().data(), field.value().size()));
-    }
-    return headers;
-}
-
 } // namespace
 
 endpoint_channel::endpoint_channel(asio::io_context &loop, const std::string &address)
@@ -76,7 +68,7 @@
 }
 
 void endpoint_channel::start(std::string head, std::shared_ptr<const std::string> body,
-                             std::chrono::milliseconds connectTimeout, std::shared_ptr<channel_observer> observer)
+                             std::shared_ptr<channel_observer> observer)
 {
     m_head = std::move(head);
     m_body = std::move(body);
@@ -90,14 +82,14 @@
     if (m_connected) {
         send();
     } else {
-        connect(connectTimeout);
+        connect();
     }
 }
 
-void endpoint_channel::connect(std::chrono::milliseconds timeout)
+void endpoint_channel::connect()
 {
     const auto self = shared_from_this();
-    m_connectTimer.expires_after(timeout);
+    m_connectTimer.expires_after(connectTimeout);
     m_connectTimer.async_wait([self](const error_code &code) {
         if (!code && !self->m_connected) {
             self->fail("connect", asio::error::timed_out);
@@ -174,7 +166,7 @@
     answer_head head;
     head.status = static_cast<int>(message.result_int());
     head.reason = std::string(message.reason().data(), message.reason().size());
-    head.headers = withoutHopByHop(toHeaderList(message));
+    head.headers = endToEndFields(message);
     const auto self = shared_from_this();
     const auto observer = m_observer;
     observer->onHead(std::move(head));
--- a/src/gateway/endpoint_channel.h
+++ b/src/gateway/endpoint_channel.h
@@ -36,8 +36,7 @@
      * @param head header block with its empty line
      * @param observer is kept until the exchange ends or is cancelled
      */
-    void start(std::string head, std::shared_ptr<const std::string> body, std::chrono::milliseconds connectTimeout,
-               std::shared_ptr<channel_observer> observer);
+    void start(std::string head, std::shared_ptr<const std::string> body, std::shared_ptr<channel_observer> observer);
 
     /** Reads on after wantsMore() was false. */
     void resume();
@@ -54,7 +53,7 @@
 
     static constexpr std::size_t readBytes = std::size_t {16} * 1024;
 
-    void connect(std::chrono::milliseconds timeout);
+    void connect();
     void send();
     void readHead();
     void readBody();
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -19,8 +19,6 @@
 constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
 
-// A handshake takes one round trip; a lost packet is sent again after about 200 ms.
-constexpr std::chrono::milliseconds connectTimeout {300};
 // The caller gives a stream up after two seconds without an event: time is left to continue elsewhere.
 constexpr std::chrono::milliseconds firstEventTimeout {1300};
 constexpr std::chrono::milliseconds eventTimeout {900};
@@ -164,7 +162,7 @@
     ++m_sends;
     startAttemptTimer();
     m_channel->start(formatRequestHead(m_request.method, m_request.target, attemptHeaders()), m_request.body,
-                     connectTimeout, shared_from_this());
+                     shared_from_this());
 }
 
 header_list gateway_exchange::attemptHeaders() const
