gateway, daemon: changed settings are noticed without a signal; rates are called rates

Cause: only SIGHUP led to a new look at the settings, and only seeds were taken over. Change: the daemon compares the file every two seconds; a gateway takes over seeds, repeat limits, drain timeout and log level, and logs when something else needs a restart. Problems of changed settings go to the log instead of standard error. send_allowance is token_bucket now, as the field calls it. Ruled out: inotify, which the users' machines do not offer.

--- a/src/balance/repeat_budget.cpp
+++ b/src/balance/repeat_budget.cpp
@@ -2,14 +2,13 @@
 
 namespace bronzechute {
 
-repeat_budget::repeat_budget(boot_clock::duration window, double share, double fixed)
-    : m_window(window), m_share(share), m_fixed(fixed)
+repeat_budget::repeat_budget(const repeat_limits &limits) : m_limits(limits)
 {
 }
 
-void repeat_budget::setFixed(double fixed)
+void repeat_budget::setLimits(const repeat_limits &limits)
 {
-    m_fixed = fixed;
+    m_limits = limits;
 }
 
 void repeat_budget::onRequest(time_point now)
@@ -21,7 +20,7 @@
 bool repeat_budget::tryTake(time_point now)
 {
     forgetOld(now);
-    const double allowed = m_share * static_cast<double>(m_requests.size()) + m_fixed;
+    const double allowed = m_limits.share * static_cast<double>(m_requests.size()) + m_limits.fixed;
     if (static_cast<double>(m_repeats.size() + 1) > allowed) {
         return false;
     }
@@ -32,7 +31,7 @@
 void repeat_budget::forgetOld(time_point now)
 {
     for (std::deque<time_point> *times : {&m_requests, &m_repeats}) {
-        while (!times->empty() && now - times->front() >= m_window) {
+        while (!times->empty() && now - times->front() >= m_limits.window) {
             times->pop_front();
         }
     }
--- a/src/balance/repeat_budget.h
+++ b/src/balance/repeat_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balance/repeat_limits.h"
 #include "base/boot_clock.h"
 
 #include <cstddef>
@@ -7,18 +8,14 @@
 
 namespace bronzechute {
 
-/** Bounds repeated sends in a sliding window by a share of the requests and a fixed allowance. */
+/** Bounds repeated sends in a sliding window by a share of the requests and a fixed number. */
 class repeat_budget
 {
 public:
-    /**
-     * @param share repeats for each request of the window
-     * @param fixed repeats that are allowed in each window beside that
-     */
-    repeat_budget(boot_clock::duration window, double share, double fixed);
+    explicit repeat_budget(const repeat_limits &limits);
 
-    /** The fixed part changes with the number of gateways that share it. */
-    void setFixed(double fixed);
+    /** Applies to the repeats to come. */
+    void setLimits(const repeat_limits &limits);
 
     void onRequest(time_point now);
 
@@ -28,9 +25,7 @@
 private:
     void forgetOld(time_point now);
 
-    const boot_clock::duration m_window;
-    const double m_share;
-    double m_fixed;
+    repeat_limits m_limits;
     std::deque<time_point> m_requests;
     std::deque<time_point> m_repeats;
 };
--- a/src/balance/token_bucket.h
+++ b/src/balance/token_bucket.h
@@ -5,7 +5,7 @@
 namespace bronzechute {
 
 /** A token bucket: bounds how many requests are sent in any second. */
-class send_allowance
+class token_bucket
 {
 public:
     /** Sets the bounds, for the time to come. @param perSecond 0: not limited. */
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -24,14 +24,16 @@
 constexpr int exitInvalidSettings = 2;
 constexpr int exitUnavailable = 4;
 
-std::optional<daemon_settings> loadSettings(const std::string &path)
+/** Reads the settings at the start; problems go to standard error. */
+std::optional<daemon_settings> loadSettings(const std::string &path, std::string &text)
 {
-    const auto text = readTextFile(path);
-    if (!text) {
-        std::fprintf(stderr, "bronzechuted: %s\n", text.error().toString().c_str());
+    const auto read = readTextFile(path);
+    if (!read) {
+        std::fprintf(stderr, "bronzechuted: %s\n", read.error().toString().c_str());
         return std::nullopt;
     }
-    const parsed_settings parsed = parseSettings(text.value());
+    text = read.value();
+    const parsed_settings parsed = parseSettings(text);
     for (const configuration_problem &problem : parsed.problems) {
         std::fprintf(stderr, "bronzechuted: %s\n", problem.toString(path).c_str());
     }
@@ -73,20 +75,51 @@
     return std::unique_ptr<node_role>(std::move(role.value()));
 }
 
-/** Re-reads the settings on each SIGHUP. @returns the signal that ends the process. */
-int waitForStop(const sigset_t &signals, node_role &role)
+/** The settings file changes without a signal too; it is compared this often. */
+constexpr timespec settingsCheck {2, 0};
+
+/** Reads changed settings. */
+void reload(const std::string &cause, std::string &inForce, node_role &role)
+{
+    const auto text = readTextFile(FLAGS_settings);
+    if (!text) {
+        logLine(log_level::error, "daemon", "settings cannot be read; the earlier ones stay",
+                {{"cause", text.error().toString()}});
+        return;
+    }
+    if (text.value() == inForce) {
+        return;
+    }
+    inForce = text.value();
+    const parsed_settings parsed = parseSettings(inForce);
+    for (const configuration_problem &problem : parsed.problems) {
+        logLine(log_level::error, "daemon", "problem in the changed settings",
+                {{"problem", problem.toString(FLAGS_settings)}});
+    }
+    logLine(parsed.settings ? log_level::info : log_level::error, "daemon",
+            parsed.settings ? "settings read again" : "changed settings refused; the earlier ones stay",
+            {{"cause", cause}});
+    if (parsed.settings) {
+        setLogLevel(parsed.settings->logLevel);
+        role.reload(*parsed.settings);
+    }
+}
+
+/**
+ * Follows changes of the settings file.
+ * @param inForce its text at the start
+ * @returns the signal that ends the process
+ */
+int waitForStop(const sigset_t &signals, std::string inForce, node_role &role)
 {
     for (;;) {
-        int received = 0;
-        sigwait(&signals, &received);
-        if (received != SIGHUP) {
+        const int received = sigtimedwait(&signals, nullptr, &settingsCheck);
+        if (received == SIGHUP) {
+            reload("signal", inForce, role);
+        } else if (received > 0) {
             return received;
-        }
-        const auto settings = loadSettings(FLAGS_settings);
-        logLine(settings ? log_level::info : log_level::error, "daemon",
-                settings ? "settings read again" : "changed settings refused; the earlier ones stay", {});
-        if (settings) {
-            role.reload(*settings);
+        } else {
+            reload("file changed", inForce, role);
         }
     }
 }
@@ -97,7 +130,8 @@
 {
     gflags::SetUsageMessage("bronzechuted --settings FILE");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const auto settings = loadSettings(FLAGS_settings);
+    std::string text;
+    const auto settings = loadSettings(FLAGS_settings, text);
     if (!settings) {
         return exitInvalidSettings;
     }
@@ -121,7 +155,7 @@
     std::fflush(stdout);
     logLine(log_level::info, "daemon", "started", {{"addresses", role.value()->addresses()}});
 
-    const int received = waitForStop(signals, *role.value());
+    const int received = waitForStop(signals, std::move(text), *role.value());
     logLine(log_level::info, "daemon", "stopping", {{"signal", received}});
     const bool finished = role.value()->drain();
     logLine(log_level::info, "daemon", finished ? "stopped" : "stopped with work in flight");
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -70,12 +70,12 @@
     }
 }
 
-void endpoint_table::applyAllowances(const routing_table &table, int gateways)
+void endpoint_table::applyColdRates(const routing_table &table, int gateways)
 {
     for (const auto &[id, endpoint] : m_endpoints) {
         const routed_service *service = table.findService(endpoint->record.service);
         const double perSecond = service == nullptr ? 0.0 : service->coldRequestsPerSecond / gateways;
-        endpoint->allowance.configure(rateShare * perSecond, std::max(1.0, burstShare * perSecond));
+        endpoint->coldRate.configure(rateShare * perSecond, std::max(1.0, burstShare * perSecond));
     }
 }
 
@@ -101,7 +101,7 @@
     view.slots = endpoint.record.slots;
     view.running = endpoint.ownRunning + endpoint.peersRunning;
     view.usable = endpoint.listed && !endpoint.record.leaving && !m_dataCentresOut.contains(endpoint.record.dataCentre)
-        && endpoint.allowance.available(now) && std::ranges::find(tried, endpoint.record.id) == tried.end();
+        && endpoint.coldRate.available(now) && std::ranges::find(tried, endpoint.record.id) == tried.end();
     view.suspect = now < endpoint.avoidUntil;
     view.local = endpoint.record.dataCentre == m_dataCentre;
     view.gapMs = endpoint.gapMs;
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -29,8 +29,8 @@
     /** Endpoints of a data centre that is out of service get nothing new. */
     void setDataCentre(const std::string &name, bool inService);
 
-    /** Applies the cold allowances of a version. @param gateways that share each allowance */
-    void applyAllowances(const routing_table &table, int gateways);
+    /** Applies the rates of cold endpoints of a version. @param gateways that share each rate */
+    void applyColdRates(const routing_table &table, int gateways);
 
     /** Takes over what the other gateways have under way; endpoints that are not named have nothing. */
     void setPeersRunning(const std::map<std::string, int> &running);
--- a/src/gateway/gateway_endpoint.h
+++ b/src/gateway/gateway_endpoint.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "balance/send_allowance.h"
+#include "balance/token_bucket.h"
 #include "base/boot_clock.h"
 #include "routing/endpoint_record.h"
 
@@ -22,7 +22,7 @@
     time_point avoidUntil {}; ///< Suspect until then.
     double longestGapMs = 0; ///< Of its recent streams; falls slowly after a long pause.
     double gapMs = 0; ///< Smoothed pause between the events of its streams; 0 before the first.
-    send_allowance allowance; ///< Keeps all gateways together within what it bears when cold.
+    token_bucket coldRate; ///< Keeps all gateways together within what it bears when cold.
     std::vector<std::shared_ptr<endpoint_channel>> idleChannels;
 };
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -133,7 +133,11 @@
     for (;;) {
         std::promise<std::size_t> busy;
         asio::post(m_loop, [&] {
-            busy.set_value(m_callers.busyCount() + (m_coordinator != nullptr && m_coordinator->switching() ? 1 : 0));
+            const bool switching = m_coordinator != nullptr && m_coordinator->switching();
+            if (m_lease != nullptr && !switching) {
+                m_lease->stop();
+            }
+            busy.set_value(m_callers.busyCount() + (switching ? 1 : 0));
         });
         const std::size_t count = busy.get_future().get();
         const time_point now = boot_clock::now();
@@ -146,7 +150,19 @@
 
 void gateway_role::reload(const daemon_settings &settings)
 {
-    asio::post(m_loop, [this, seeds = hostsOf(settings.gateway.seeds)] { m_exchange.setSeeds(seeds); });
+    daemon_settings adopted = m_settings;
+    adopted.gateway.seeds = settings.gateway.seeds;
+    adopted.gateway.repeats = settings.gateway.repeats;
+    adopted.drainTimeout = settings.drainTimeout;
+    adopted.logLevel = settings.logLevel;
+    if (adopted != settings) {
+        logLine(log_level::warn, "gateway", "some changed settings take effect with the next start only", {});
+    }
+    m_settings = adopted;
+    asio::post(m_loop, [this, seeds = hostsOf(settings.gateway.seeds), repeats = settings.gateway.repeats] {
+        m_exchange.setSeeds(seeds);
+        m_dispatcher.setRepeatLimits(repeats);
+    });
 }
 
 std::shared_ptr<running_exchange> gateway_role::handle(gateway_request request, caller_response &response)
@@ -222,7 +238,7 @@
                  {"accounts", table->document().accounts.size()}});
     }
     m_table = std::move(table);
-    m_endpoints.applyAllowances(*m_table, m_exchange.gateways());
+    m_endpoints.applyColdRates(*m_table, m_exchange.gateways());
     if (m_coordinator != nullptr) {
         m_coordinator->setRouting(m_table);
     }
@@ -234,7 +250,7 @@
         m_removals.erase(record.id);
         m_endpoints.update(record);
         if (m_table != nullptr) {
-            m_endpoints.applyAllowances(*m_table, m_exchange.gateways());
+            m_endpoints.applyColdRates(*m_table, m_exchange.gateways());
         }
         m_dispatcher.serveLines();
     });
@@ -320,7 +336,7 @@
         m_gateways = gateways;
         m_dispatcher.setGateways(gateways);
         if (m_table != nullptr) {
-            m_endpoints.applyAllowances(*m_table, gateways);
+            m_endpoints.applyColdRates(*m_table, gateways);
         }
     }
     if (m_dispatcher.waiting() > 0) {
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -74,7 +74,7 @@
     void reject(const gateway_request &request, const request_rejection &rejection, caller_response &response);
     void registerGauges();
 
-    const daemon_settings m_settings;
+    daemon_settings m_settings; ///< Used by the thread that starts, reloads and drains.
     const gateway_options m_options;
     boost::asio::io_context m_loop;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -28,7 +28,7 @@
     if (found != m_lines.end()) {
         return found->second;
     }
-    service_line line {{}, {}, {}, repeat_budget(m_limits.window, m_limits.share, m_limits.fixed / m_gateways)};
+    service_line line {{}, {}, {}, repeat_budget(ownLimits())};
     return m_lines.emplace(service, std::move(line)).first->second;
 }
 
@@ -74,7 +74,7 @@
 void request_dispatcher::place(const gateway_endpoint_ptr &endpoint, const std::shared_ptr<placement_client> &client)
 {
     ++endpoint->ownRunning;
-    endpoint->allowance.take(boot_clock::now());
+    endpoint->coldRate.take(boot_clock::now());
     client->onPlaced(endpoint);
 }
 
@@ -109,10 +109,23 @@
 {
     m_gateways = count;
     for (auto &[service, line] : m_lines) {
-        line.budget.setFixed(m_limits.fixed / count);
+        line.budget.setLimits(ownLimits());
     }
 }
 
+void request_dispatcher::setRepeatLimits(const repeat_limits &limits)
+{
+    m_limits = limits;
+    setGateways(m_gateways);
+}
+
+repeat_limits request_dispatcher::ownLimits() const
+{
+    repeat_limits own = m_limits;
+    own.fixed /= m_gateways;
+    return own;
+}
+
 void request_dispatcher::serveLines()
 {
     for (auto &[service, line] : m_lines) {
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -53,6 +53,8 @@
     /** @param count of gateways that share the budgets */
     void setGateways(int count);
 
+    void setRepeatLimits(const repeat_limits &limits);
+
     /** Endpoints have become usable or free. */
     void serveLines();
 
@@ -73,6 +75,7 @@
     };
 
     service_line &lineOf(const std::string &service);
+    repeat_limits ownLimits() const;
     gateway_endpoint_ptr choose(const std::string &service, std::span<const std::string> tried);
     void place(const gateway_endpoint_ptr &endpoint, const std::shared_ptr<placement_client> &client);
     void serveLine(const std::string &service, service_line &line);
@@ -81,7 +84,7 @@
 
     boost::asio::steady_timer m_timer;
     endpoint_table &m_endpoints;
-    const repeat_limits m_limits;
+    repeat_limits m_limits;
     std::map<std::string, service_line> m_lines;
     std::uint64_t m_nextTicket = 1;
     int m_gateways = 1;
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -79,10 +79,15 @@
     queue->addAppender(appender);
     log4cxx::BasicConfigurator::resetConfiguration();
     log4cxx::BasicConfigurator::configure(queue);
-    logger()->setLevel(log4cxx::Level::toLevel(level));
+    setLogLevel(level);
     configured = true;
 }
 
+void setLogLevel(const std::string &level)
+{
+    logger()->setLevel(log4cxx::Level::toLevel(level));
+}
+
 bool logEnabled(log_level level)
 {
     return configured && logger()->isEnabledFor(levelOf(level));
--- a/src/observe/log.h
+++ b/src/observe/log.h
@@ -18,6 +18,9 @@
  */
 void configureLogging(const std::string &level, const std::string &file, const std::string &node);
 
+/** Changes the least severe level that is written. @param level as in the settings */
+void setLogLevel(const std::string &level);
+
 /** @returns whether lines of this level are written, so that callers need not build fields for nothing. */
 bool logEnabled(log_level level);
 
--- a/tests/balance/admission_test.cpp
+++ b/tests/balance/admission_test.cpp
@@ -2,7 +2,7 @@
 #include "balance/completion_rate.h"
 #include "balance/repeat_budget.h"
 #include "balance/return_time.h"
-#include "balance/send_allowance.h"
+#include "balance/token_bucket.h"
 
 #include <gtest/gtest.h>
 
@@ -87,16 +87,16 @@
 }
 
 /** A cold endpoint bears a number of requests in any second; the bucket's burst and refill together stay within it. */
-TEST(send_allowance, boundsEachSecond)
+TEST(token_bucket, boundsEachSecond)
 {
     constexpr double perSecond = 9;
     constexpr double burst = 5;
-    send_allowance allowance;
-    allowance.configure(perSecond, burst);
+    token_bucket bucket;
+    bucket.configure(perSecond, burst);
     std::vector<time_point> sent;
     for (time_point now = start; now < start + 5s; now += 10ms) {
-        if (allowance.available(now)) {
-            allowance.take(now);
+        if (bucket.available(now)) {
+            bucket.take(now);
             sent.push_back(now);
         }
     }
@@ -110,18 +110,18 @@
     EXPECT_GE(sent.size(), 45U);
 }
 
-TEST(send_allowance, isUnlimitedWithoutABound)
+TEST(token_bucket, isUnlimitedWithoutABound)
 {
-    send_allowance allowance;
+    token_bucket bucket;
     for (int count = 0; count < 1000; ++count) {
-        ASSERT_TRUE(allowance.available(start));
-        allowance.take(start);
+        ASSERT_TRUE(bucket.available(start));
+        bucket.take(start);
     }
 }
 
 TEST(repeat_budget, boundsRepeatsInTheWindow)
 {
-    repeat_budget budget(10s, 0.2, 3);
+    repeat_budget budget({10s, 0.2, 3});
     for (int count = 0; count < 50; ++count) {
         budget.onRequest(start);
     }
