--- a/tests/harness/forwarder_test.cpp
+++ b/tests/harness/forwarder_test.cpp
@@ -44,6 +44,10 @@
                     forwarder_row {"delay_breaks_requests", R"({"delay_ms": 50})", CURLE_OK, CURLE_OK},
                     forwarder_row {"new_connections_silent_too", R"({"silent_after_bytes": 10, "next_connections": 1})",
                                    CURLE_OPERATION_TIMEDOUT, CURLE_OK},
+                    forwarder_row {"held_answer_arrives", R"({"pause_down": true})", CURLE_OPERATION_TIMEDOUT,
+                                   CURLE_OPERATION_TIMEDOUT},
+                    forwarder_row {"held_request_arrives", R"({"pause_up": true})", CURLE_OPERATION_TIMEDOUT,
+                                   CURLE_OPERATION_TIMEDOUT},
                     forwarder_row {"silence_ends", R"({"silence_new": true})", CURLE_OPERATION_TIMEDOUT,
                                    CURLE_OPERATION_TIMEDOUT}),
     [](const auto &row) { return std::string(row.param.name); });
--- /dev/null
+++ b/tests/soak/soak_callers.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "soak/soak_evidence.h"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace bronzechute::soak {
+
+/** What the runner tells the callers while they run. Safe to use from any thread. */
+class site_view
+{
+public:
+    /** @param gateways base URL by name */
+    explicit site_view(std::map<std::string, std::string> gateways);
+
+    const std::map<std::string, std::string> &gateways() const
+    {
+        return m_gateways;
+    }
+
+    /** The gateway's process is ended or started. */
+    void nextIncarnation(const std::string &gateway);
+    int incarnation(const std::string &gateway) const;
+
+    /** The version is about to be written. */
+    void setNewest(std::int64_t version);
+    std::int64_t newest() const;
+
+private:
+    const std::map<std::string, std::string> m_gateways;
+    mutable std::mutex m_mutex;
+    std::map<std::string, int> m_incarnations;
+    std::int64_t m_newest = 0;
+};
+
+/**
+ * Callers of a soak: some send requests of all kinds to any gateway over connections that they keep, come back when
+ * they are refused and leave early at times; others ask each gateway for the newest version of the configuration.
+ */
+class soak_callers
+{
+public:
+    soak_callers(const site_view &view, std::uint64_t seed);
+    ~soak_callers();
+    soak_callers(const soak_callers &) = delete;
+    soak_callers &operator=(const soak_callers &) = delete;
+
+    /** Ends the callers and adds what they saw to the evidence. */
+    void stop(soak_evidence &evidence);
+
+private:
+    void send(std::uint64_t seed);
+    void probe(const std::string &gateway);
+
+    const site_view &m_view;
+    std::atomic<bool> m_stopped {false};
+    std::atomic<int> m_ids {0};
+    std::mutex m_mutex;
+    std::vector<call_record> m_calls;
+    std::vector<version_probe> m_probes;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace bronzechute::soak
--- a/tests/standins/forward_direction.cpp
+++ b/tests/standins/forward_direction.cpp
@@ -35,7 +35,7 @@
 
 bool forward_direction::wantsRead() const
 {
-    return !m_endRead && m_buffered < bufferLimit;
+    return !m_endRead && !m_paused && m_buffered < bufferLimit;
 }
 
 bool forward_direction::wantsWrite(time_point now) const
@@ -70,9 +70,9 @@
     return true;
 }
 
-bool forward_direction::write(time_point now, std::uint64_t &allowance)
+bool forward_direction::write(time_point now, std::uint64_t &remaining)
 {
-    while (wantsWrite(now) && allowance > 0) {
+    while (wantsWrite(now) && remaining > 0) {
         std::string &bytes = m_chunks.front().bytes;
         if (bytes.empty()) {
             shutdown(m_to, SHUT_WR);
@@ -80,7 +80,7 @@
             m_chunks.pop_front();
             return true;
         }
-        const std::size_t length = std::min<std::uint64_t>(bytes.size(), allowance);
+        const std::size_t length = std::min<std::uint64_t>(bytes.size(), remaining);
         const ssize_t count = send(m_to, bytes.data(), length, MSG_NOSIGNAL);
         if (count < 0) {
             return wouldBlock();
@@ -88,7 +88,7 @@
         const auto written = static_cast<std::size_t>(count);
         m_forwarded += written;
         m_buffered -= written;
-        allowance -= written;
+        remaining -= written;
         bytes.erase(0, written);
         if (bytes.empty()) {
             m_chunks.pop_front();
--- a/tests/standins/forward_direction.h
+++ b/tests/standins/forward_direction.h
@@ -18,6 +18,12 @@
     /** @param rules faults of frames, or null to forward bytes as they are */
     forward_direction(int from, int to, frame_rules *rules);
 
+    /** While paused, nothing more is read from the sender. */
+    void setPaused(bool paused)
+    {
+        m_paused = paused;
+    }
+
     /** @returns whether there is room for more bytes and the sender has not ended. */
     bool wantsRead() const;
 
@@ -32,10 +38,10 @@
 
     /**
      * Writes what is due.
-     * @param allowance upper bound of bytes; reduced by what was written
+     * @param remaining upper bound of bytes; reduced by what was written
      * @returns false when the connection is broken
      */
-    bool write(time_point now, std::uint64_t &allowance);
+    bool write(time_point now, std::uint64_t &remaining);
 
     bool ended() const
     {
@@ -63,6 +69,7 @@
     time_point m_lastDue {}; ///< Of what was read last, without the delay of single frames.
     std::size_t m_buffered = 0;
     std::uint64_t m_forwarded = 0;
+    bool m_paused = false;
     bool m_endRead = false;
     bool m_endSent = false;
 };
--- a/tests/standins/forwarded_connection.cpp
+++ b/tests/standins/forwarded_connection.cpp
@@ -5,12 +5,12 @@
 
 namespace bronzechute::standins {
 
-forwarded_connection::forwarded_connection(int client, int target, std::uint64_t allowance, frame_rules *rules)
+forwarded_connection::forwarded_connection(int client, int target, std::uint64_t remaining, frame_rules *rules)
     : m_client(client)
     , m_target(target)
     , m_up(client, target, rules)
     , m_down(target, client, rules)
-    , m_allowance(allowance)
+    , m_remaining(remaining)
 {
 }
 
@@ -20,9 +20,15 @@
     close(m_target);
 }
 
-void forwarded_connection::limit(std::uint64_t allowance)
+void forwarded_connection::limit(std::uint64_t remaining)
 {
-    m_allowance = std::min(m_allowance, allowance);
+    m_remaining = std::min(m_remaining, remaining);
+}
+
+void forwarded_connection::pause(bool up, bool down)
+{
+    m_up.setPaused(up);
+    m_down.setPaused(down);
 }
 
 void forwarded_connection::addTo(std::vector<pollfd> &entries, time_point now) const
@@ -53,7 +59,7 @@
     if ((mayRead(client, m_up) && !m_up.read(due)) || (mayRead(target, m_down) && !m_down.read(due))) {
         return false;
     }
-    if (!m_up.write(now, m_allowance) || !m_down.write(now, m_allowance)) {
+    if (!m_up.write(now, m_remaining) || !m_down.write(now, m_remaining)) {
         return false;
     }
     return silent() || !m_up.ended() || !m_down.ended();
--- a/tests/standins/forwarded_connection.h
+++ b/tests/standins/forwarded_connection.h
@@ -15,21 +15,24 @@
     static constexpr std::uint64_t unlimited = UINT64_MAX;
 
     /**
-     * @param allowance bytes until the connection goes silent
+     * @param remaining bytes until the connection goes silent
      * @param rules faults of frames, or null to forward bytes as they are
      */
-    forwarded_connection(int client, int target, std::uint64_t allowance, frame_rules *rules);
+    forwarded_connection(int client, int target, std::uint64_t remaining, frame_rules *rules);
     ~forwarded_connection();
     forwarded_connection(const forwarded_connection &) = delete;
     forwarded_connection &operator=(const forwarded_connection &) = delete;
 
     /** Lets so many further bytes pass; 0 makes it silent at once and for good. */
-    void limit(std::uint64_t allowance);
+    void limit(std::uint64_t remaining);
+
+    /** Stops the bytes of a direction until they are let through again. */
+    void pause(bool up, bool down);
 
     /** A silent connection stays open, but nothing is read or written any more. */
     bool silent() const
     {
-        return m_allowance == 0;
+        return m_remaining == 0;
     }
 
     /** Appends one entry for each socket. */
@@ -55,7 +58,7 @@
     int m_target;
     forward_direction m_up;
     forward_direction m_down;
-    std::uint64_t m_allowance;
+    std::uint64_t m_remaining;
 };
 
 } // namespace bronzechute::standins
--- a/tests/standins/forwarder.cpp
+++ b/tests/standins/forwarder.cpp
@@ -115,6 +115,8 @@
         m_settings.delay = std::chrono::milliseconds(object.value("delay_ms", m_settings.delay.count()));
         m_settings.refuseNew = object.value("refuse_new", m_settings.refuseNew);
         m_settings.silenceNew = object.value("silence_new", m_settings.silenceNew);
+        m_settings.pauseUp = object.value("pause_up", m_settings.pauseUp);
+        m_settings.pauseDown = object.value("pause_down", m_settings.pauseDown);
         if (object.contains("frames")) {
             m_frameRules.rules = readFrameRules(object.at("frames"));
         }
@@ -129,6 +131,7 @@
         }
         for (forwarded_connection &connection : m_connections) {
             connection.limit(limit.value_or(forwarded_connection::unlimited));
+            connection.pause(m_settings.pauseUp, m_settings.pauseDown);
         }
         if (object.value("cut_open", false)) {
             for (const forwarded_connection &connection : m_connections) {
@@ -230,12 +233,13 @@
     }
     sendWithoutDelay(client);
     ++m_accepted;
-    std::uint64_t allowance = m_settings.silenceNew ? 0 : forwarded_connection::unlimited;
+    std::uint64_t remaining = m_settings.silenceNew ? 0 : forwarded_connection::unlimited;
     if (m_settings.nextConnections > 0) {
         --m_settings.nextConnections;
-        allowance = std::min(allowance, m_settings.nextLimit);
+        remaining = std::min(remaining, m_settings.nextLimit);
     }
-    m_connections.emplace_back(client, target, allowance, m_framed ? &m_frameRules : nullptr);
+    m_connections.emplace_back(client, target, remaining, m_framed ? &m_frameRules : nullptr);
+    m_connections.back().pause(m_settings.pauseUp, m_settings.pauseDown);
 }
 
 int forwarder::connectToTarget() const
--- a/tests/standins/forwarder.h
+++ b/tests/standins/forwarder.h
@@ -19,9 +19,10 @@
  *
  * POST /standin/faults takes a JSON object: "silence_open": true makes all open connections silent for good;
  * "silent_after_bytes": N does so after N further bytes, for the open connections and for the next
- * "next_connections": K; "cut_open": true closes all open connections; "delay_ms", "refuse_new" and "silence_new" hold
- * until they are set again; "frames": [{"type": T, "action": A, "skip": S, "times": N, "delay_ms": D}, …] replaces the
- * rules for frames (frame_rule.h) of a forwarder that was started for frames. GET /standin/stats shows counts.
+ * "next_connections": K; "cut_open": true closes all open connections; "delay_ms", "refuse_new", "silence_new",
+ * "pause_up" and "pause_down" (bytes from and to clients) hold until they are set again; "frames": [{"type": T,
+ * "action": A, "skip": S, "times": N, "delay_ms": D}, …] replaces the rules for frames (frame_rule.h) of a forwarder
+ * that was started for frames. GET /standin/stats shows counts.
  */
 class forwarder : public http_handler
 {
--- a/tests/standins/forwarder_settings.h
+++ b/tests/standins/forwarder_settings.h
@@ -9,6 +9,8 @@
 struct forwarder_settings
 {
     std::chrono::milliseconds delay {0}; ///< Time each byte is held.
+    bool pauseUp = false; ///< Bytes from clients are held until it is unset.
+    bool pauseDown = false; ///< Bytes to clients are held until it is unset.
     bool refuseNew = false; ///< New connections are closed at once.
     bool silenceNew = false; ///< New connections are accepted and stay silent.
     std::uint64_t nextLimit = 0; ///< Bytes after which each of the next connections goes silent.
--- a/tests/standins/raw_server.cpp
+++ b/tests/standins/raw_server.cpp
@@ -8,12 +8,15 @@
 
 namespace bronzechute::standins {
 
-raw_server::raw_server(connection_function function) : m_function(std::move(function))
+raw_server::raw_server(connection_function function, std::uint16_t port) : m_function(std::move(function))
 {
     m_listenSocket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(port);
+    const int enabled = 1;
+    setsockopt(m_listenSocket, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
     socklen_t length = sizeof address;
     constexpr int backlog = 64;
     if (bind(m_listenSocket, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0
--- a/tests/standins/raw_server.h
+++ b/tests/standins/raw_server.h
@@ -17,7 +17,8 @@
 public:
     using connection_function = std::function<void(raw_connection &connection, int index)>;
 
-    explicit raw_server(connection_function function);
+    /** @param port on the loopback address; 0: the kernel chooses */
+    explicit raw_server(connection_function function, std::uint16_t port = 0);
     ~raw_server();
     raw_server(const raw_server &) = delete;
     raw_server &operator=(const raw_server &) = delete;
--- a/tests/standins/scripted_server.cpp
+++ b/tests/standins/scripted_server.cpp
@@ -43,8 +43,8 @@
     return found == headers.end() ? std::string() : found->second;
 }
 
-scripted_server::scripted_server(handler answer)
-    : m_answer(std::move(answer)), m_server([this](raw_connection &connection, int) { serve(connection); })
+scripted_server::scripted_server(handler answer, std::uint16_t port)
+    : m_answer(std::move(answer)), m_server([this](raw_connection &connection, int) { serve(connection); }, port)
 {
 }
 
--- a/tests/standins/scripted_server.h
+++ b/tests/standins/scripted_server.h
@@ -28,7 +28,8 @@
     /** @returns whether the connection stays open for another request. */
     using handler = std::function<bool(const scripted_request &, raw_connection &)>;
 
-    explicit scripted_server(handler answer);
+    /** @param port on the loopback address; 0: the kernel chooses */
+    explicit scripted_server(handler answer, std::uint16_t port = 0);
 
     /** @returns "127.0.0.1:PORT". */
     std::string address() const;
