gateway: closed rank groups are known to all gateways and get a map as soon as they form again

Cause: only the coordinator knew of a broken group; the other gateways learned of it from one refusal for each engine, so that requests used up their attempts on engines of one broken group and callers were refused twice. After forming, a group kept its first map until streams had shown pauses and two counts were read. A coordinator that was killed was followed only when its lease had lapsed. Ruled out: an attempt at each engine now and then instead of the coordinator's word (64 engines, 13 gateways); a shorter lease, which a slow store would let lapse. Change: the coordinator tells the state of each group with its load reports; engines of a closed group get nothing, and are tried again when nothing is heard for 1.5 s. Closed groups are asked for their state every 150 ms. A group that forms again gets a map for the demand from before. A process takes over the lease of its own predecessor on the node. A caller that has come back waits up to 1.6 s for an endpoint to work again, as it has no further try.

--- a/src/balance/waiting_request.h
+++ b/src/balance/waiting_request.h
@@ -16,7 +16,8 @@
     time_point arrivedAt {};
     time_point inTimeUntil {}; ///< Latest start with which the caller gets its answer within the target.
     time_point giveUpAt {}; ///< Latest start that is of use to the caller.
-    bool returned = false; ///< The caller was refused before and has come back.
+    bool returned = false; ///< It was refused before, to the caller or by an endpoint.
+    bool lastTry = false; ///< The caller has come back and will not once more.
 
     friend bool operator==(const waiting_request &, const waiting_request &) = default;
 };
--- a/src/gateway/coordinator_lease.cpp
+++ b/src/gateway/coordinator_lease.cpp
@@ -14,8 +14,11 @@
 
 } // namespace
 
-coordinator_lease::coordinator_lease(platform_store &store, std::string key, std::string owner)
-    : m_store(store), m_key(std::move(key)), m_owner(std::move(owner)), m_thread([this] { run(); })
+coordinator_lease::coordinator_lease(platform_store &store, std::string key, const std::string &node,
+                                     const std::string &incarnation)
+    : m_store(store), m_key(std::move(key)), m_node(node + "/"), m_owner(m_node + incarnation), m_thread([this] {
+        run();
+    })
 {
 }
 
@@ -47,8 +50,17 @@
     return now < m_validUntil ? m_term : 0;
 }
 
+void coordinator_lease::succeed()
+{
+    const auto current = m_store.get(m_key);
+    if (current && current.value() && current.value()->value.starts_with(m_node)) {
+        acquire(current.value()->modRevision);
+    }
+}
+
 void coordinator_lease::run()
 {
+    succeed();
     for (;;) {
         bool wanted = false;
         {
@@ -67,7 +79,7 @@
         if (m_lease != 0) {
             renew();
         } else if (wanted) {
-            acquire();
+            acquire(0);
         }
     }
     if (m_lease != 0) {
@@ -80,14 +92,14 @@
     }
 }
 
-void coordinator_lease::acquire()
+void coordinator_lease::acquire(std::int64_t expectedRevision)
 {
     const time_point askedAt = boot_clock::now();
     const auto lease = m_store.grantLease(timeToLive);
     if (!lease) {
         return; // Logged by the store's watches; the next attempt follows.
     }
-    const auto written = m_store.compareAndSwap(m_key, 0, m_owner, lease.value());
+    const auto written = m_store.compareAndSwap(m_key, expectedRevision, m_owner, lease.value());
     std::int64_t revision = 0;
     if (written) {
         revision = written.value();
--- a/src/gateway/coordinator_lease.h
+++ b/src/gateway/coordinator_lease.h
@@ -20,9 +20,10 @@
 public:
     /**
      * @param store must outlive this object
-     * @param owner unique to this process
+     * @param node of this process: an earlier process of the same node has ended, so that its lease is taken over
+     * @param incarnation unique to this process
      */
-    coordinator_lease(platform_store &store, std::string key, std::string owner);
+    coordinator_lease(platform_store &store, std::string key, const std::string &node, const std::string &incarnation);
     ~coordinator_lease() override;
     coordinator_lease(const coordinator_lease &) = delete;
     coordinator_lease &operator=(const coordinator_lease &) = delete;
@@ -37,12 +38,14 @@
 
 private:
     void run();
-    void acquire();
+    void succeed();
+    void acquire(std::int64_t expectedRevision);
     void renew();
     void drop(const char *cause);
 
     platform_store &m_store;
     const std::string m_key;
+    const std::string m_node; ///< Begin of the value that processes of this node write.
     const std::string m_owner;
     mutable ranked_mutex m_mutex {lock_rank::store};
     std::condition_variable_any m_changed;
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -12,6 +12,8 @@
 // Shares of the cold bound of one second: what may be sent at once, and what is added within the second.
 constexpr double burstShare = 0.4;
 constexpr double rateShare = 0.6;
+// The coordinator repeats the states of groups at shorter intervals; without it, engines are tried again.
+constexpr std::chrono::milliseconds closedLifetime {1500};
 
 } // namespace
 
@@ -58,6 +60,7 @@
     found->second->listed = false;
     found->second->idleChannels.clear();
     m_endpoints.erase(found);
+    m_groupOf.erase(id);
     rebuild();
 }
 
@@ -100,8 +103,8 @@
     endpoint_view view;
     view.slots = endpoint.record.slots;
     view.running = endpoint.ownRunning + endpoint.peersRunning;
-    view.usable = endpoint.listed && !endpoint.record.leaving && !m_dataCentresOut.contains(endpoint.record.dataCentre)
-        && endpoint.coldRate.available(now) && std::ranges::find(tried, endpoint.record.id) == tried.end();
+    view.usable = takesWork(endpoint, now) && endpoint.coldRate.available(now)
+        && std::ranges::find(tried, endpoint.record.id) == tried.end();
     view.suspect = now < endpoint.avoidUntil;
     view.local = endpoint.record.dataCentre == m_dataCentre;
     view.gapMs = endpoint.gapMs;
@@ -111,11 +114,40 @@
 bool endpoint_table::anyUsable(const std::string &service, time_point now) const
 {
     return std::ranges::any_of(endpointsOf(service), [&](const gateway_endpoint_ptr &endpoint) {
-        return endpoint->listed && !endpoint->record.leaving && !m_dataCentresOut.contains(endpoint->record.dataCentre)
-            && now >= endpoint->avoidUntil;
+        return takesWork(*endpoint, now) && now >= endpoint->avoidUntil;
     });
 }
 
+bool endpoint_table::takesWork(const gateway_endpoint &endpoint, time_point now) const
+{
+    if (!endpoint.listed || endpoint.record.leaving || m_dataCentresOut.contains(endpoint.record.dataCentre)) {
+        return false;
+    }
+    const auto group = m_groupOf.find(endpoint.record.id);
+    const auto closed = group == m_groupOf.end() ? m_closedUntil.end() : m_closedUntil.find(group->second);
+    return closed == m_closedUntil.end() || now >= closed->second;
+}
+
+void endpoint_table::setGroups(const std::vector<group_state> &groups, time_point now)
+{
+    for (const group_state &group : groups) {
+        for (const std::string &id : group.endpoints) {
+            m_groupOf[id] = group.name;
+        }
+        const auto closed = m_closedUntil.find(group.name);
+        const bool wasOpen = closed == m_closedUntil.end() || now >= closed->second;
+        if (wasOpen != group.open) {
+            logLine(log_level::info, "gateway", group.open ? "rank group takes work again" : "rank group takes no work",
+                    {{"group", group.name}, {"endpoints", group.endpoints.size()}});
+        }
+        if (group.open) {
+            m_closedUntil.erase(group.name);
+        } else {
+            m_closedUntil[group.name] = now + closedLifetime;
+        }
+    }
+}
+
 void endpoint_table::rebuild()
 {
     m_byService.clear();
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -2,6 +2,7 @@
 
 #include "balance/endpoint_view.h"
 #include "gateway/gateway_endpoint.h"
+#include "gateway/group_state.h"
 #include "routing/routing_table.h"
 
 #include <cstdint>
@@ -35,6 +36,9 @@
     /** Takes over what the other gateways have under way; endpoints that are not named have nothing. */
     void setPeersRunning(const std::map<std::string, int> &running);
 
+    /** Endpoints of a group that is not open get nothing until a later state, or until none has come for a while. */
+    void setGroups(const std::vector<group_state> &groups, time_point now);
+
     const std::vector<gateway_endpoint_ptr> &endpointsOf(const std::string &service) const;
 
     /** @returns all endpoints, by id. */
@@ -56,11 +60,14 @@
 
 private:
     void rebuild();
+    bool takesWork(const gateway_endpoint &endpoint, time_point now) const;
 
     const std::string m_dataCentre;
     std::map<std::string, gateway_endpoint_ptr> m_endpoints;
     std::map<std::string, std::vector<gateway_endpoint_ptr>> m_byService;
     std::set<std::string> m_dataCentresOut;
+    std::map<std::string, time_point> m_closedUntil; ///< By group; groups that are open are left out.
+    std::map<std::string, std::string> m_groupOf; ///< By endpoint id.
 };
 
 } // namespace bronzechute
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -28,6 +28,8 @@
 constexpr std::chrono::milliseconds usualFirstEvent {220};
 // Longest useful wait in line: the first event has to come before the caller gives the stream up.
 constexpr std::chrono::milliseconds longestWait {900};
+// A caller that has come back has no further try, so that a late start is better than none.
+constexpr std::chrono::milliseconds longestLastWait {1600};
 constexpr std::chrono::milliseconds retryAfterFailure {100};
 // An endpoint that fails is avoided for this time, doubled with each further failure in a row.
 constexpr std::chrono::milliseconds avoidance {250};
@@ -104,8 +106,9 @@
     waiting.arrivedAt = m_request.arrivedAt;
     const auto usual = streaming() ? usualFirstEvent : m_plan.matched->latencyTarget / 2;
     waiting.inTimeUntil = m_request.arrivedAt + m_plan.matched->latencyTarget - usual;
-    waiting.giveUpAt = std::min(m_plan.deadline - usual, now + longestWait);
     waiting.returned = m_plan.returned || !m_tried.empty();
+    waiting.lastTry = m_plan.returned;
+    waiting.giveUpAt = std::min(m_plan.deadline - usual, now + (waiting.lastTry ? longestLastWait : longestWait));
     m_ticket = m_context.dispatch.submit(m_plan.service, waiting, shared_from_this());
 }
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -302,9 +302,11 @@
     }
     m_leaseStore = m_options.openStore();
     m_engines = m_options.openEngines(m_loop);
-    m_lease = std::make_unique<coordinator_lease>(
-        *m_leaseStore, coordinatorKey, m_settings.node + "/" + request_id::generate(m_dispatcher.random()).toString());
+    m_lease = std::make_unique<coordinator_lease>(*m_leaseStore, coordinatorKey,
+                                                  m_settings.node + "@" + m_settings.listen.peers.host,
+                                                  request_id::generate(m_dispatcher.random()).toString());
     m_coordinator = std::make_unique<map_coordinator>(m_loop, m_endpoints, *m_engines, *m_lease);
+    m_coordinator->setGroupsListener([this] { shareGroups(); });
     m_coordinator->start();
     m_noCoordinatorSince = boot_clock::now();
     watchCoordinator();
@@ -319,6 +321,7 @@
         }
         const time_point now = boot_clock::now();
         m_exchange.setCoordinates(m_lease->term(now) != 0);
+        shareGroups();
         if (m_exchange.otherCoordinates()) {
             m_noCoordinatorSince = now;
         }
@@ -329,6 +332,12 @@
     });
 }
 
+void gateway_role::shareGroups()
+{
+    m_exchange.setGroups(m_coordinator->groupStates());
+    m_dispatcher.serveLines();
+}
+
 void gateway_role::refreshShares()
 {
     const int gateways = m_exchange.gateways();
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -69,6 +69,7 @@
     void adopt(std::shared_ptr<const routing_table> table);
     void scheduleRemoval(const std::string &id);
     void refreshShares();
+    void shareGroups();
     void startCoordinator();
     void watchCoordinator();
     void reject(const gateway_request &request, const request_rejection &rejection, caller_response &response);
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds reportInterval {40};
 // Sent also without a change, so that the others know that this gateway is alive.
 constexpr std::chrono::milliseconds quietInterval {400};
+// Well below the time for which endpoint_table takes a group for closed without a further word.
+constexpr std::chrono::milliseconds groupsInterval {500};
 // Until the others were heard, this many are assumed to share the fleet's bounds.
 constexpr int assumedGateways = 4;
 constexpr std::chrono::seconds discoveryTime {3};
@@ -87,6 +89,20 @@
     m_report.coordinates = coordinates;
 }
 
+void load_exchange::setGroups(std::vector<group_state> groups)
+{
+    if (groups != m_groups) {
+        m_groups = std::move(groups);
+        m_groupsChanged = true;
+    }
+    m_endpoints.setGroups(m_groups, boot_clock::now());
+}
+
+bool load_exchange::groupsDue(time_point now) const
+{
+    return m_report.coordinates && !m_groups.empty() && (m_groupsChanged || now - m_groupsSentAt >= groupsInterval);
+}
+
 void load_exchange::receive()
 {
     m_socket.async_receive_from(asio::buffer(m_datagram), m_sender,
@@ -112,6 +128,9 @@
     const time_point now = boot_clock::now();
     m_peers.record(m_sender.address().to_string(), *report, now);
     m_endpoints.setPeersRunning(m_peers.running(now));
+    if (!report->groups.empty()) {
+        m_endpoints.setGroups(report->groups, now);
+    }
     m_onReport();
 }
 
@@ -150,10 +169,17 @@
         m_endpoints.setPeersRunning(m_peers.running(now));
     }
     auto running = ownRunning();
-    if (running == m_report.running && now - m_sentAt < quietInterval) {
+    const bool withGroups = groupsDue(now);
+    if (running == m_report.running && now - m_sentAt < quietInterval && !withGroups) {
         return;
     }
     m_sentAt = now;
+    m_report.groups.clear();
+    if (withGroups) {
+        m_report.groups = m_groups;
+        m_groupsChanged = false;
+        m_groupsSentAt = now;
+    }
     m_report.running = std::move(running);
     m_report.peers = m_peers.heard(now);
     ++m_report.sequence;
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -45,6 +45,9 @@
     /** Tells the others whether this gateway coordinates the expert maps. */
     void setCoordinates(bool coordinates);
 
+    /** Tells the others what this gateway, as the coordinator, knows of the rank groups. */
+    void setGroups(std::vector<group_state> groups);
+
     /** @param seeds that replace those from before */
     void setSeeds(std::vector<std::string> seeds);
 
@@ -54,6 +57,7 @@
     void scheduleReport();
     void sendReport();
     std::map<std::string, int> ownRunning() const;
+    bool groupsDue(time_point now) const;
 
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
@@ -66,6 +70,9 @@
     load_report m_report;
     time_point m_startedAt {};
     time_point m_sentAt {};
+    std::vector<group_state> m_groups;
+    bool m_groupsChanged = false;
+    time_point m_groupsSentAt {};
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 65536> m_datagram {};
     int m_lastAlive = 0;
--- a/src/gateway/load_report.cpp
+++ b/src/gateway/load_report.cpp
@@ -6,14 +6,18 @@
 
 namespace {
 
-constexpr int formatVersion = 1;
+constexpr int formatVersion = 2;
 
 } // namespace
 
 std::string encodeLoadReport(const load_report &report)
 {
+    nlohmann::json groups = nlohmann::json::array();
+    for (const group_state &group : report.groups) {
+        groups.push_back({group.name, group.open, group.endpoints});
+    }
     const nlohmann::json message = {formatVersion,      report.node,  report.incarnation, report.sequence,
-                                    report.coordinates, report.peers, report.running};
+                                    report.coordinates, report.peers, report.running,     groups};
     std::string datagram;
     nlohmann::json::to_msgpack(message, datagram);
     return datagram;
@@ -33,6 +37,9 @@
         message.at(4).get_to(report.coordinates);
         message.at(5).get_to(report.peers);
         message.at(6).get_to(report.running);
+        for (const nlohmann::json &group : message.at(7)) {
+            report.groups.push_back({group.at(0), group.at(1), group.at(2)});
+        }
         return report;
     } catch (const nlohmann::json::exception &) {
         return std::nullopt; // Datagrams come from anywhere; the caller counts those that are not reports.
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gateway/group_state.h"
+
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -18,6 +20,7 @@
     bool coordinates = false; ///< Whether the sender holds the lease of the coordinator of expert maps.
     std::vector<std::string> peers; ///< Hosts of the gateways that the sender knows.
     std::map<std::string, int> running; ///< Requests under way, by endpoint id; endpoints without any are left out.
+    std::vector<group_state> groups; ///< All rank groups; empty in most reports and in those of other gateways.
 
     friend bool operator==(const load_report &, const load_report &) = default;
 };
--- a/src/gateway/map_coordinator.cpp
+++ b/src/gateway/map_coordinator.cpp
@@ -15,7 +15,11 @@
 // After a shift, a short sample shows the new demand alone.
 constexpr std::chrono::milliseconds shiftedInterval {150};
 constexpr std::chrono::milliseconds discoverInterval {500};
-constexpr std::chrono::milliseconds monitorInterval {1000};
+// A report is some hundred ms old when it is read; asking more often tells little more.
+constexpr std::chrono::milliseconds monitorInterval {500};
+constexpr std::chrono::milliseconds closedInterval {150};
+// Demand that was known when a group broke is most probably the same for this long.
+constexpr std::chrono::seconds demandLifetime {10};
 constexpr std::chrono::milliseconds shortestPause {600};
 constexpr std::chrono::milliseconds heldPatience {700};
 constexpr std::chrono::milliseconds checkInterval {300};
@@ -72,6 +76,29 @@
     return std::ranges::any_of(m_groups, [](const auto &entry) { return entry.second.change.has_value(); });
 }
 
+std::vector<group_state> map_coordinator::groupStates() const
+{
+    std::vector<group_state> states;
+    if (m_term == 0) {
+        return states;
+    }
+    for (const auto &[key, group] : m_groups) {
+        group_state state {key, group.open, {}};
+        for (std::size_t rank = 0; rank < group.ranks.size(); ++rank) {
+            if (const gateway_endpoint_ptr endpoint = group.listedRank(rank)) {
+                state.endpoints.push_back(endpoint->record.id);
+            }
+        }
+        states.push_back(std::move(state));
+    }
+    return states;
+}
+
+void map_coordinator::setGroupsListener(std::function<void()> onGroups)
+{
+    m_onGroups = std::move(onGroups);
+}
+
 std::string map_coordinator::groupKey(const std::string &service, const std::string &name)
 {
     return service + "/" + name;
@@ -137,36 +164,54 @@
 
 void map_coordinator::discover(time_point now)
 {
-    const bool monitor = now >= m_monitorAt;
-    const bool search = now >= m_discoverAt;
-    if (!monitor && !search) {
+    for (auto &[key, group] : m_groups) {
+        monitor(group, now);
+    }
+    if (now < m_discoverAt) {
         return;
     }
-    if (monitor) {
-        m_monitorAt = now + monitorInterval;
+    m_discoverAt = now + discoverInterval;
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        if (profileOf(endpoint->record.service) != nullptr && endpoint->listed && !m_groupOfEndpoint.contains(id)) {
+            askReport(endpoint, {});
+        }
     }
-    if (search) {
-        m_discoverAt = now + discoverInterval;
+}
+
+void map_coordinator::monitor(rank_group &group, time_point now)
+{
+    if (now - group.askedAt < (group.open ? monitorInterval : closedInterval)) {
+        return;
     }
-    for (const auto &entry : m_endpoints.all()) {
-        const std::string &id = entry.first;
-        const gateway_endpoint_ptr &endpoint = entry.second;
-        if (profileOf(endpoint->record.service) == nullptr || !endpoint->listed) {
-            continue;
-        }
-        const auto known = m_groupOfEndpoint.find(id);
-        const bool holder =
-            known != m_groupOfEndpoint.end() && m_groups[known->second].ranks[group_switch::holdingRank] == endpoint;
-        const bool ask = known == m_groupOfEndpoint.end() ? search : monitor && holder;
-        if (!ask) {
-            continue;
+    group.askedAt = now;
+    for (std::size_t tries = 0; tries < group.ranks.size(); ++tries) {
+        if (const gateway_endpoint_ptr rank = group.listedRank(group.asked)) {
+            askReport(rank, [this, key = groupKey(group.service, group.name)] {
+                const auto found = m_groups.find(key);
+                if (found != m_groups.end()) {
+                    found->second.asked = (found->second.asked + 1) % found->second.ranks.size();
+                    found->second.askedAt = {};
+                }
+            });
+            return;
         }
-        m_engines.readReport(endpoint, [this, endpoint, term = m_term](const result<rank_report> &report) {
-            if (report && term == m_term && m_term != 0) {
+        group.asked = (group.asked + 1) % group.ranks.size();
+    }
+}
+
+void map_coordinator::askReport(const gateway_endpoint_ptr &endpoint, std::function<void()> onFailure)
+{
+    m_engines.readReport(
+        endpoint, [this, endpoint, term = m_term, onFailure = std::move(onFailure)](const result<rank_report> &report) {
+            if (term != m_term || m_term == 0) {
+                return;
+            }
+            if (report) {
                 onReport(endpoint, report.value());
+            } else if (onFailure) {
+                onFailure();
             }
         });
-    }
 }
 
 void map_coordinator::onReport(const gateway_endpoint_ptr &endpoint, const rank_report &report)
@@ -183,7 +228,15 @@
     if (group.ranks[report.rank] != endpoint) {
         group.ranks[report.rank] = endpoint;
     }
+    if (report.open) {
+        group.asked = group_switch::holdingRank; // Its report shows a hold that was left behind.
+    }
+    const bool changed = group.open != report.open || !m_groupOfEndpoint.contains(endpoint->record.id);
+    group.open = report.open;
     m_groupOfEndpoint[endpoint->record.id] = key;
+    if (changed && m_onGroups) {
+        m_onGroups();
+    }
     if (report.epoch > group.epoch || (report.open && !group.map && group.expertsToRead == 0)) {
         adoptEpoch(group, report);
     }
@@ -202,6 +255,7 @@
         group.next.reset();
         group.map.reset();
         group.expertsToRead = 0;
+        group.formedAgain = report.map == 0;
     }
     const engine_profile *profile = profileOf(group.service);
     if (!report.open || profile == nullptr || report.epoch != group.epoch) {
@@ -331,18 +385,28 @@
                         {{"service", service}, {"endpoint", id}, {"step", counts.value().step}});
                 next = shiftedInterval;
             }
+            if (asked.demand.demand()) {
+                asked.known = asked.demand.demand();
+                asked.knownAt = boot_clock::now();
+            }
             asked.countsDue = boot_clock::now() + next;
         });
 }
 
 void map_coordinator::decide(rank_group &group, const service_state &state, time_point now)
 {
-    const auto &demand = state.demand.demand();
+    const bool knowsDemand = state.demand.demand().has_value();
+    // A group that has formed again has the first map, which does not suit the demand before the break either.
+    const bool again = group.formedAgain && state.known && now - state.knownAt < demandLifetime;
     const engine_profile *profile = profileOf(group.service);
-    if (!group.map || !demand || profile == nullptr || !group.complete() || now - group.changedAt < shortestPause
-        || !slow(group)) {
+    if (!group.map || !(knowsDemand || again) || profile == nullptr || !group.complete() || !group.open) {
+        return;
+    }
+    if (!again && (now - group.changedAt < shortestPause || !slow(group))) {
         return;
     }
+    group.formedAgain = false;
+    const load_matrix &demand = knowsDemand ? *state.demand.demand() : *state.known;
     const double copyMs = profile->expertCopyMs;
     planner_limits limits;
     limits.slots = profile->expertPlaces;
@@ -353,7 +417,7 @@
     limits.minGainPerLoad = smallestGainPerLoad;
     limits.storeBytesPerSecond = 1;
     const std::vector<double> speeds(group.ranks.size(), 1.0);
-    placement_plan plan = planPlacement(*group.map, *demand, speeds, limits);
+    placement_plan plan = planPlacement(*group.map, demand, speeds, limits);
     const double gain = plan.loadBefore > 0 ? 1.0 - plan.loadAfter / plan.loadBefore : 0.0;
     group.changedAt = now;
     if (gain < smallestGain) {
@@ -368,8 +432,8 @@
              {"version", version},
              {"loads", plan.loads},
              {"copy_ms", slowest},
-             {"skew_before", loadSkew(*group.map, *demand, speeds)},
-             {"skew_after", loadSkew(plan.map, *demand, speeds)}});
+             {"skew_before", loadSkew(*group.map, demand, speeds)},
+             {"skew_after", loadSkew(plan.map, demand, speeds)}});
     group.next = std::move(plan.map);
     group.stepAsked = false;
     group.change.emplace(
--- a/src/gateway/map_coordinator.h
+++ b/src/gateway/map_coordinator.h
@@ -11,9 +11,11 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace bronzechute {
 
@@ -42,6 +44,12 @@
     /** @returns whether a group is being switched. */
     bool switching() const;
 
+    /** @returns the state of each group, while this gateway coordinates. */
+    std::vector<group_state> groupStates() const;
+
+    /** @param onGroups called when the state of a group has changed; set before start() */
+    void setGroupsListener(std::function<void()> onGroups);
+
 private:
     struct service_state
     {
@@ -50,11 +58,15 @@
         time_point countsDue {};
         time_point countsReadAt {};
         bool countsAsked = false;
+        std::optional<load_matrix> known; ///< Newest demand, also while the tracker begins anew.
+        time_point knownAt {};
     };
 
     void schedule();
     void adoptTerm(std::int64_t term, time_point now);
     void discover(time_point now);
+    void monitor(rank_group &group, time_point now);
+    void askReport(const gateway_endpoint_ptr &endpoint, std::function<void()> onFailure);
     void onReport(const gateway_endpoint_ptr &endpoint, const rank_report &report);
     void adoptEpoch(rank_group &group, const rank_report &report);
     void readMap(rank_group &group);
@@ -81,10 +93,10 @@
     std::map<std::string, service_state> m_services;
     std::map<std::string, std::string> m_groupOfEndpoint; ///< By endpoint id.
     time_point m_discoverAt {};
-    time_point m_monitorAt {};
     std::int64_t m_term = 0;
     std::int64_t m_versions = 0; ///< Given out in this term.
     bool m_stopping = false;
+    std::function<void()> m_onGroups;
 };
 
 } // namespace bronzechute
--- a/src/gateway/rank_group.h
+++ b/src/gateway/rank_group.h
@@ -18,6 +18,10 @@
     std::string name;
     std::string service;
     std::int64_t epoch = 0;
+    bool open = true; ///< By the newest report.
+    bool formedAgain = false; ///< Its map is the one of a new group, and no other was decided on yet.
+    time_point askedAt {}; ///< When a report was last asked for.
+    std::size_t asked = 0; ///< Rank whose report is asked for.
     std::vector<gateway_endpoint_ptr> ranks; ///< Null where the rank's engine was not found yet.
     std::int64_t version = 0; ///< Of the map in use.
     std::optional<expert_map> map; ///< In use; nothing until it is known.
@@ -30,6 +34,12 @@
     std::int64_t heldStep = 0; ///< A hold that was reported while no switch was under way.
     time_point heldSeenAt {};
 
+    /** @returns the engine of a rank, or null while none is known or listed. */
+    gateway_endpoint_ptr listedRank(std::size_t rank) const
+    {
+        return ranks[rank] != nullptr && ranks[rank]->listed ? ranks[rank] : nullptr;
+    }
+
     /** @returns whether the engines of all ranks are known. */
     bool complete() const
     {
--- a/tests/balance/admission_test.cpp
+++ b/tests/balance/admission_test.cpp
@@ -22,6 +22,7 @@
     line_state line;
     std::chrono::milliseconds usefulFor;
     bool admitted;
+    bool lastTry = false;
 };
 
 class admission_rule : public testing::TestWithParam<admission_case>
@@ -32,16 +33,19 @@
 {
     waiting_request request;
     request.giveUpAt = start + GetParam().usefulFor;
+    request.lastTry = GetParam().lastTry;
     EXPECT_EQ(admit(GetParam().line, request, start).admitted, GetParam().admitted);
 }
 
-INSTANTIATE_TEST_SUITE_P(rows, admission_rule,
-                         testing::Values(admission_case {"short_line_refused", {3, 20ms, true}, 900ms, true},
-                                         admission_case {"hopeless_request_held", {60, 20ms, true}, 900ms, false},
-                                         admission_case {
-                                             "refused_without_knowing_the_pace", {3, 0ms, true}, 900ms, true},
-                                         admission_case {"held_though_nothing_serves", {0, 20ms, false}, 900ms, false}),
-                         [](const auto &row) { return row.param.name; });
+INSTANTIATE_TEST_SUITE_P(
+    rows, admission_rule,
+    testing::Values(admission_case {"short_line_refused", {3, 20ms, true}, 900ms, true},
+                    admission_case {"hopeless_request_held", {60, 20ms, true}, 900ms, false},
+                    admission_case {"refused_without_knowing_the_pace", {3, 0ms, true}, 900ms, true},
+                    admission_case {"held_though_nothing_serves", {0, 20ms, false}, 900ms, false},
+                    admission_case {"last_try_refused_while_a_group_forms", {3, 20ms, false}, 1600ms, true, true},
+                    admission_case {"hopeless_last_try_held", {99, 20ms, false}, 1600ms, false, true}),
+    [](const auto &row) { return row.param.name; });
 
 struct return_case
 {
--- a/tests/gateway/map_coordinator_test.cpp
+++ b/tests/gateway/map_coordinator_test.cpp
@@ -41,7 +41,7 @@
         report.epoch = epoch;
         report.rank = endpoint->record.id == "e0" ? 0 : 1;
         report.ranks = ranks;
-        report.open = true;
+        report.open = open;
         report.step = step;
         report.map = map;
         report.held = reportedHold;
@@ -94,6 +94,7 @@
     std::int64_t epoch = 1;
     std::int64_t step = 10;
     std::int64_t map = 0;
+    bool open = true;
     bool armsLost = false;
     std::optional<std::int64_t> reportedHold;
     std::optional<std::int64_t> reportedPrepared;
@@ -183,6 +184,39 @@
     EXPECT_TRUE(runUntil([this] { return m_engines.count(rank_order_kind::release) > 0; }));
 }
 
+TEST_F(coordinated_group, getsAMapForTheDemandFromBeforeItBrokeWhenItFormsAgain)
+{
+    ASSERT_TRUE(runUntil([this] { return m_engines.count(rank_order_kind::release) > 0; }));
+    m_engines.sent.clear();
+    m_engines.open = false;
+    runUntil([this] { return !m_coordinator.groupStates().front().open; });
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        endpoint->longestGapMs = 0; // No stream has shown yet how slow the first map is.
+    }
+    m_engines.epoch = 2;
+    m_engines.step = 0;
+    m_engines.open = true;
+    EXPECT_TRUE(runUntil([this] { return m_engines.count(rank_order_kind::prepare) == ranks; }, 1000ms));
+    EXPECT_EQ(m_engines.sent.front().epoch, 2);
+}
+
+TEST_F(coordinated_group, isReportedClosedWhileAnEngineIsMissing)
+{
+    int changes = 0;
+    m_coordinator.setGroupsListener([&changes] { ++changes; });
+    ASSERT_TRUE(runUntil([this] { return m_coordinator.groupStates().size() == 1; }));
+    EXPECT_TRUE(m_coordinator.groupStates().front().open);
+    EXPECT_EQ(m_coordinator.groupStates().front().endpoints, (std::vector<std::string> {"e0", "e1"}));
+    m_engines.open = false;
+    EXPECT_TRUE(runUntil([this] { return !m_coordinator.groupStates().front().open; }, 1000ms));
+    m_engines.open = true;
+    EXPECT_TRUE(runUntil([this] { return m_coordinator.groupStates().front().open; }, 400ms));
+    EXPECT_GE(changes, 3);
+    m_term.value = 0;
+    m_coordinator.tick();
+    EXPECT_TRUE(m_coordinator.groupStates().empty());
+}
+
 TEST_F(coordinated_group, startsNothingWithoutTheLease)
 {
     m_term.value = 0;
