balance: in overload first tries that can be in time go first; a replay of loads shows it

Cause: callers that had come back were served before first tries. Change: what can be in time goes first, then callers without a further try, then other late ones. A caller counts as one that has come back when its time left is not one that occurs again and again for the route; before, every caller counted as such after a change of the route's timeout. The row caller_without_a_further_try_refused_again expected such a caller before one that can be in time; it now expects it before other late ones, and late_return_makes_others_late_too is new: the order before was the fault.

--- a/src/balance/waiting_line.cpp
+++ b/src/balance/waiting_line.cpp
@@ -10,7 +10,7 @@
     const auto rank = [now](const waiting_request &request) {
         const bool inTime = now <= request.inTimeUntil;
         const time_point order = inTime ? request.inTimeUntil : request.arrivedAt;
-        return std::make_tuple(request.priority, !request.returned, !inTime, order, request.ticket);
+        return std::make_tuple(request.priority, !inTime, !inTime && !request.returned, order, request.ticket);
     };
     return rank(left) < rank(right);
 }
--- a/src/balance/waiting_line.h
+++ b/src/balance/waiting_line.h
@@ -10,9 +10,9 @@
 namespace bronzechute {
 
 /**
- * Requests of one service that wait at a gateway. Served by priority; within one, callers that have come back first,
- * because they have no further try, then those that can still be answered in time, most urgent first, then the others
- * in order of arrival.
+ * Requests of one service that wait at a gateway. Served by priority; within one, those that can still be answered in
+ * time first, most urgent first. The others are late in any case: callers that have come back go before those that
+ * still can, each in order of arrival.
  *
  * A line is short, as admission bounds it by the expected wait, so it is searched linearly.
  */
--- a/src/gateway/exchange_plan.h
+++ b/src/gateway/exchange_plan.h
@@ -4,6 +4,7 @@
 #include "routing/routing_table.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace bronzechute {
@@ -18,6 +19,7 @@
     int priority = 0; ///< 0 is the most urgent.
     time_point callerDeadline {}; ///< When the caller stops waiting.
     time_point deadline {}; ///< callerDeadline or the route's timeout, whichever is earlier.
+    std::optional<int> mostAnswerTokens; ///< As the caller declares it.
     bool returned = false; ///< The caller has used up a part of its time with an earlier attempt.
 };
 
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -105,7 +105,9 @@
     waiting.account = m_plan.account;
     waiting.arrivedAt = m_request.arrivedAt;
     const auto usual = streaming() ? usualFirstEvent : m_plan.matched->latencyTarget / 2;
-    waiting.inTimeUntil = m_request.arrivedAt + m_plan.matched->latencyTarget - usual;
+    // The target counts from the caller's first try: one that has come back is late.
+    waiting.inTimeUntil =
+        m_plan.returned ? m_request.arrivedAt : m_request.arrivedAt + m_plan.matched->latencyTarget - usual;
     waiting.returned = m_plan.returned || !m_tried.empty();
     waiting.lastTry = m_plan.returned;
     waiting.giveUpAt = std::min(m_plan.deadline - usual, now + (waiting.lastTry ? longestLastWait : longestWait));
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_role.h"
 
+#include "balance/answer_bound.h"
 #include "base/request_id.h"
 #include "gateway/gateway_exchange.h"
 #include "gateway/message_head.h"
@@ -25,7 +26,7 @@
 constexpr std::chrono::milliseconds removalDelay {1900};
 // The platform's balancer takes this long to notice that the process is not ready any more.
 constexpr std::chrono::milliseconds rotationDelay {2500};
-// Later requests might not end before the process does; another gateway serves them.
+// Requests that arrive later are accepted only if they end before the process does; others are for another gateway.
 constexpr std::chrono::milliseconds acceptWhileDraining {2800};
 constexpr std::chrono::milliseconds drainPoll {20};
 const std::string coordinatorKey = "bronzechute/expert-maps/coordinator";
@@ -33,7 +34,7 @@
 constexpr std::chrono::milliseconds coordinatorPatience {1500};
 constexpr std::chrono::milliseconds coordinatorTurn {400};
 // The process has to end by itself before the drain timeout is over.
-constexpr std::chrono::milliseconds exitMargin {1300};
+constexpr std::chrono::milliseconds exitMargin {800};
 
 std::vector<std::string> hostsOf(const std::vector<socket_address> &addresses)
 {
@@ -123,8 +124,9 @@
     const time_point stopAt = begin + std::max(m_settings.drainTimeout - exitMargin, std::chrono::milliseconds(0));
     const time_point earliest = std::min(begin + rotationDelay, stopAt);
     m_draining = true;
-    asio::post(m_loop, [this, begin] {
-        m_refuseFrom = begin + acceptWhileDraining;
+    asio::post(m_loop, [this, begin, stopAt] {
+        m_acceptUntil = std::min(begin + acceptWhileDraining, stopAt);
+        m_stopAt = stopAt;
         m_callers.closeIdle();
         if (m_coordinator != nullptr) {
             m_coordinator->stop();
@@ -168,8 +170,12 @@
 std::shared_ptr<running_exchange> gateway_role::handle(gateway_request request, caller_response &response)
 {
     auto matched = matchRequest(request, m_table, m_options.headers, m_dispatcher.random());
-    if (m_refuseFrom && request.arrivedAt >= *m_refuseFrom && std::holds_alternative<exchange_plan>(matched)) {
-        matched = request_rejection {statusUnavailable, "the gateway is about to stop"};
+    if (auto *plan = std::get_if<exchange_plan>(&matched)) {
+        plan->returned = m_callerTimeouts[plan->matched->name].isReturn(
+            std::chrono::duration_cast<std::chrono::milliseconds>(plan->callerDeadline - request.arrivedAt));
+        if (!mayFinish(*plan, request.arrivedAt)) {
+            matched = request_rejection {statusUnavailable, "the gateway is about to stop"};
+        }
     }
     if (const auto *rejection = std::get_if<request_rejection>(&matched)) {
         reject(request, *rejection, response);
@@ -181,6 +187,21 @@
     return exchange->ended() ? nullptr : exchange;
 }
 
+bool gateway_role::mayFinish(const exchange_plan &plan, time_point now) const
+{
+    if (!m_acceptUntil || now <= *m_acceptUntil) {
+        return true;
+    }
+    const routed_service *service = plan.table->findService(plan.service);
+    declared_answer answer;
+    answer.timeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(plan.deadline - now);
+    answer.latencyTarget = plan.matched->latencyTarget;
+    answer.gapTarget = plan.matched->gapTarget;
+    answer.mostTokens = plan.mostAnswerTokens;
+    answer.tokensPerEvent = service != nullptr && service->engine ? service->engine->stepsPerPass : 1;
+    return now + answerBound(answer) <= m_stopAt;
+}
+
 void gateway_role::reject(const gateway_request &request, const request_rejection &rejection, caller_response &response)
 {
     const auto id = findHeader(request.headers, m_options.headers.requestId);
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balance/caller_timeouts.h"
 #include "base/result.h"
 #include "gateway/coordinator_lease.h"
 #include "gateway/gateway_context.h"
@@ -74,6 +75,7 @@
     void watchCoordinator();
     void reject(const gateway_request &request, const request_rejection &rejection, caller_response &response);
     void registerGauges();
+    bool mayFinish(const exchange_plan &plan, time_point now) const;
 
     daemon_settings m_settings; ///< Used by the thread that starts, reloads and drains.
     const gateway_options m_options;
@@ -99,7 +101,9 @@
     bool m_listed = false;
     int m_gateways = 0;
     std::atomic<bool> m_draining {false};
-    std::optional<time_point> m_refuseFrom; ///< While draining: requests that arrive later are refused.
+    std::optional<time_point> m_acceptUntil; ///< While draining: any request that arrives by then is accepted.
+    time_point m_stopAt {}; ///< While draining: answers have to be whole by then.
+    std::map<std::string, caller_timeouts> m_callerTimeouts; ///< By route.
     std::unique_ptr<routing_source> m_source;
     std::thread m_thread;
 };
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -28,7 +28,7 @@
     if (found != m_lines.end()) {
         return found->second;
     }
-    service_line line {{}, {}, {}, repeat_budget(ownLimits())};
+    service_line line {{}, {}, {}, {}, repeat_budget(ownLimits())};
     return m_lines.emplace(service, std::move(line)).first->second;
 }
 
@@ -37,6 +37,9 @@
 {
     service_line &line = lineOf(service);
     const time_point now = boot_clock::now();
+    if (!request.returned) {
+        line.arrivals.record(now);
+    }
     request.ticket = m_nextTicket++;
     const std::size_t ahead = line.line.countAhead(request, now);
     if (ahead == 0) {
@@ -45,7 +48,8 @@
             return std::nullopt;
         }
     }
-    const line_state state {ahead, line.rate.interval(now), m_endpoints.anyUsable(service, now)};
+    const line_state state {ahead, line.rate.interval(now), line.arrivals.interval(now),
+                            m_endpoints.anyUsable(service, now)};
     const admission_decision decision = admit(state, request, now);
     if (!decision.admitted) {
         client->onRefused(state.anyUsable ? refusal::line_too_long : refusal::no_endpoint, decision.expectedWait);
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -70,6 +70,7 @@
     {
         waiting_line line;
         completion_rate rate;
+        completion_rate arrivals; ///< Of callers' first tries.
         std::map<std::uint64_t, std::shared_ptr<placement_client>> clients; ///< By ticket.
         repeat_budget budget;
     };
--- a/src/gateway/request_matcher.cpp
+++ b/src/gateway/request_matcher.cpp
@@ -12,8 +12,6 @@
 constexpr int statusUnauthorized = 401;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
-// A caller that waits shorter than this share of the route's timeout has been refused before and has come back.
-constexpr double returnedShare = 0.98;
 
 std::optional<std::string> keyOf(const gateway_request &request, const wire_headers &names)
 {
@@ -43,6 +41,19 @@
     return matched.services.back().service;
 }
 
+/** @returns the second of the two counts of the field, which is the longest answer. */
+std::optional<int> mostAnswerTokens(const gateway_request &request, const wire_headers &names)
+{
+    const auto text = findHeader(request.headers, names.tokenCounts);
+    const std::size_t comma = text ? text->find(',') : std::string::npos;
+    if (comma == std::string::npos) {
+        return std::nullopt;
+    }
+    int tokens = 0;
+    const auto parsed = std::from_chars(text->data() + comma + 1, text->data() + text->size(), tokens);
+    return parsed.ec == std::errc() && tokens > 0 ? std::optional(tokens) : std::nullopt;
+}
+
 } // namespace
 
 std::variant<exchange_plan, request_rejection> matchRequest(const gateway_request &request,
@@ -83,9 +94,8 @@
         const std::chrono::milliseconds time(std::min<std::int64_t>(left, plan.matched->timeout.count() * 100));
         plan.callerDeadline = request.arrivedAt + time;
         plan.deadline = std::min(plan.deadline, plan.callerDeadline);
-        plan.returned =
-            static_cast<double>(time.count()) < returnedShare * static_cast<double>(plan.matched->timeout.count());
     }
+    plan.mostAnswerTokens = mostAnswerTokens(request, names);
     plan.service = pickService(*plan.matched, random);
     plan.table = std::move(table);
     return plan;
--- a/src/gateway/wire_headers.h
+++ b/src/gateway/wire_headers.h
@@ -13,6 +13,7 @@
     std::string account = "X-Account"; ///< Name of the client account, set by the gateway.
     std::string notRun = "X-Not-Run"; ///< In an endpoint's refusal: the request has not run and will not.
     std::string signature = "X-Signature"; ///< In each answer of an endpoint that ran the request.
+    std::string tokenCounts = "X-Tokens"; ///< Tokens of the prompt and most tokens of the answer, with a comma between.
     std::string keyScheme = "Bearer"; ///< Scheme of the Authorization field that carries a key.
     std::string readyPath = "/ready"; ///< Where the platform's balancer asks whether to send callers.
 
--- a/src/routing/engine_profile.h
+++ b/src/routing/engine_profile.h
@@ -7,7 +7,8 @@
 
 /**
  * Published speed and size of the model engine of a service. An engine works in passes of several token steps for all
- * requests that run; prompts are read in chunks between the steps. Only the members about experts are used so far.
+ * requests that run; prompts are read in chunks between the steps. Only stepsPerPass and the members about experts are
+ * used so far.
  */
 struct engine_profile
 {
--- a/tests/balance/admission_test.cpp
+++ b/tests/balance/admission_test.cpp
@@ -1,4 +1,6 @@
 #include "balance/admission.h"
+#include "balance/answer_bound.h"
+#include "balance/caller_timeouts.h"
 #include "balance/completion_rate.h"
 #include "balance/repeat_budget.h"
 #include "balance/return_time.h"
@@ -39,12 +41,15 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, admission_rule,
-    testing::Values(admission_case {"short_line_refused", {3, 20ms, true}, 900ms, true},
-                    admission_case {"hopeless_request_held", {60, 20ms, true}, 900ms, false},
-                    admission_case {"refused_without_knowing_the_pace", {3, 0ms, true}, 900ms, true},
-                    admission_case {"held_though_nothing_serves", {0, 20ms, false}, 900ms, false},
-                    admission_case {"last_try_refused_while_a_group_forms", {3, 20ms, false}, 1600ms, true, true},
-                    admission_case {"hopeless_last_try_held", {99, 20ms, false}, 1600ms, false, true}),
+    testing::Values(admission_case {"short_line_refused", {3, 20ms, 0ms, true}, 900ms, true},
+                    admission_case {"hopeless_request_held", {60, 20ms, 0ms, true}, 900ms, false},
+                    admission_case {"refused_without_knowing_the_pace", {3, 0ms, 0ms, true}, 900ms, true},
+                    admission_case {"held_though_nothing_serves", {0, 20ms, 0ms, false}, 900ms, false},
+                    admission_case {
+                        "late_start_promised_though_first_tries_go_before", {20, 20ms, 15ms, true}, 900ms, false},
+                    admission_case {"late_start_refused_although_there_is_room", {20, 20ms, 40ms, true}, 900ms, true},
+                    admission_case {"last_try_refused_while_a_group_forms", {3, 20ms, 0ms, false}, 1600ms, true, true},
+                    admission_case {"hopeless_last_try_held", {99, 20ms, 0ms, false}, 1600ms, false, true}),
     [](const auto &row) { return row.param.name; });
 
 struct return_case
@@ -138,6 +143,60 @@
     EXPECT_TRUE(budget.tryTake(start + 12s)); // The window has passed; the fixed part is there again.
 }
 
+struct bound_case
+{
+    std::string name;
+    declared_answer answer;
+    std::chrono::milliseconds expected;
+};
+
+class answer_bound : public testing::TestWithParam<bound_case>
+{
+};
+
+TEST_P(answer_bound, followsFromWhatIsDeclared)
+{
+    EXPECT_EQ(answerBound(GetParam().answer), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, answer_bound,
+    testing::Values(bound_case {"short_answer_refused_like_a_long_one", {8000ms, 400ms, 120ms, 10, 5}, 640ms},
+                    bound_case {"last_event_forgotten", {8000ms, 400ms, 120ms, 11, 5}, 760ms},
+                    bound_case {"caller_that_waits_shorter_counts_longer", {500ms, 400ms, 120ms, 100, 5}, 500ms},
+                    bound_case {"unknown_length_counts_as_short", {8000ms, 400ms, 120ms, std::nullopt, 5}, 8000ms},
+                    bound_case {"plain_answer_has_tokens", {600ms, 100ms, 0ms, 100, 1}, 600ms}),
+    [](const auto &row) { return row.param.name; });
+
+TEST(caller_timeouts, knowsNothingAtFirst)
+{
+    caller_timeouts timeouts;
+    EXPECT_FALSE(timeouts.isReturn(8000ms));
+    EXPECT_FALSE(timeouts.isReturn(5000ms));
+}
+
+TEST(caller_timeouts, findsCallersThatComeBack)
+{
+    caller_timeouts timeouts;
+    for (int count = 0; count < 20; ++count) {
+        EXPECT_FALSE(timeouts.isReturn(8000ms));
+    }
+    EXPECT_TRUE(timeouts.isReturn(5310ms));
+    EXPECT_TRUE(timeouts.isReturn(7790ms));
+    EXPECT_FALSE(timeouts.isReturn(8000ms));
+}
+
+TEST(caller_timeouts, acceptsSeveralUsualTimeouts)
+{
+    caller_timeouts timeouts;
+    for (int count = 0; count < 20; ++count) {
+        timeouts.isReturn(8000ms);
+        timeouts.isReturn(4000ms);
+    }
+    EXPECT_FALSE(timeouts.isReturn(4000ms));
+    EXPECT_TRUE(timeouts.isReturn(6123ms));
+}
+
 TEST(completion_rate, isUnknownAtFirstAndGrowsWhileNothingEnds)
 {
     completion_rate rate;
--- /dev/null
+++ b/tests/balance/load_replay_test.cpp
@@ -0,0 +1,79 @@
+#include "standins/load_replay.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace bronzechute::standins {
+
+namespace {
+
+constexpr std::uint64_t seed = 1;
+
+const replay_pattern &patternNamed(const std::string &name)
+{
+    const auto &patterns = replayPatterns();
+    return *std::ranges::find(patterns, name, &replay_pattern::name);
+}
+
+struct goodput_row
+{
+    std::string pattern;
+    double atLeast; ///< Goodput, as a share of the capacity.
+};
+
+class goodput : public testing::TestWithParam<goodput_row>
+{
+};
+
+TEST_P(goodput, holdsInOverload)
+{
+    const replay_result result = replayLoad(patternNamed(GetParam().pattern), replay_policy::bronzechute, seed);
+    EXPECT_GE(result.goodput, GetParam().atLeast);
+}
+
+// The bounds are the project's targets for sustained overload.
+INSTANTIATE_TEST_SUITE_P(rows, goodput, testing::Values(goodput_row {"load_1.5", 0.9}, goodput_row {"load_3", 0.85}),
+                         [](const auto &row) { return row.param.pattern == "load_3" ? "load_3" : "load_1_5"; });
+
+class overload_pattern : public testing::TestWithParam<std::string>
+{
+};
+
+TEST_P(overload_pattern, isServedInTimeMoreOftenThanByTheUsualPolicies)
+{
+    const replay_pattern &pattern = patternNamed(GetParam());
+    const replay_result own = replayLoad(pattern, replay_policy::bronzechute, seed);
+    const replay_result fifo = replayLoad(pattern, replay_policy::fifo, seed);
+    const replay_result least = replayLoad(pattern, replay_policy::least_requests, seed);
+    EXPECT_GT(own.goodput, fifo.goodput);
+    EXPECT_GT(own.goodput, least.goodput);
+    // No account and no size of request is left out: each is served at least half as often as all.
+    EXPECT_GE(own.leastAccount, own.served / 2);
+    EXPECT_GE(own.servedLarge, own.served / 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, overload_pattern,
+                         testing::Values("burst_1.7", "burst_4", "flood", "repeats_at_once", "callers_leave",
+                                         "large_prompts", "priorities", "third_gone"),
+                         [](const auto &row) {
+                             std::string name = row.param;
+                             std::ranges::replace(name, '.', '_');
+                             return name;
+                         });
+
+TEST(load_replay, refusesMostAtOnceInOverload)
+{
+    const replay_result result = replayLoad(patternNamed("load_3"), replay_policy::bronzechute, seed);
+    EXPECT_GT(result.refusals.at("line_too_long"), 4 * result.refusals.at("waited_too_long"));
+}
+
+TEST(load_replay, lateUrgentRequestsDoNotWaitForOthers)
+{
+    const replay_result result = replayLoad(patternNamed("priorities"), replay_policy::bronzechute, seed);
+    EXPECT_GE(result.inTimeUrgent, 0.9);
+}
+
+} // namespace
+
+} // namespace bronzechute::standins
--- a/tests/balance/waiting_line_test.cpp
+++ b/tests/balance/waiting_line_test.cpp
@@ -67,8 +67,11 @@
         order_case {"less_urgent_request_first", {request(1, 0ms, 400ms), request(2, 0ms, 300ms)}, {2, 1}},
         order_case {"late_requests_out_of_order", {request(2, 20ms, 120ms), request(1, 10ms, 110ms)}, {1, 2}},
         order_case {"low_priority_first", {withPriority(request(1, 0ms, 250ms), 2), request(2, 0ms, 400ms)}, {2, 1}},
+        order_case {"late_return_makes_others_late_too",
+                    {returned(request(1, 0ms, 0ms)), request(2, 100ms, 350ms), request(3, 110ms, 360ms)},
+                    {2, 3, 1}},
         order_case {"caller_without_a_further_try_refused_again",
-                    {request(1, 0ms, 250ms), returned(request(2, 100ms, 150ms))},
+                    {request(1, 0ms, 150ms), returned(request(2, 100ms, 100ms))},
                     {2, 1}}),
     [](const auto &row) { return row.param.name; });
 
--- a/tests/gateway/gateway_harness.cpp
+++ b/tests/gateway/gateway_harness.cpp
@@ -103,13 +103,13 @@
     return head.substr(value, head.find("\r\n", value) - value);
 }
 
-gateway_harness::gateway_harness()
+gateway_harness::gateway_harness(std::chrono::milliseconds drainTimeout)
 {
     daemon_settings settings;
     settings.role = daemon_role::gateway;
     settings.node = "gateway-1";
     settings.dataCentre = "here";
-    settings.drainTimeout = 3000ms;
+    settings.drainTimeout = drainTimeout;
     gateway_options options;
     options.openSource = [this](routing_observer &observer) -> std::unique_ptr<routing_source> {
         m_observer = &observer;
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -25,7 +25,7 @@
 class gateway_harness
 {
 public:
-    gateway_harness();
+    explicit gateway_harness(std::chrono::milliseconds drainTimeout = std::chrono::milliseconds(3000));
 
     /** @returns the document that is put in force at the start: one route of each kind on host "example". */
     static routing_document usualDocument();
--- a/tests/gateway/gateway_path_test.cpp
+++ b/tests/gateway/gateway_path_test.cpp
@@ -413,6 +413,28 @@
     EXPECT_EQ(answer.header("connection"), "close");
 }
 
+TEST(gateway_drain, acceptsLateOnlyWhatEndsBeforeTheProcess)
+{
+    standins::scripted_server only([](const standins::scripted_request &request, standins::raw_connection &connection) {
+        return connection.send(answerTo(request, "whole"));
+    });
+    gateway_harness gateway(5000ms);
+    gateway.putInForce(gateway_harness::usualDocument());
+    gateway.addEndpoint("e1", only.address());
+    std::thread drain([&] { gateway.role().drain(); });
+    // A connection that a caller has opened before keeps the gateway busy.
+    std::thread busy([&] { gateway.request("GET", "/read/slow", identified); });
+    std::this_thread::sleep_for(2900ms);
+    const std::string shortTime = "X-Request-Id: r2\r\nX-Timeout-Ms: 300\r\n";
+    const std::string longTime = "X-Request-Id: r3\r\nX-Timeout-Ms: 1900\r\n";
+    const int accepted = gateway.request("GET", "/read/x", shortTime).status;
+    const int refused = gateway.request("GET", "/read/x", longTime).status;
+    drain.join();
+    busy.join();
+    EXPECT_EQ(accepted, 200);
+    EXPECT_EQ(refused, 503);
+}
+
 } // namespace
 
 } // namespace bronzechute
--- /dev/null
+++ b/tests/standins/load_replay.cpp
@@ -0,0 +1,499 @@
+#include "standins/load_replay.h"
+
+#include "balance/admission.h"
+#include "balance/completion_rate.h"
+#include "balance/placement.h"
+#include "balance/return_time.h"
+#include "balance/waiting_line.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <random>
+
+namespace bronzechute::standins {
+
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+constexpr std::size_t gateways = 4;
+constexpr std::size_t endpointCount = 8;
+constexpr int slots = 12;
+constexpr int accounts = 10;
+constexpr milliseconds length = 12s;
+constexpr milliseconds usualPrompt = 40ms; ///< Time until the first event of a request that runs.
+constexpr int largeFactor = 8;
+constexpr milliseconds answerTime = 560ms; ///< From the first event to the last.
+constexpr milliseconds firstEventTarget = 400ms;
+constexpr milliseconds usualFirstEvent = 220ms; ///< As the gateway expects it.
+constexpr milliseconds callerPatience = 2s; ///< Without a first event.
+constexpr milliseconds callerDeadline = 8s;
+constexpr milliseconds longestWait = 900ms;
+constexpr milliseconds longestLastWait = 1600ms;
+constexpr milliseconds reportDelay = 40ms; ///< Between gateways.
+constexpr milliseconds checkInterval = 10ms;
+constexpr int returnShare = 3; ///< Callers use a third of their time at most until they return.
+
+/** A caller's request over all its tries. */
+struct caller
+{
+    time_point firstTry;
+    int account = 0;
+    bool urgent = false;
+    bool large = false;
+    bool impatient = false;
+    bool leaves = false;
+    int triesLeft = 1;
+    std::size_t gateway = 0;
+    time_point triedAt;
+    int attempt = 0; ///< Counts tries; what belongs to an earlier one is void.
+    bool placed = false;
+    bool done = false;
+};
+
+struct emulated_endpoint
+{
+    int running = 0;
+    bool gone = false;
+    double slowness = 1;
+    std::deque<std::size_t> queue; ///< Callers, with the policy without lines.
+};
+
+/** One gateway's own view. */
+struct emulated_gateway
+{
+    waiting_line line;
+    completion_rate rate;
+    completion_rate arrivals; ///< First tries.
+    std::map<std::uint64_t, std::size_t> waiting; ///< Caller by ticket.
+    std::vector<int> own = std::vector<int>(endpointCount); ///< Requests under way.
+    std::vector<int> reported = std::vector<int>(endpointCount); ///< As the others know them.
+    std::vector<time_point> avoidUntil = std::vector<time_point>(endpointCount);
+    bool checking = false;
+};
+
+class replay
+{
+public:
+    replay(const replay_pattern &pattern, replay_policy policy, std::uint64_t seed)
+        : m_pattern(pattern), m_policy(policy), m_random(seed), m_endpoints(endpointCount), m_gateways(gateways)
+    {
+    }
+
+    replay_result play();
+
+private:
+    void at(time_point time, std::function<void()> action)
+    {
+        m_events.push({time, m_order++, std::move(action)});
+    }
+
+    double capacity() const;
+    bool chance(double share)
+    {
+        return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
+    }
+
+    void arrive(double rate, time_point until, int account);
+    void submit(std::size_t id);
+    void refuse(std::size_t id, refusal_cause cause, boot_clock::duration wait, const char *reason);
+    std::optional<std::size_t> choose(emulated_gateway &gateway);
+    void place(std::size_t id, std::size_t endpoint);
+    void begin(std::size_t id, std::size_t endpoint, int attempt);
+    void release(std::size_t gateway, std::size_t endpoint);
+    void serveLine(std::size_t gateway);
+    void check(std::size_t gateway);
+    void report(std::size_t gateway);
+    replay_result summarize() const;
+
+    struct event
+    {
+        time_point time;
+        std::uint64_t order;
+        std::function<void()> action;
+
+        bool operator<(const event &other) const
+        {
+            return std::tie(time, order) > std::tie(other.time, other.order);
+        }
+    };
+
+    const replay_pattern &m_pattern;
+    const replay_policy m_policy;
+    std::mt19937_64 m_random;
+    std::priority_queue<event> m_events;
+    std::uint64_t m_order = 0;
+    std::uint64_t m_ticket = 0;
+    time_point m_now {1h};
+    const time_point m_start {1h};
+    std::vector<emulated_endpoint> m_endpoints;
+    std::vector<emulated_gateway> m_gateways;
+    std::vector<caller> m_callers;
+    std::map<std::size_t, milliseconds> m_firstEvents; ///< Of answered callers, from their first try on.
+    std::map<std::string, int> m_refusals;
+};
+
+double replay::capacity() const
+{
+    double perSecond = 0;
+    const double mean = static_cast<double>(usualPrompt.count()) * (1 + (largeFactor - 1) * m_pattern.largeShare)
+        + static_cast<double>(answerTime.count());
+    for (std::size_t index = 0; index < endpointCount; ++index) {
+        const double slowness = static_cast<int>(index) < m_pattern.slowEndpoints ? 2 : 1;
+        perSecond += slots * 1000.0 / (mean * slowness);
+    }
+    return perSecond;
+}
+
+replay_result replay::play()
+{
+    const double perSecond = capacity();
+    for (int index = 0; index < m_pattern.slowEndpoints; ++index) {
+        m_endpoints[static_cast<std::size_t>(index)].slowness = 2;
+    }
+    const time_point third = m_start + length / 3;
+    const time_point secondThird = m_start + 2 * length / 3;
+    at(m_start, [=, this] { arrive(perSecond * m_pattern.load, m_start + length, -1); });
+    if (m_pattern.burstLoad > 0) {
+        at(third, [=, this] { arrive(perSecond * (m_pattern.burstLoad - m_pattern.load), secondThird, -1); });
+    }
+    if (m_pattern.floodShare > 0) {
+        at(m_start, [=, this] { arrive(perSecond * m_pattern.floodShare, m_start + length, 0); });
+    }
+    for (int index = 0; index < m_pattern.goneEndpoints; ++index) {
+        emulated_endpoint &endpoint = m_endpoints[endpointCount - 1 - static_cast<std::size_t>(index)];
+        at(third, [&endpoint] { endpoint.gone = true; });
+        at(secondThird, [&endpoint] { endpoint.gone = false; });
+    }
+    while (!m_events.empty()) {
+        const event next = m_events.top();
+        m_events.pop();
+        m_now = next.time;
+        next.action();
+    }
+    return summarize();
+}
+
+void replay::arrive(double rate, time_point until, int account)
+{
+    if (m_now >= until) {
+        return;
+    }
+    caller next;
+    next.firstTry = m_now;
+    next.account = account >= 0 ? account : static_cast<int>(m_random() % accounts);
+    next.urgent = chance(m_pattern.urgentShare);
+    next.large = chance(m_pattern.largeShare);
+    next.impatient = chance(m_pattern.impatientShare);
+    next.leaves = chance(m_pattern.leavingShare);
+    next.triesLeft = next.impatient ? 3 : 1;
+    m_callers.push_back(next);
+    submit(m_callers.size() - 1);
+    const double pause = std::exponential_distribution<double>(rate)(m_random);
+    at(m_now + std::chrono::duration_cast<boot_clock::duration>(std::chrono::duration<double>(pause)),
+       [=, this] { arrive(rate, until, account); });
+}
+
+void replay::submit(std::size_t id)
+{
+    caller &each = m_callers[id];
+    const bool lastTry = each.attempt > 0 && each.triesLeft == 0;
+    const bool returned = each.attempt > 0;
+    ++each.attempt;
+    each.triedAt = m_now;
+    each.placed = false;
+    each.gateway = m_random() % gateways;
+    // The caller gives up without a first event, or leaves earlier.
+    at(m_now + (each.leaves ? milliseconds(m_random() % 500) : callerPatience), [=, this, attempt = each.attempt] {
+        caller &left = m_callers[id];
+        if (!left.done && left.attempt == attempt && !m_firstEvents.contains(id)) {
+            ++left.attempt;
+            left.done = true;
+        }
+    });
+    emulated_gateway &gateway = m_gateways[each.gateway];
+    if (!returned) {
+        gateway.arrivals.record(m_now);
+    }
+    if (m_policy == replay_policy::least_requests) {
+        place(id, *choose(gateway));
+        return;
+    }
+    waiting_request request;
+    request.ticket = ++m_ticket;
+    request.priority = m_policy == replay_policy::fifo || each.urgent ? 0 : 1;
+    request.account = std::to_string(each.account);
+    request.arrivedAt = m_now;
+    request.inTimeUntil = each.firstTry + firstEventTarget - usualFirstEvent;
+    request.returned = returned;
+    request.lastTry = lastTry;
+    request.giveUpAt =
+        std::min(each.firstTry + callerDeadline - usualFirstEvent, m_now + (lastTry ? longestLastWait : longestWait));
+    if (m_policy == replay_policy::fifo) {
+        request.returned = false;
+        request.inTimeUntil = {};
+        request.giveUpAt = m_now + callerDeadline;
+    }
+    const std::size_t ahead = gateway.line.countAhead(request, m_now);
+    if (ahead == 0) {
+        if (const auto endpoint = choose(gateway)) {
+            place(id, *endpoint);
+            return;
+        }
+    }
+    const line_state state {ahead, gateway.rate.interval(m_now), gateway.arrivals.interval(m_now), true};
+    const admission_decision decision = admit(state, request, m_now);
+    if (m_policy == replay_policy::bronzechute && !decision.admitted) {
+        refuse(id, refusal_cause::overloaded, decision.expectedWait, "line_too_long");
+        return;
+    }
+    gateway.waiting[request.ticket] = id;
+    gateway.line.push(request);
+    check(each.gateway);
+}
+
+void replay::refuse(std::size_t id, refusal_cause cause, boot_clock::duration wait, const char *reason)
+{
+    caller &each = m_callers[id];
+    ++m_refusals[reason];
+    ++each.attempt;
+    const auto left = each.firstTry + callerDeadline - m_now;
+    if (each.triesLeft == 0 || left < callerPatience) {
+        each.done = true;
+        return;
+    }
+    --each.triesLeft;
+    const milliseconds told = returnAfter(cause, wait, left / returnShare, m_random);
+    at(m_now + (each.impatient ? milliseconds(20) : told), [=, this] {
+        if (!m_callers[id].done) {
+            submit(id);
+        }
+    });
+}
+
+std::optional<std::size_t> replay::choose(emulated_gateway &gateway)
+{
+    std::vector<endpoint_view> views(endpointCount);
+    for (std::size_t index = 0; index < endpointCount; ++index) {
+        views[index].slots = slots;
+        views[index].running = gateway.own[index];
+        for (const emulated_gateway &other : m_gateways) {
+            views[index].running += &other == &gateway ? 0 : other.reported[index];
+        }
+        views[index].suspect = m_now < gateway.avoidUntil[index];
+        views[index].gapMs = 20 * m_endpoints[index].slowness;
+        if (m_policy != replay_policy::bronzechute) {
+            views[index].gapMs = 0;
+            views[index].suspect = false;
+        }
+    }
+    constexpr int anyNumber = 1000000;
+    return placeRequest(views, m_policy == replay_policy::least_requests ? anyNumber : 0, m_random);
+}
+
+void replay::place(std::size_t id, std::size_t endpoint)
+{
+    caller &each = m_callers[id];
+    each.placed = true;
+    ++m_gateways[each.gateway].own[endpoint];
+    report(each.gateway);
+    begin(id, endpoint, each.attempt);
+}
+
+void replay::begin(std::size_t id, std::size_t endpoint, int attempt)
+{
+    caller &each = m_callers[id];
+    emulated_endpoint &target = m_endpoints[endpoint];
+    const std::size_t gateway = each.gateway;
+    if (target.gone) {
+        // Refused as not run; another endpoint is tried.
+        --m_gateways[gateway].own[endpoint];
+        m_gateways[gateway].avoidUntil[endpoint] = m_now + 1s;
+        --each.attempt;
+        at(m_now + 2ms, [=, this] {
+            if (!m_callers[id].done && m_callers[id].attempt == attempt - 1) {
+                submit(id);
+            }
+        });
+        return;
+    }
+    if (target.running >= slots) {
+        target.queue.push_back(id);
+        return;
+    }
+    ++target.running;
+    const auto scaled = [&target](milliseconds time) {
+        return std::chrono::duration_cast<boot_clock::duration>(time * target.slowness);
+    };
+    const auto prompt = scaled(usualPrompt * (each.large ? largeFactor : 1));
+    const auto finish = [=, this] {
+        --m_endpoints[endpoint].running;
+        release(gateway, endpoint);
+    };
+    at(m_now + prompt, [=, this] {
+        caller &started = m_callers[id];
+        if (started.attempt != attempt || started.done) {
+            finish(); // The caller has gone meanwhile.
+            return;
+        }
+        m_firstEvents[id] = std::chrono::duration_cast<milliseconds>(m_now - started.firstTry);
+        at(m_now + scaled(answerTime), [=, this] {
+            m_callers[id].done = true;
+            finish();
+        });
+    });
+}
+
+void replay::release(std::size_t gateway, std::size_t endpoint)
+{
+    --m_gateways[gateway].own[endpoint];
+    m_gateways[gateway].rate.record(m_now);
+    report(gateway);
+    emulated_endpoint &target = m_endpoints[endpoint];
+    while (!target.queue.empty() && target.running < slots) {
+        const std::size_t id = target.queue.front();
+        target.queue.pop_front();
+        const caller &next = m_callers[id];
+        if (next.done) {
+            --m_gateways[next.gateway].own[endpoint];
+        } else {
+            begin(id, endpoint, next.attempt);
+        }
+    }
+    serveLine(gateway);
+}
+
+void replay::serveLine(std::size_t index)
+{
+    emulated_gateway &gateway = m_gateways[index];
+    for (const waiting_request &expired : gateway.line.takeExpired(m_now)) {
+        const std::size_t id = gateway.waiting.at(expired.ticket);
+        gateway.waiting.erase(expired.ticket);
+        if (!m_callers[id].done) {
+            refuse(id, refusal_cause::overloaded, {}, "waited_too_long");
+        }
+    }
+    while (!gateway.line.empty()) {
+        const auto request = gateway.line.pop(m_now);
+        const std::size_t id = gateway.waiting.at(request->ticket);
+        if (m_callers[id].done) {
+            gateway.waiting.erase(request->ticket);
+            continue;
+        }
+        const auto endpoint = choose(gateway);
+        if (!endpoint) {
+            gateway.line.push(*request);
+            return;
+        }
+        gateway.waiting.erase(request->ticket);
+        place(id, *endpoint);
+    }
+}
+
+void replay::check(std::size_t index)
+{
+    emulated_gateway &gateway = m_gateways[index];
+    if (gateway.checking) {
+        return;
+    }
+    gateway.checking = true;
+    at(m_now + checkInterval, [=, this] {
+        m_gateways[index].checking = false;
+        serveLine(index);
+        if (!m_gateways[index].line.empty()) {
+            check(index);
+        }
+    });
+}
+
+void replay::report(std::size_t index)
+{
+    at(m_now + reportDelay, [=, this] { m_gateways[index].reported = m_gateways[index].own; });
+}
+
+replay_result replay::summarize() const
+{
+    replay_result result;
+    result.capacity = capacity();
+    result.refusals = m_refusals;
+    const double seconds = std::chrono::duration<double>(length).count();
+    std::vector<int> asked(accounts);
+    std::vector<int> served(accounts);
+    int inTime = 0;
+    int owed = 0;
+    int urgent = 0;
+    int urgentInTime = 0;
+    int large = 0;
+    int largeServed = 0;
+    std::vector<milliseconds> times;
+    for (std::size_t id = 0; id < m_callers.size(); ++id) {
+        const caller &each = m_callers[id];
+        const auto first = m_firstEvents.find(id);
+        const bool answered = first != m_firstEvents.end();
+        const bool timely = answered && first->second <= firstEventTarget;
+        if (each.leaves) {
+            continue;
+        }
+        ++owed;
+        inTime += timely ? 1 : 0;
+        urgent += each.urgent ? 1 : 0;
+        urgentInTime += each.urgent && timely ? 1 : 0;
+        large += each.large ? 1 : 0;
+        largeServed += each.large && answered ? 1 : 0;
+        ++asked[static_cast<std::size_t>(each.account)];
+        served[static_cast<std::size_t>(each.account)] += answered ? 1 : 0;
+        if (answered) {
+            times.push_back(first->second);
+        }
+    }
+    std::ranges::sort(times);
+    const auto share = [](int part, int whole) {
+        return whole == 0 ? 0.0 : static_cast<double>(part) / whole;
+    };
+    result.offered = static_cast<double>(m_callers.size()) / seconds;
+    result.goodput = inTime / seconds / result.capacity;
+    result.served = share(static_cast<int>(times.size()), owed);
+    result.inTimeUrgent = share(urgentInTime, urgent);
+    result.servedLarge = share(largeServed, large);
+    result.leastAccount = 1;
+    for (std::size_t account = 0; account < asked.size(); ++account) {
+        result.leastAccount = std::min(result.leastAccount, share(served[account], asked[account]));
+    }
+    if (!times.empty()) {
+        result.firstEventMedian = times[times.size() / 2];
+        result.firstEventP99 = times[times.size() * 99 / 100];
+    }
+    return result;
+}
+
+} // namespace
+
+const std::vector<replay_pattern> &replayPatterns()
+{
+    static const std::vector<replay_pattern> patterns {
+        {.name = "calm"},
+        {.name = "burst_1.7", .load = 0.7, .burstLoad = 1.7},
+        {.name = "burst_4", .load = 0.7, .burstLoad = 4},
+        {.name = "load_1.5", .load = 1.5},
+        {.name = "load_3", .load = 3},
+        {.name = "flood", .load = 0.7, .floodShare = 1.0},
+        {.name = "repeats_at_once", .load = 1.5, .impatientShare = 0.5},
+        {.name = "callers_leave", .load = 1.5, .leavingShare = 0.3},
+        {.name = "large_prompts", .load = 1.5, .largeShare = 0.4},
+        {.name = "priorities", .load = 2, .urgentShare = 0.3},
+        {.name = "slow_endpoints", .load = 0.9, .slowEndpoints = 3},
+        {.name = "third_gone", .load = 0.8, .goneEndpoints = 3},
+    };
+    return patterns;
+}
+
+replay_result replayLoad(const replay_pattern &pattern, replay_policy policy, std::uint64_t seed)
+{
+    return replay(pattern, policy, seed).play();
+}
+
+} // namespace bronzechute::standins
--- /dev/null
+++ b/tests/standins/load_replay.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bronzechute::standins {
+
+/** How requests wait and are placed in a replay. */
+enum class replay_policy {
+    bronzechute, ///< The decisions of src/balance/.
+    fifo, ///< A line in order of arrival at each gateway, and no refusals.
+    least_requests, ///< Sent at once to the endpoint with the fewest requests, which queues them.
+};
+
+/** A load and what is wrong with callers and endpoints while it lasts. */
+struct replay_pattern
+{
+    std::string name;
+    double load = 0.7; ///< Requests, as a multiple of what all endpoints can serve.
+    double burstLoad = 0; ///< From the middle third on, for as long as a third; 0: none.
+    double floodShare = 0; ///< Of the requests, from one of the ten accounts, on top of the load.
+    double impatientShare = 0; ///< Callers that come back at once and up to three times.
+    double leavingShare = 0; ///< Callers that leave within half a second.
+    double largeShare = 0.1; ///< Requests with a prompt of eight times the usual size.
+    double urgentShare = 0; ///< Requests with a higher priority.
+    int slowEndpoints = 0; ///< Work at half the speed.
+    int goneEndpoints = 0; ///< Stop working in the middle third.
+};
+
+/** What the callers of a replay got. */
+struct replay_result
+{
+    double capacity = 0; ///< Requests a second that all endpoints can serve.
+    double offered = 0; ///< Requests a second, returns not counted.
+    double goodput = 0; ///< Requests a second with the first event within the target, as a share of the capacity.
+    double served = 0; ///< Share of the requests that were answered whole, also late.
+    double inTimeUrgent = 0; ///< Share of the urgent requests that were answered in time.
+    double leastAccount = 0; ///< Share that was served of the requests of the account that was served least.
+    double servedLarge = 0; ///< Share that was served of the requests with large prompts.
+    std::chrono::milliseconds firstEventMedian {0}; ///< Of the requests that were answered, from the first try on.
+    std::chrono::milliseconds firstEventP99 {0};
+    std::map<std::string, int> refusals; ///< By reason.
+};
+
+/** The patterns that the users' worst loads consist of. */
+const std::vector<replay_pattern> &replayPatterns();
+
+/**
+ * Plays a load against emulated endpoints and gateways in simulated time. The same arguments give the same result.
+ */
+replay_result replayLoad(const replay_pattern &pattern, replay_policy policy, std::uint64_t seed);
+
+} // namespace bronzechute::standins
