--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -259,6 +259,10 @@
                  {"accounts", table->document().accounts.size()}});
     }
     m_table = std::move(table);
+    std::erase_if(m_callerTimeouts, [this](const auto &entry) {
+        return std::ranges::find(m_table->document().routes, entry.first, &route::name)
+            == m_table->document().routes.end();
+    });
     m_endpoints.applyColdRates(*m_table, m_exchange.gateways());
     if (m_coordinator != nullptr) {
         m_coordinator->setRouting(m_table);
--- a/tests/balance/admission_test.cpp
+++ b/tests/balance/admission_test.cpp
@@ -164,6 +164,7 @@
     testing::Values(bound_case {"short_answer_refused_like_a_long_one", {8000ms, 400ms, 120ms, 10, 5}, 640ms},
                     bound_case {"last_event_forgotten", {8000ms, 400ms, 120ms, 11, 5}, 760ms},
                     bound_case {"caller_that_waits_shorter_counts_longer", {500ms, 400ms, 120ms, 100, 5}, 500ms},
+                    bound_case {"huge_length_wraps_around", {8000ms, 400ms, 120ms, 2147483647, 5}, 8000ms},
                     bound_case {"unknown_length_counts_as_short", {8000ms, 400ms, 120ms, std::nullopt, 5}, 8000ms},
                     bound_case {"plain_answer_has_tokens", {600ms, 100ms, 0ms, 100, 1}, 600ms}),
     [](const auto &row) { return row.param.name; });
