--- a/src/backend/http_back_end.cpp
+++ b/src/backend/http_back_end.cpp
@@ -2,6 +2,7 @@
 
 #include "backend/collecting_sink.h"
 #include "backend/prometheus_page.h"
+#include "http/http_status.h"
 
 #include <utility>
 
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
 constexpr int highestPriority = 9;
 constexpr std::size_t probeBodyLimit = std::size_t {4} * 1024 * 1024;
 
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "entry/dispatcher.h"
 
 #include "entry/relay_stream.h"
+#include "http/http_status.h"
 #include "observe/log.h"
 #include "observe/log_tracer.h"
 #include "request/window_size.h"
@@ -22,9 +23,6 @@
 /** Less than this before the deadline, a new endpoint would hardly read the prompt again. */
 constexpr std::chrono::milliseconds leastContinuationTime {1000};
 
-constexpr int statusOk = 200;
-constexpr int statusServerError = 500;
-
 api_error unknownOutcome(int status, const std::string &code, const std::string &message)
 {
     return {status, code, message, {}, request_outcome::unknown, {}};
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/field_list.h"
 #include "gateway/message_head.h"
+#include "http/http_status.h"
 #include "observe/log.h"
 
 #include <boost/asio/write.hpp>
@@ -14,15 +15,6 @@
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
 
-namespace {
-
-constexpr int statusBadRequest = 400;
-constexpr int statusRequestTimeout = 408;
-constexpr int statusBodyTooLarge = 413;
-constexpr int statusHeadTooLarge = 431;
-
-} // namespace
-
 caller_session::caller_session(asio::ip::tcp::socket socket, request_handler &handler, const session_options &options)
     : m_socket(std::move(socket)), m_timer(m_socket.get_executor()), m_handler(handler), m_options(options)
 {
@@ -179,6 +171,11 @@
         watchForClose();
         return;
     }
+    closeForCaller();
+}
+
+void caller_session::closeForCaller()
+{
     const auto exchange = std::move(m_exchange);
     m_exchange = nullptr;
     close();
@@ -187,30 +184,26 @@
     }
 }
 
-header_list caller_session::connectionHeaders() const
+answer_head caller_session::framedHead(const answer_head &head, const std::string &field, const std::string &value)
 {
-    return m_keepAlive && !m_options.closing() ? header_list {} : header_list {{"Connection", "close"}};
+    answer_head framed = head;
+    framed.headers.emplace_back(field, value);
+    m_keepAlive = m_keepAlive && !m_options.closing();
+    if (!m_keepAlive) {
+        framed.headers.emplace_back("Connection", "close");
+    }
+    return framed;
 }
 
 void caller_session::respond(const answer_head &head, std::string_view body)
 {
-    answer_head whole = head;
-    whole.headers.emplace_back("Content-Length", std::to_string(body.size()));
-    const header_list connection = connectionHeaders();
-    m_keepAlive = connection.empty();
-    whole.headers.insert(whole.headers.end(), connection.begin(), connection.end());
-    write(formatAnswerHead(whole).append(body));
+    write(formatAnswerHead(framedHead(head, "Content-Length", std::to_string(body.size()))).append(body));
     endResponse();
 }
 
 void caller_session::begin(const answer_head &head)
 {
-    answer_head chunked = head;
-    chunked.headers.emplace_back("Transfer-Encoding", "chunked");
-    const header_list connection = connectionHeaders();
-    m_keepAlive = connection.empty();
-    chunked.headers.insert(chunked.headers.end(), connection.begin(), connection.end());
-    write(formatAnswerHead(chunked));
+    write(formatAnswerHead(framedHead(head, "Transfer-Encoding", "chunked")));
 }
 
 void caller_session::send(std::string_view bytes)
@@ -264,12 +257,7 @@
     m_writeActive = false;
     m_writing.clear();
     if (code || !m_socket.is_open()) {
-        const auto exchange = std::move(m_exchange);
-        m_exchange = nullptr;
-        close();
-        if (exchange != nullptr) {
-            exchange->onCallerGone();
-        }
+        closeForCaller();
         return;
     }
     if (!m_unsent.empty()) {
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -66,7 +66,9 @@
     void endResponse();
     void close();
     void startTimer(std::chrono::milliseconds time, bool idle);
-    header_list connectionHeaders() const;
+    void closeForCaller();
+    /** @returns the head with the field that frames its body, and whether the connection ends after it. */
+    answer_head framedHead(const answer_head &head, const std::string &field, const std::string &value);
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
--- a/src/gateway/endpoint_channel.cpp
+++ b/src/gateway/endpoint_channel.cpp
@@ -74,9 +74,6 @@
     m_sent = false;
     m_paused = false;
     m_kept = false;
-    m_parser.emplace();
-    m_parser->header_limit(headLimitBytes);
-    m_parser->body_limit(unlimitedBody);
     if (m_connected) {
         send();
     } else {
@@ -137,6 +134,9 @@
 
 void endpoint_channel::readHead()
 {
+    m_parser.emplace();
+    m_parser->header_limit(headLimitBytes);
+    m_parser->body_limit(unlimitedBody);
     const auto self = shared_from_this();
     http::async_read_header(m_socket, m_buffer, *m_parser, [self](const error_code &code, std::size_t) {
         if (self->m_observer == nullptr) {
@@ -154,10 +154,7 @@
 {
     const http::response_header<> &message = m_parser->get().base();
     if (static_cast<int>(message.result_int()) < firstFinalStatus) {
-        m_parser.emplace(); // An interim answer; the final one follows.
-        m_parser->header_limit(headLimitBytes);
-        m_parser->body_limit(unlimitedBody);
-        readHead();
+        readHead(); // That was an interim answer; the final one follows.
         return;
     }
     m_idleLimit = idleLimitOf(message);
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -123,6 +123,9 @@
     if (!endpoint.listed || endpoint.record.leaving || m_dataCentresOut.contains(endpoint.record.dataCentre)) {
         return false;
     }
+    if (m_closedUntil.empty()) {
+        return true;
+    }
     const auto group = m_groupOf.find(endpoint.record.id);
     const auto closed = group == m_groupOf.end() ? m_closedUntil.end() : m_closedUntil.find(group->second);
     return closed == m_closedUntil.end() || now >= closed->second;
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -1,7 +1,9 @@
 #include "gateway/gateway_exchange.h"
 
+#include "balance/useful_start.h"
 #include "gateway/endpoint_call.h"
 #include "gateway/message_head.h"
+#include "http/http_status.h"
 #include "observe/log.h"
 
 #include <algorithm>
@@ -12,13 +14,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusMisdirected = 421;
-constexpr int statusServerError = 500;
-constexpr int statusBadGateway = 502;
-constexpr int statusUnavailable = 503;
-constexpr int statusGatewayTimeout = 504;
-
 // The caller gives a stream up after two seconds without an event: time is left to continue elsewhere.
 constexpr std::chrono::milliseconds firstEventTimeout {1300};
 constexpr std::chrono::milliseconds eventTimeout {900};
@@ -26,10 +21,6 @@
 constexpr int idempotentTargets = 2;
 // Usual time from the start at an endpoint to the first event.
 constexpr std::chrono::milliseconds usualFirstEvent {220};
-// Longest useful wait in line: the first event has to come before the caller gives the stream up.
-constexpr std::chrono::milliseconds longestWait {900};
-// A caller that has come back has no further try, so that a late start is better than none.
-constexpr std::chrono::milliseconds longestLastWait {1600};
 constexpr std::chrono::milliseconds retryAfterFailure {100};
 // An endpoint that fails is avoided for this time, doubled with each further failure in a row.
 constexpr std::chrono::milliseconds avoidance {250};
@@ -104,13 +95,14 @@
     waiting.priority = m_plan.priority;
     waiting.account = m_plan.account;
     waiting.arrivedAt = m_request.arrivedAt;
-    const auto usual = streaming() ? usualFirstEvent : m_plan.matched->latencyTarget / 2;
-    // The target counts from the caller's first try: one that has come back is late.
-    waiting.inTimeUntil =
-        m_plan.returned ? m_request.arrivedAt : m_request.arrivedAt + m_plan.matched->latencyTarget - usual;
     waiting.returned = m_plan.returned || !m_tried.empty();
     waiting.lastTry = m_plan.returned;
-    waiting.giveUpAt = std::min(m_plan.deadline - usual, now + (waiting.lastTry ? longestLastWait : longestWait));
+    const std::chrono::milliseconds target = m_plan.matched->latencyTarget;
+    const std::chrono::milliseconds usual = streaming() ? usualFirstEvent : target / 2;
+    const useful_start useful =
+        usefulStart({m_request.arrivedAt, target, usual, m_plan.deadline, m_plan.returned}, now);
+    waiting.inTimeUntil = useful.inTimeUntil;
+    waiting.giveUpAt = useful.giveUpAt;
     m_ticket = m_context.dispatch.submit(m_plan.service, waiting, shared_from_this());
 }
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -5,11 +5,14 @@
 #include "gateway/gateway_exchange.h"
 #include "gateway/message_head.h"
 #include "gateway/request_matcher.h"
+#include "http/http_status.h"
 #include "observe/log.h"
 
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace bronzechute {
 
@@ -17,9 +20,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
 // Another gateway, or this one a moment later, can serve the caller.
 constexpr const char *retryElsewhere = "0.2";
 // An entry that lapsed while the directory was away is written again within about two seconds of its return.
@@ -259,10 +259,11 @@
                  {"accounts", table->document().accounts.size()}});
     }
     m_table = std::move(table);
-    std::erase_if(m_callerTimeouts, [this](const auto &entry) {
-        return std::ranges::find(m_table->document().routes, entry.first, &route::name)
-            == m_table->document().routes.end();
-    });
+    std::set<std::string_view> names;
+    for (const route &known : m_table->document().routes) {
+        names.insert(known.name);
+    }
+    std::erase_if(m_callerTimeouts, [&names](const auto &entry) { return !names.contains(entry.first); });
     m_endpoints.applyColdRates(*m_table, m_exchange.gateways());
     if (m_coordinator != nullptr) {
         m_coordinator->setRouting(m_table);
--- a/src/gateway/map_coordinator.cpp
+++ b/src/gateway/map_coordinator.cpp
@@ -64,6 +64,14 @@
 void map_coordinator::setRouting(std::shared_ptr<const routing_table> table)
 {
     m_table = std::move(table);
+    m_gapTargetMs.clear();
+    for (const route &declared : m_table->document().routes) {
+        for (const weighted_service &share : declared.services) {
+            if (declared.gapTarget.count() > 0) {
+                m_gapTargetMs.try_emplace(share.service, static_cast<double>(declared.gapTarget.count()));
+            }
+        }
+    }
 }
 
 void map_coordinator::stop()
@@ -451,15 +459,8 @@
 
 bool map_coordinator::slow(const rank_group &group) const
 {
-    double target = usualGapTargetMs;
-    for (const route &candidate : m_table->document().routes) {
-        const bool serves = std::ranges::any_of(
-            candidate.services, [&](const weighted_service &share) { return share.service == group.service; });
-        if (serves && candidate.gapTarget.count() > 0) {
-            target = static_cast<double>(candidate.gapTarget.count());
-            break;
-        }
-    }
+    const auto declared = m_gapTargetMs.find(group.service);
+    const double target = declared == m_gapTargetMs.end() ? usualGapTargetMs : declared->second;
     double sum = 0;
     for (const gateway_endpoint_ptr &rank : group.ranks) {
         sum += rank->longestGapMs;
@@ -467,6 +468,13 @@
     return sum / static_cast<double>(group.ranks.size()) > slowShare * target;
 }
 
+rank_group *map_coordinator::groupInSwitch(const std::string &key, std::int64_t version)
+{
+    const auto found = m_groups.find(key);
+    const bool same = found != m_groups.end() && found->second.change && found->second.change->version() == version;
+    return same ? &found->second : nullptr;
+}
+
 void map_coordinator::drive(rank_group &group, time_point now)
 {
     static const expert_map none;
@@ -474,22 +482,21 @@
     for (const addressed_order &order : group.change->due(now)) {
         m_engines.send(group.ranks[order.rank], order.order, group.next ? *group.next : none,
                        [this, key, order, version = group.change->version()](order_outcome outcome) {
-                           const auto found = m_groups.find(key);
-                           if (found == m_groups.end() || !found->second.change
-                               || found->second.change->version() != version) {
+                           rank_group *const ordered = groupInSwitch(key, version);
+                           if (ordered == nullptr) {
                                return;
                            }
-                           found->second.change->onOutcome(order, outcome, boot_clock::now());
+                           ordered->change->onOutcome(order, outcome, boot_clock::now());
                            if (outcome != order_outcome::accepted) {
                                logLine(log_level::info, "coordinator", "order was not accepted",
-                                       {{"group", found->second.name},
+                                       {{"group", ordered->name},
                                         {"rank", order.rank},
                                         {"order", nameOf(order.order.kind)},
                                         {"version", version},
                                         {"step", order.order.step},
                                         {"outcome", outcome == order_outcome::rejected ? "rejected" : "unknown"}});
                            }
-                           drive(found->second, boot_clock::now());
+                           drive(*ordered, boot_clock::now());
                        });
     }
     if (!group.change) {
@@ -515,16 +522,14 @@
     const std::string key = groupKey(group.service, group.name);
     m_engines.readReport(group.ranks[group_switch::holdingRank],
                          [this, key, version = group.change->version()](const result<rank_report> &report) {
-                             const auto found = m_groups.find(key);
-                             if (!report || found == m_groups.end() || !found->second.change
-                                 || found->second.change->version() != version) {
+                             rank_group *const checked = groupInSwitch(key, version);
+                             if (!report || checked == nullptr) {
                                  return;
                              }
-                             rank_group &checked = found->second;
-                             if (report.value().epoch != checked.epoch) {
-                                 checked.change->onNewEpoch();
-                             } else if (report.value().step >= checked.change->step()) {
-                                 checked.change->onStepBegun();
+                             if (report.value().epoch != checked->epoch) {
+                                 checked->change->onNewEpoch();
+                             } else if (report.value().step >= checked->change->step()) {
+                                 checked->change->onStepBegun();
                              }
                          });
 }
@@ -535,22 +540,20 @@
     const std::string key = groupKey(group.service, group.name);
     m_engines.readReport(group.ranks[group_switch::holdingRank],
                          [this, key, version = group.change->version()](const result<rank_report> &report) {
-                             const auto found = m_groups.find(key);
-                             if (found == m_groups.end() || !found->second.change
-                                 || found->second.change->version() != version) {
+                             rank_group *const located = groupInSwitch(key, version);
+                             if (located == nullptr) {
                                  return;
                              }
-                             rank_group &located = found->second;
-                             located.stepAsked = false;
+                             located->stepAsked = false;
                              if (!report) {
                                  return; // Asked again with the next tick.
                              }
-                             if (report.value().epoch != located.epoch) {
-                                 located.change->onNewEpoch();
+                             if (report.value().epoch != located->epoch) {
+                                 located->change->onNewEpoch();
                                  return;
                              }
-                             located.change->onStep(report.value().step);
-                             drive(located, boot_clock::now());
+                             located->change->onStep(report.value().step);
+                             drive(*located, boot_clock::now());
                          });
 }
 
--- a/src/gateway/map_coordinator.h
+++ b/src/gateway/map_coordinator.h
@@ -75,6 +75,8 @@
     void decide(rank_group &group, const service_state &state, time_point now);
     /** @returns whether the group's streams come near the longest pause that callers accept. */
     bool slow(const rank_group &group) const;
+    /** @returns the group while the switch to this version is under way; null when it has ended meanwhile. */
+    rank_group *groupInSwitch(const std::string &key, std::int64_t version);
     void drive(rank_group &group, time_point now);
     void locate(rank_group &group);
     void check(rank_group &group, time_point now);
@@ -89,6 +91,7 @@
     rank_engine_client &m_engines;
     const coordinator_term &m_leadership;
     std::shared_ptr<const routing_table> m_table;
+    std::map<std::string, double> m_gapTargetMs; ///< Longest pause between events, by service; of the first such route.
     std::map<std::string, rank_group> m_groups;
     std::map<std::string, service_state> m_services;
     std::map<std::string, std::string> m_groupOfEndpoint; ///< By endpoint id.
--- a/src/gateway/request_matcher.cpp
+++ b/src/gateway/request_matcher.cpp
@@ -1,5 +1,7 @@
 #include "gateway/request_matcher.h"
 
+#include "http/http_status.h"
+
 #include <algorithm>
 #include <charconv>
 #include <numeric>
@@ -8,11 +10,6 @@
 
 namespace {
 
-constexpr int statusBadRequest = 400;
-constexpr int statusUnauthorized = 401;
-constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
-
 std::optional<std::string> keyOf(const gateway_request &request, const wire_headers &names)
 {
     const auto value = findHeader(request.headers, "Authorization");
--- a/tests/balance/admission_test.cpp
+++ b/tests/balance/admission_test.cpp
@@ -5,6 +5,7 @@
 #include "balance/repeat_budget.h"
 #include "balance/return_time.h"
 #include "balance/token_bucket.h"
+#include "balance/useful_start.h"
 
 #include <gtest/gtest.h>
 
@@ -169,6 +170,34 @@
                     bound_case {"plain_answer_has_tokens", {600ms, 100ms, 0ms, 100, 1}, 600ms}),
     [](const auto &row) { return row.param.name; });
 
+struct start_case
+{
+    std::string name;
+    start_bounds bounds;
+    useful_start expected; ///< Of a request that begins to wait 100 ms after its arrival.
+};
+
+class useful_starts : public testing::TestWithParam<start_case>
+{
+};
+
+TEST_P(useful_starts, follow)
+{
+    EXPECT_EQ(usefulStart(GetParam().bounds, start + 100ms), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, useful_starts,
+                         testing::Values(start_case {"first_try_waits_for_long",
+                                                     {start, 400ms, 220ms, start + 8s, false},
+                                                     {start + 180ms, start + 1000ms}},
+                                         start_case {"start_at_the_deadline",
+                                                     {start, 100ms, 50ms, start + 600ms, false},
+                                                     {start + 50ms, start + 550ms}},
+                                         start_case {"return_counts_as_in_time",
+                                                     {start, 400ms, 220ms, start + 5s, true},
+                                                     {time_point::min(), start + 1700ms}}),
+                         [](const auto &row) { return row.param.name; });
+
 TEST(caller_timeouts, knowsNothingAtFirst)
 {
     caller_timeouts timeouts;
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -128,67 +128,60 @@
     evidence.probes.insert(evidence.probes.end(), m_probes.begin(), m_probes.end());
 }
 
-void soak_callers::send(std::uint64_t seed)
+call_record soak_callers::prepare(const char *prefix, std::size_t kinds, std::mt19937_64 &random)
 {
-    std::mt19937_64 random(seed);
-    curl_http_client client;
     const auto &gateways = m_view.gateways();
-    while (!m_stopped) {
-        const auto gateway = std::next(gateways.begin(), static_cast<std::ptrdiff_t>(random() % gateways.size()));
-        call_record record;
-        record.kind = static_cast<call_kind>(random() % paths.size());
-        record.gateway = gateway->first;
-        record.id = "soak-" + std::to_string(++m_ids);
-        record.owed = random() % leaveOneIn != 0;
-        http_call call = callOf(gateway->second + paths.at(static_cast<std::size_t>(record.kind)), record.id,
-                                record.owed ? deadline + milliseconds(500) : leaveTimeout);
-        call.method = record.kind == call_kind::read ? "GET" : "POST";
-        record.sentAt = boot_clock::now();
-        const auto answer = client.perform(call);
-        record.endedAt = boot_clock::now();
-        milliseconds wait = pause;
-        if (answer) {
-            record.status = answer.value().status;
-            record.genuine = isGenuine(answer.value(), record);
-            wait = std::max(wait, returnAfter(answer.value()));
-        }
-        this->record(record);
-        std::this_thread::sleep_for(std::min(wait, deadline / 3));
-    }
+    call_record call;
+    call.gateway = std::next(gateways.begin(), static_cast<std::ptrdiff_t>(random() % gateways.size()))->first;
+    call.kind = static_cast<call_kind>(random() % kinds);
+    call.id = prefix + std::to_string(++m_ids);
+    return call;
 }
 
-void soak_callers::record(const call_record &call)
+milliseconds soak_callers::perform(call_record call, milliseconds timeout, http_client &client)
 {
+    const std::string url = m_view.gateways().at(call.gateway) + paths.at(static_cast<std::size_t>(call.kind));
+    http_call request = callOf(url, call.id, timeout);
+    request.method = call.kind == call_kind::read ? "GET" : "POST";
+    call.sentAt = boot_clock::now();
+    const auto answer = client.perform(request);
+    call.endedAt = boot_clock::now();
+    milliseconds wait {0};
+    if (answer) {
+        call.status = answer.value().status;
+        call.genuine = isGenuine(answer.value(), call);
+        wait = returnAfter(answer.value());
+    }
     const std::scoped_lock lock(m_mutex);
     m_calls.push_back(call);
+    return wait;
+}
+
+void soak_callers::send(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    curl_http_client client;
+    while (!m_stopped) {
+        call_record call = prepare("soak-", paths.size(), random);
+        call.owed = random() % leaveOneIn != 0;
+        const milliseconds wait = perform(call, call.owed ? deadline + milliseconds(500) : leaveTimeout, client);
+        std::this_thread::sleep_for(std::clamp(wait, pause, deadline / 3));
+    }
 }
 
 void soak_callers::sendBurst(std::uint64_t seed)
 {
+    constexpr std::size_t plainKinds = 2; // Not streams.
     std::mt19937_64 random(seed);
     curl_http_client client;
-    const auto &gateways = m_view.gateways();
     while (!m_stopped) {
         if (!m_burst) {
             std::this_thread::sleep_for(pause);
             continue;
         }
-        const auto gateway = std::next(gateways.begin(), static_cast<std::ptrdiff_t>(random() % gateways.size()));
-        call_record call;
-        call.kind = static_cast<call_kind>(random() % 2); // Not streams.
-        call.gateway = gateway->first;
-        call.id = "burst-" + std::to_string(++m_ids);
+        call_record call = prepare("burst-", plainKinds, random);
         call.owed = false;
-        http_call request = callOf(gateway->second + paths.at(static_cast<std::size_t>(call.kind)), call.id, deadline);
-        request.method = call.kind == call_kind::read ? "GET" : "POST";
-        call.sentAt = boot_clock::now();
-        const auto answer = client.perform(request);
-        call.endedAt = boot_clock::now();
-        if (answer) {
-            call.status = answer.value().status;
-            call.genuine = isGenuine(answer.value(), call);
-        }
-        record(call);
+        perform(call, deadline, client);
     }
 }
 
--- a/tests/soak/soak_callers.h
+++ b/tests/soak/soak_callers.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "http/http_client.h"
 #include "soak/soak_evidence.h"
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -64,7 +66,10 @@
 private:
     void send(std::uint64_t seed);
     void sendBurst(std::uint64_t seed);
-    void record(const call_record &call);
+    /** @returns a call of one of the first kinds to any gateway. */
+    call_record prepare(const char *prefix, std::size_t kinds, std::mt19937_64 &random);
+    /** Sends a call and records it. @returns how long the caller is told to wait. */
+    std::chrono::milliseconds perform(call_record call, std::chrono::milliseconds timeout, http_client &client);
     void probe(const std::string &gateway);
 
     const site_view &m_view;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -62,6 +62,12 @@
     }
 }
 
+/** @returns whether an endpoint reads late, or not at all, what was sent to it before. */
+bool disturbsEndpoint(fault kind)
+{
+    return kind != fault::bad_answers && kind != fault::kill_endpoint;
+}
+
 json answerFault(int variant, double share)
 {
     static const std::array<const char *, 4> names {"lose_answers", "cut_answers", "garble", "fail"};
@@ -84,6 +90,15 @@
     return "office-" + std::to_string(fault.target % m_plan.endpoints);
 }
 
+std::vector<std::string> soak_run::endpoints() const
+{
+    std::vector<std::string> names;
+    for (std::size_t index = 0; index < m_plan.endpoints; ++index) {
+        names.push_back("office-" + std::to_string(index));
+    }
+    return names;
+}
+
 void soak_run::startSite()
 {
     m_site.startStore();
@@ -352,7 +367,7 @@
 
 void soak_run::beginAtEndpoint(const planned_fault &next, const std::string &endpoint)
 {
-    if (next.kind != fault::bad_answers && next.kind != fault::kill_endpoint) {
+    if (disturbsEndpoint(next.kind)) {
         disturb(endpoint, boot_clock::now());
     }
     switch (next.kind) {
@@ -397,7 +412,7 @@
         m_site.inject(past.target % 2 == 0 ? endpoint : group, answerFault(past.variant, 0));
         break;
     }
-    if (past.kind != fault::bad_answers && past.kind != fault::kill_endpoint) {
+    if (disturbsEndpoint(past.kind)) {
         disturb(endpoint, {});
     }
 }
@@ -461,10 +476,8 @@
 
 void soak_run::collectEndpoints()
 {
-    std::vector<std::string> names {group};
-    for (std::size_t index = 0; index < m_plan.endpoints; ++index) {
-        names.push_back("office-" + std::to_string(index));
-    }
+    std::vector<std::string> names = endpoints();
+    names.emplace_back(group);
     for (const std::string &name : names) {
         std::istringstream lines(m_site.output(name));
         for (std::string line; std::getline(lines, line);) {
@@ -495,13 +508,11 @@
 void soak_run::saveLogs(const std::string &directory)
 {
     std::filesystem::create_directories(directory);
-    std::vector<std::string> names {group};
+    std::vector<std::string> names = endpoints();
+    names.emplace_back(group);
     for (const auto &[gateway, url] : m_view->gateways()) {
         names.push_back(gateway);
     }
-    for (std::size_t index = 0; index < m_plan.endpoints; ++index) {
-        names.push_back("office-" + std::to_string(index));
-    }
     for (const std::string &name : names) {
         std::ofstream(std::filesystem::path(directory) / (name + ".log")) << m_site.output(name);
     }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -50,6 +50,7 @@
     void disturb(const std::string &part, time_point from);
     std::string gatewayOf(const planned_fault &fault) const;
     std::string endpointOf(const planned_fault &fault) const;
+    std::vector<std::string> endpoints() const;
 
     const soak_plan m_plan;
     standins::gateway_site m_site;
--- a/tests/standins/gateway_site.cpp
+++ b/tests/standins/gateway_site.cpp
@@ -4,7 +4,6 @@
 #include "standins/local_system.h"
 
 #include <fstream>
-#include <random>
 #include <stdexcept>
 
 namespace bronzechute::standins {
@@ -15,15 +14,6 @@
 constexpr int firstHost = 2; // 127.0.0.1 is used by the stand-ins.
 constexpr int writeAttempts = 5;
 
-std::unique_ptr<child_process> startOrThrow(const std::string &program, const std::vector<std::string> &arguments)
-{
-    auto started = child_process::startReady(programPath(program), arguments);
-    if (!started) {
-        throw std::runtime_error(program + ": " + started.error().toString());
-    }
-    return std::move(started.value());
-}
-
 std::string portOf(const std::string &url)
 {
     return url.substr(url.rfind(':') + 1);
@@ -31,20 +21,6 @@
 
 } // namespace
 
-gateway_site::gateway_site()
-{
-    std::random_device entropy;
-    m_directory = std::filesystem::temp_directory_path() / ("bronzechute-site-" + std::to_string(entropy()));
-    std::filesystem::create_directories(m_directory);
-}
-
-gateway_site::~gateway_site()
-{
-    m_processes.clear();
-    std::error_code ignored;
-    std::filesystem::remove_all(m_directory, ignored);
-}
-
 void gateway_site::startStore()
 {
     m_processes["store"] = startOrThrow("kv_store", {});
@@ -54,14 +30,12 @@
 void gateway_site::startEndpoint(const std::string &name, const std::string &service, const std::string &dataCentre,
                                  const std::vector<std::string> &flags)
 {
-    started_endpoint &endpoint = m_endpoints[name];
-    endpoint.port = m_ports.emplace(m_ports.end());
-    const std::string port = std::to_string(endpoint.port->number());
+    const std::string port = std::to_string(m_ports.emplace_back().number());
+    std::vector<std::string> &arguments = m_endpointArguments[name];
     m_processes[name + ".link"] = startOrThrow("forwarder", {"--target_port", port});
-    endpoint.arguments = {"--id",          name,         "--service", service,
-                          "--data_centre", dataCentre,   "--port",    port,
-                          "--store",       url("store"), "--address", process(name + ".link").ready("tcp")};
-    endpoint.arguments.insert(endpoint.arguments.end(), flags.begin(), flags.end());
+    arguments = {"--id",   name, "--service", service,      "--data_centre", dataCentre,
+                 "--port", port, "--store",   url("store"), "--address",     process(name + ".link").ready("tcp")};
+    arguments.insert(arguments.end(), flags.begin(), flags.end());
     restartEndpoint(name);
 }
 
@@ -83,7 +57,7 @@
 void gateway_site::restartEndpoint(const std::string &name)
 {
     end(name);
-    m_processes[name] = startOrThrow("routed_endpoint", m_endpoints.at(name).arguments);
+    m_processes[name] = startOrThrow("routed_endpoint", m_endpointArguments.at(name));
 }
 
 void gateway_site::startGroup(const std::string &name, const std::string &service, int ranks)
@@ -120,8 +94,8 @@
 void gateway_site::changeSettings(const std::string &gateway, const std::string &extra)
 {
     // Replaced in one step, so that the daemon never reads half of it.
-    const std::filesystem::path path = m_directory / (gateway + ".yaml");
-    const std::filesystem::path written = m_directory / (gateway + ".new");
+    const std::filesystem::path path = m_directory.path() / (gateway + ".yaml");
+    const std::filesystem::path written = m_directory.path() / (gateway + ".new");
     std::ofstream(written) << settingsOf(gateway, extra);
     std::filesystem::rename(written, path);
 }
@@ -129,10 +103,10 @@
 void gateway_site::restartGateway(const std::string &name)
 {
     end(name);
-    m_processes[name] = startOrThrow("bronzechuted", {"--settings", m_directory / (name + ".yaml")});
+    m_processes[name] = startOrThrow("bronzechuted", {"--settings", m_directory.path() / (name + ".yaml")});
 }
 
-std::int64_t gateway_site::put(const std::string &key, const std::string &value)
+void gateway_site::put(const std::string &key, const std::string &value)
 {
     std::string cause;
     for (int attempt = 0; attempt < writeAttempts; ++attempt) {
@@ -141,7 +115,7 @@
             const std::int64_t revision = current.value() ? current.value()->modRevision : 0;
             const auto written = m_operator->compareAndSwap(key, revision, value);
             if (written) {
-                return written.value();
+                return;
             }
             cause = written.error().toString();
         } else {
@@ -174,11 +148,6 @@
     return eventuallyTrue([&] { return ready(gateway); });
 }
 
-std::string gateway_site::metrics(const std::string &gateway)
-{
-    return fetch("http://" + process(gateway).ready("status") + "/metrics").body;
-}
-
 child_process &gateway_site::process(const std::string &name)
 {
     return *m_processes.at(name);
--- a/tests/standins/gateway_site.h
+++ b/tests/standins/gateway_site.h
@@ -3,10 +3,10 @@
 #include "kv_platform_store.h"
 #include "standins/child_process.h"
 #include "standins/reserved_port.h"
+#include "standins/scratch_directory.h"
 
 #include <nlohmann/json.hpp>
 
-#include <filesystem>
 #include <list>
 #include <map>
 #include <memory>
@@ -23,11 +23,6 @@
 class gateway_site
 {
 public:
-    gateway_site();
-    ~gateway_site();
-    gateway_site(const gateway_site &) = delete;
-    gateway_site &operator=(const gateway_site &) = delete;
-
     void startStore();
 
     /** Starts an endpoint behind the forwarder NAME.link. */
@@ -49,17 +44,14 @@
     /** Rewrites a gateway's settings file. @param extra lines of the section gateway */
     void changeSettings(const std::string &gateway, const std::string &extra);
 
-    /** Writes an item of the store as the operator does. @returns the store's revision. */
-    std::int64_t put(const std::string &key, const std::string &value);
+    /** Writes an item of the store as the operator does. */
+    void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
 
     /** @returns whether the gateway says that it is ready. */
     bool ready(const std::string &gateway);
     bool waitReady(const std::string &gateway);
 
-    /** @returns the metrics page of a gateway. */
-    std::string metrics(const std::string &gateway);
-
     /** @returns what a process and the earlier ones of its name have written to standard output. */
     std::string output(const std::string &name);
 
@@ -76,21 +68,15 @@
     nlohmann::json stats(const std::string &standin);
 
 private:
-    struct started_endpoint
-    {
-        std::vector<std::string> arguments;
-        std::list<reserved_port>::iterator port;
-    };
-
     void end(const std::string &name);
     std::string settingsOf(const std::string &gateway, const std::string &extra);
 
-    std::filesystem::path m_directory;
+    scratch_directory m_directory;
     reserved_port m_callers; ///< Numbers of the gateways' ports; the gateways differ by host.
     reserved_port m_status;
     reserved_port m_peers;
     std::list<reserved_port> m_ports;
-    std::map<std::string, started_endpoint> m_endpoints;
+    std::map<std::string, std::vector<std::string>> m_endpointArguments; ///< By name.
     std::map<std::string, std::string> m_hosts; ///< Of the gateways, by name.
     std::map<std::string, std::string> m_dataCentres; ///< Of the gateways, by name.
     std::map<std::string, std::unique_ptr<child_process>> m_processes;
--- a/tests/standins/kv_server.cpp
+++ b/tests/standins/kv_server.cpp
@@ -1,7 +1,6 @@
 #include "standins/kv_server.h"
 
-#include "standins/cut_source.h"
-#include "store/base64.h"
+#include "standins/standin_reply.h"
 
 #include <algorithm>
 #include <mutex>
@@ -22,16 +21,6 @@
 constexpr std::chrono::milliseconds longestWatch {30000};
 constexpr std::chrono::milliseconds leaseCheck {100};
 
-http_reply jsonReply(const kv_answer &answer)
-{
-    return {answer.status, {{"Content-Type", "application/json"}}, answer.body.dump(), nullptr};
-}
-
-http_reply cutReply()
-{
-    return {statusOk, {}, {}, std::make_shared<cut_source>("")};
-}
-
 std::string percentDecoded(std::string_view text)
 {
     constexpr int hexadecimal = 16;
@@ -104,36 +93,20 @@
     m_changed.notify_all();
 }
 
-std::int64_t kv_server::put(const std::string &key, const std::string &value)
-{
-    const std::scoped_lock lock(m_mutex);
-    m_state.transact({{"puts", {{{"key", key}, {"value", encodeBase64(value)}}}}});
-    m_changed.notify_all();
-    return m_state.revision();
-}
-
-std::int64_t kv_server::remove(const std::string &key)
-{
-    const std::scoped_lock lock(m_mutex);
-    m_state.transact({{"remove", {key}}});
-    m_changed.notify_all();
-    return m_state.revision();
-}
-
 http_reply kv_server::handle(const http_request &request)
 {
     try {
         if (request.path == "/standin/stats") {
             const std::scoped_lock lock(m_mutex);
-            return jsonReply({statusOk, {{"calls", m_calls}, {"revision", m_state.revision()}}});
+            return jsonReply(statusOk, {{"calls", m_calls}, {"revision", m_state.revision()}});
         }
         if (request.path == "/standin/faults") {
             inject(json::parse(request.body));
-            return jsonReply({statusOk, json::object()});
+            return jsonReply(statusOk, json::object());
         }
         return answerCall(request);
     } catch (const std::exception &problem) {
-        return jsonReply({statusBadRequest, {{"problem", problem.what()}}});
+        return jsonReply(statusBadRequest, {{"problem", problem.what()}});
     }
 }
 
@@ -147,7 +120,7 @@
     }
     std::this_thread::sleep_for(faults.delay);
     if (faults.outage) {
-        return faults.outageCloses ? cutReply() : jsonReply({statusUnavailable, json::object()});
+        return faults.outageCloses ? cutReply() : jsonReply(statusUnavailable, json::object());
     }
     if (request.path == "/v1/kv-watch") {
         return watch(request);
@@ -164,7 +137,7 @@
         m_changed.notify_all();
     }
     std::this_thread::sleep_for(faults.answerDelay);
-    return lose ? cutReply() : jsonReply(answer);
+    return lose ? cutReply() : jsonReply(answer.status, answer.body);
 }
 
 kv_answer kv_server::dispatch(const http_request &request)
@@ -204,11 +177,11 @@
         m_state.expireLeases(boot_clock::now());
         const auto events = m_state.eventsAfter(prefix, after);
         if (!events) {
-            return jsonReply({statusGone, json::object()});
+            return jsonReply(statusGone, json::object());
         }
         const time_point now = boot_clock::now();
         if (!events->empty() || now >= end) {
-            return jsonReply({statusOk, {{"events", *events}, {"at", m_state.revision()}}});
+            return jsonReply(statusOk, {{"events", *events}, {"at", m_state.revision()}});
         }
         m_changed.wait_until(lock, std::min(end, now + leaseCheck));
         if (m_stopping || cutCount != m_cutCount) {
--- a/tests/standins/kv_server.h
+++ b/tests/standins/kv_server.h
@@ -34,12 +34,6 @@
     /** @param faults as the body of POST /standin/faults */
     void inject(const nlohmann::json &faults);
 
-    /** Writes an item regardless of what it was. @returns the revision. */
-    std::int64_t put(const std::string &key, const std::string &value);
-
-    /** Removes an item. @returns the revision. */
-    std::int64_t remove(const std::string &key);
-
     http_reply handle(const http_request &request) override;
 
 private:
--- a/tests/standins/kv_state.cpp
+++ b/tests/standins/kv_state.cpp
@@ -151,7 +151,7 @@
     std::ranges::for_each(keys, [this](const std::string &key) { remove(key); });
 }
 
-bool kv_state::expireLeases(time_point now)
+void kv_state::expireLeases(time_point now)
 {
     std::vector<std::int64_t> ended;
     for (const auto &[id, each] : m_leases) {
@@ -160,7 +160,6 @@
         }
     }
     std::ranges::for_each(ended, [this](std::int64_t id) { endLease(id); });
-    return !ended.empty();
 }
 
 void kv_state::dropHistory()
--- a/tests/standins/kv_state.h
+++ b/tests/standins/kv_state.h
@@ -40,8 +40,8 @@
     kv_answer keepAlive(std::int64_t lease);
     kv_answer endLease(std::int64_t lease);
 
-    /** Ends the leases whose time is over. @returns whether there was one. */
-    bool expireLeases(time_point now);
+    /** Ends the leases whose time is over. */
+    void expireLeases(time_point now);
 
     void dropHistory();
 
--- a/tests/standins/load_replay.cpp
+++ b/tests/standins/load_replay.cpp
@@ -4,6 +4,7 @@
 #include "balance/completion_rate.h"
 #include "balance/placement.h"
 #include "balance/return_time.h"
+#include "balance/useful_start.h"
 #include "balance/waiting_line.h"
 
 #include <algorithm>
@@ -32,8 +33,6 @@
 constexpr milliseconds usualFirstEvent = 220ms; ///< As the gateway expects it.
 constexpr milliseconds callerPatience = 2s; ///< Without a first event.
 constexpr milliseconds callerDeadline = 8s;
-constexpr milliseconds longestWait = 900ms;
-constexpr milliseconds longestLastWait = 1600ms;
 constexpr milliseconds reportDelay = 40ms; ///< Between gateways.
 constexpr milliseconds checkInterval = 10ms;
 constexpr int returnShare = 3; ///< Callers use a third of their time at most until they return.
@@ -201,7 +200,6 @@
 void replay::submit(std::size_t id)
 {
     caller &each = m_callers[id];
-    const bool lastTry = each.attempt > 0 && each.triesLeft == 0;
     const bool returned = each.attempt > 0;
     ++each.attempt;
     each.triedAt = m_now;
@@ -228,11 +226,13 @@
     request.priority = m_policy == replay_policy::fifo || each.urgent ? 0 : 1;
     request.account = std::to_string(each.account);
     request.arrivedAt = m_now;
-    request.inTimeUntil = each.firstTry + firstEventTarget - usualFirstEvent;
     request.returned = returned;
-    request.lastTry = lastTry;
-    request.giveUpAt =
-        std::min(each.firstTry + callerDeadline - usualFirstEvent, m_now + (lastTry ? longestLastWait : longestWait));
+    request.lastTry = returned;
+    const useful_start useful = usefulStart(
+        {returned ? m_now : each.firstTry, firstEventTarget, usualFirstEvent, each.firstTry + callerDeadline, returned},
+        m_now);
+    request.inTimeUntil = useful.inTimeUntil;
+    request.giveUpAt = useful.giveUpAt;
     if (m_policy == replay_policy::fifo) {
         request.returned = false;
         request.inTimeUntil = {};
--- a/tests/standins/local_system.cpp
+++ b/tests/standins/local_system.cpp
@@ -21,6 +21,14 @@
 
 constexpr std::chrono::milliseconds pollInterval {10};
 
+} // namespace
+
+std::string programPath(const std::string &name)
+{
+    const std::string folder = name == "bronzechuted" || name == "bronzechute" ? "/src/" : "/tests/";
+    return BRONZECHUTE_BIN_DIR + folder + name;
+}
+
 std::unique_ptr<child_process> startOrThrow(const std::string &program, const std::vector<std::string> &arguments)
 {
     auto started = child_process::startReady(programPath(program), arguments);
@@ -30,14 +38,6 @@
     return std::move(started.value());
 }
 
-} // namespace
-
-std::string programPath(const std::string &name)
-{
-    const std::string folder = name == "bronzechuted" || name == "bronzechute" ? "/src/" : "/tests/";
-    return BRONZECHUTE_BIN_DIR + folder + name;
-}
-
 bool eventuallyTrue(const std::function<bool()> &condition, std::chrono::seconds limit)
 {
     const auto deadline = std::chrono::steady_clock::now() + limit;
@@ -50,23 +50,9 @@
     return true;
 }
 
-local_system::local_system()
-{
-    std::random_device entropy;
-    m_directory = std::filesystem::temp_directory_path() / ("bronzechute-" + std::to_string(entropy()));
-    std::filesystem::create_directories(m_directory);
-}
-
-local_system::~local_system()
-{
-    m_processes.clear();
-    std::error_code ignored;
-    std::filesystem::remove_all(m_directory, ignored);
-}
-
 std::string local_system::writeSettings(const std::string &name, const std::string &text)
 {
-    const std::filesystem::path path = m_directory / (name + ".yaml");
+    const std::filesystem::path path = m_directory.path() / (name + ".yaml");
     std::ofstream(path) << text;
     return path;
 }
--- a/tests/standins/local_system.h
+++ b/tests/standins/local_system.h
@@ -5,11 +5,11 @@
 #include "standins/fetch_answer.h"
 #include "standins/fetch_request.h"
 #include "standins/reserved_port.h"
+#include "standins/scratch_directory.h"
 
 #include <nlohmann/json.hpp>
 
 #include <chrono>
-#include <filesystem>
 #include <functional>
 #include <list>
 #include <map>
@@ -22,6 +22,9 @@
 /** @returns the path of a program of this build, for example "bronzechuted" or "model_engine". */
 std::string programPath(const std::string &name);
 
+/** Starts a program of this build and waits until it is ready. Throws std::runtime_error when it does not start. */
+std::unique_ptr<child_process> startOrThrow(const std::string &program, const std::vector<std::string> &arguments);
+
 /** Waits until the condition holds, at most for the limit. @returns whether it did. */
 bool eventuallyTrue(const std::function<bool()> &condition, std::chrono::seconds limit = std::chrono::seconds(30));
 
@@ -32,11 +35,6 @@
 class local_system
 {
 public:
-    local_system();
-    ~local_system();
-    local_system(const local_system &) = delete;
-    local_system &operator=(const local_system &) = delete;
-
     void startStore();
 
     /** Starts a model engine, and an endpoint process of the same name with the label engine=iroda-nyelv. */
@@ -108,7 +106,7 @@
     std::string writeSettings(const std::string &name, const std::string &text);
     void startEndpoint(const std::string &name, const std::string &settings);
 
-    std::filesystem::path m_directory;
+    scratch_directory m_directory;
     std::list<reserved_port> m_ports; ///< Of the endpoint processes, kept while one is stopped.
     std::map<std::string, std::unique_ptr<child_process>> m_processes;
     std::map<std::string, std::string> m_endpoints; ///< Address that entries dial, by name.
--- a/tests/standins/store_server.cpp
+++ b/tests/standins/store_server.cpp
@@ -1,6 +1,7 @@
 #include "standins/store_server.h"
 
 #include "standins/etcd_fields.h"
+#include "standins/standin_reply.h"
 #include "standins/store_refusal.h"
 #include "standins/store_watch_source.h"
 
@@ -16,30 +17,6 @@
 
 constexpr int unavailableCode = 14;
 
-/** An answer that is cut before its first byte. */
-class cut_source : public body_source
-{
-public:
-    ssize_t read(char *, std::size_t) override
-    {
-        return broken;
-    }
-
-    void onClosed() override
-    {
-    }
-};
-
-http_reply cutReply()
-{
-    return {200, {}, {}, std::make_shared<cut_source>()};
-}
-
-http_reply jsonReply(int status, const json &body)
-{
-    return {status, {{"Content-Type", "application/json"}}, body.dump(), nullptr};
-}
-
 http_reply refusalReply(int status, int code, const std::string &message)
 {
     return jsonReply(status, {{"error", message}, {"code", code}, {"message", message}});
