gateway, balance: requests of a rank group are limited by its passes; a gateway that is cut off leaves its callers to others

In the logs, streams there pause for 132 to 148 ms (target 120) with 10 requests an engine, and the gateways of the data centre that is cut off refuse all they get for 5 s although the balancer would send callers elsewhere. Ruled out: slow first events (p50 190 to 240 ms while they do not wait). Change: pass_pace derives the most requests of a group from its longest passes of the last 6 s; a gateway that hears no other data centre and gets no answers says that it is not ready, closes connections and names a return time at which callers reach others; a refusal on account of another engine, or half a second without any event, closes a group locally.

--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -14,6 +14,21 @@
 constexpr double rateShare = 0.6;
 // The coordinator repeats the states of groups at shorter intervals; without it, engines are tried again.
 constexpr std::chrono::milliseconds closedLifetime {1500};
+// The coordinator hears of a broken group within this time, if it is in reach.
+constexpr std::chrono::milliseconds brokenLifetime {400};
+// A pass takes well under a fifth of a second; without an event for longer, an engine of the group is missing.
+constexpr std::chrono::milliseconds longestPass {500};
+// Requests under way from which on it says something that none of them goes on.
+constexpr int fewestWitnesses = 3;
+
+/** @returns the pace of an engine whose requests have the usual lengths. */
+pace_model paceModelOf(const engine_profile &engine, std::chrono::milliseconds gapTarget)
+{
+    constexpr double thousand = 1000.0;
+    const double context = (engine.meanPromptTokens + engine.meanAnswerTokens / 2) / thousand;
+    const double perRequest = engine.stepMsPerRequest + engine.stepMsPerThousandTokens * context;
+    return {engine.stepMs, perRequest, static_cast<double>(engine.slots), gapTarget};
+}
 
 } // namespace
 
@@ -60,7 +75,6 @@
     found->second->listed = false;
     found->second->idleChannels.clear();
     m_endpoints.erase(found);
-    m_groupOf.erase(id);
     rebuild();
 }
 
@@ -73,8 +87,14 @@
     }
 }
 
-void endpoint_table::applyColdRates(const routing_table &table, int gateways)
+void endpoint_table::applyRouting(const routing_table &table, int gateways)
 {
+    m_paceModels.clear();
+    for (const routed_service &service : table.document().services) {
+        if (service.engine) {
+            m_paceModels.emplace(service.name, paceModelOf(*service.engine, table.gapTargetOf(service.name)));
+        }
+    }
     for (const auto &[id, endpoint] : m_endpoints) {
         const routed_service *service = table.findService(endpoint->record.service);
         const double perSecond = service == nullptr ? 0.0 : service->coldRequestsPerSecond / gateways;
@@ -123,31 +143,134 @@
     if (!endpoint.listed || endpoint.record.leaving || m_dataCentresOut.contains(endpoint.record.dataCentre)) {
         return false;
     }
-    if (m_closedUntil.empty()) {
+    if (endpoint.group == nullptr) {
+        return true;
+    }
+    const endpoint_group &group = *endpoint.group;
+    const bool stalls = group.ownRunning >= fewestWitnesses && now - group.progressAt > longestPass;
+    return now >= group.closedUntil && now >= group.brokenUntil && !stalls;
+}
+
+void endpoint_table::recordEvent(const gateway_endpoint &endpoint, std::optional<boot_clock::duration> gap,
+                                 time_point now)
+{
+    recordAnswer(endpoint, now);
+    if (endpoint.group == nullptr) {
+        return;
+    }
+    endpoint_group &group = *endpoint.group;
+    group.progressAt = now;
+    if (gap && group.endpoints > 0) {
+        group.pace.record(*gap, static_cast<double>(group.running) / group.endpoints, now);
+    }
+}
+
+void endpoint_table::recordAnswer(const gateway_endpoint &endpoint, time_point now)
+{
+    m_health[endpoint.record.service] = {0, now};
+}
+
+void endpoint_table::recordFailure(const gateway_endpoint &endpoint)
+{
+    ++m_health[endpoint.record.service].failures;
+}
+
+bool endpoint_table::fails(const std::string &service, time_point now) const
+{
+    const auto health = m_health.find(service);
+    return health != m_health.end() && health->second.failures >= fewestWitnesses
+        && now - health->second.answeredAt > longestPass;
+}
+
+bool endpoint_table::anyFails(time_point now) const
+{
+    return std::ranges::any_of(m_health, [&](const auto &entry) { return fails(entry.first, now); });
+}
+
+void endpoint_table::recordBrokenGroup(const gateway_endpoint &endpoint, time_point now)
+{
+    if (endpoint.group == nullptr) {
+        return;
+    }
+    if (now >= endpoint.group->brokenUntil) {
+        logLine(log_level::info, "gateway", "rank group has refused because of one of its engines",
+                {{"group", endpoint.group->name}, {"endpoint", endpoint.record.id}});
+    }
+    endpoint.group->brokenUntil = now + brokenLifetime;
+}
+
+void endpoint_table::countGroups(const std::vector<gateway_endpoint_ptr> &endpoints, time_point now)
+{
+    for (const gateway_endpoint_ptr &endpoint : endpoints) {
+        if (endpoint->group != nullptr) {
+            endpoint->group->endpoints = 0;
+            endpoint->group->running = 0;
+            endpoint->group->ownRunning = 0;
+        }
+    }
+    for (const gateway_endpoint_ptr &endpoint : endpoints) {
+        if (endpoint->group != nullptr) {
+            ++endpoint->group->endpoints;
+            endpoint->group->running += endpoint->ownRunning + endpoint->peersRunning;
+            endpoint->group->ownRunning += endpoint->ownRunning;
+        }
+    }
+    for (const gateway_endpoint_ptr &endpoint : endpoints) {
+        if (endpoint->group != nullptr && endpoint->group->ownRunning < fewestWitnesses) {
+            endpoint->group->progressAt = now;
+        }
+    }
+}
+
+bool endpoint_table::groupHasRoom(const std::string &service, const gateway_endpoint &endpoint, time_point now) const
+{
+    const auto model = m_paceModels.find(service);
+    if (endpoint.group == nullptr || model == m_paceModels.end()) {
         return true;
     }
-    const auto group = m_groupOf.find(endpoint.record.id);
-    const auto closed = group == m_groupOf.end() ? m_closedUntil.end() : m_closedUntil.find(group->second);
-    return closed == m_closedUntil.end() || now >= closed->second;
+    endpoint_group &group = *endpoint.group;
+    return group.running < group.pace.limit(model->second, now) * group.endpoints;
+}
+
+std::vector<endpoint_view> endpoint_table::viewsOf(const std::string &service, std::span<const std::string> tried,
+                                                   time_point now)
+{
+    const auto &endpoints = endpointsOf(service);
+    countGroups(endpoints, now);
+    std::vector<endpoint_view> views;
+    views.reserve(endpoints.size());
+    for (const gateway_endpoint_ptr &endpoint : endpoints) {
+        endpoint_view view = viewOf(*endpoint, tried, now);
+        view.usable = view.usable && groupHasRoom(service, *endpoint, now);
+        views.push_back(view);
+    }
+    return views;
 }
 
 void endpoint_table::setGroups(const std::vector<group_state> &groups, time_point now)
 {
-    for (const group_state &group : groups) {
-        for (const std::string &id : group.endpoints) {
-            m_groupOf[id] = group.name;
+    for (const group_state &state : groups) {
+        std::shared_ptr<endpoint_group> &group = m_groups[state.name];
+        if (group == nullptr) {
+            group = std::make_shared<endpoint_group>();
+            group->name = state.name;
+            group->progressAt = now;
+        }
+        for (const std::string &id : state.endpoints) {
+            if (const auto found = m_endpoints.find(id); found != m_endpoints.end()) {
+                found->second->group = group;
+            }
         }
-        const auto closed = m_closedUntil.find(group.name);
-        const bool wasOpen = closed == m_closedUntil.end() || now >= closed->second;
-        if (wasOpen != group.open) {
-            logLine(log_level::info, "gateway", group.open ? "rank group takes work again" : "rank group takes no work",
-                    {{"group", group.name}, {"endpoints", group.endpoints.size()}});
+        const bool wasOpen = now >= group->closedUntil;
+        if (wasOpen != state.open) {
+            logLine(log_level::info, "gateway", state.open ? "rank group takes work again" : "rank group takes no work",
+                    {{"group", state.name}, {"endpoints", state.endpoints.size()}});
         }
-        if (group.open) {
-            m_closedUntil.erase(group.name);
-        } else {
-            m_closedUntil[group.name] = now + closedLifetime;
+        if (state.open && !group->open) {
+            group->brokenUntil = {};
         }
+        group->open = state.open;
+        group->closedUntil = state.open ? time_point {} : now + closedLifetime;
     }
 }
 
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -1,12 +1,16 @@
 #pragma once
 
 #include "balance/endpoint_view.h"
+#include "balance/pace_model.h"
 #include "gateway/gateway_endpoint.h"
 #include "gateway/group_state.h"
+#include "gateway/service_health.h"
 #include "routing/routing_table.h"
 
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -30,8 +34,11 @@
     /** Endpoints of a data centre that is out of service get nothing new. */
     void setDataCentre(const std::string &name, bool inService);
 
-    /** Applies the rates of cold endpoints of a version. @param gateways that share each rate */
-    void applyColdRates(const routing_table &table, int gateways);
+    /**
+     * Applies what a version says of services: rates of cold endpoints and the pace of engines.
+     * @param gateways that share each rate
+     */
+    void applyRouting(const routing_table &table, int gateways);
 
     /** Takes over what the other gateways have under way; endpoints that are not named have nothing. */
     void setPeersRunning(const std::map<std::string, int> &running);
@@ -47,7 +54,32 @@
         return m_endpoints;
     }
 
-    /** @param tried endpoints that are not to be used again */
+    /** A stream of the endpoint has gone on. @param gap the pause before its event; nothing for the first one */
+    void recordEvent(const gateway_endpoint &endpoint, std::optional<boot_clock::duration> gap, time_point now);
+
+    /** The endpoint has refused a request because of another one. */
+    void recordBrokenGroup(const gateway_endpoint &endpoint, time_point now);
+
+    /** A request to the endpoint has been answered. */
+    void recordAnswer(const gateway_endpoint &endpoint, time_point now);
+
+    /** A request to the endpoint has ended without an answer. */
+    void recordFailure(const gateway_endpoint &endpoint);
+
+    /** @returns whether the service's endpoints have answered nothing for a while, although they were asked. */
+    bool fails(const std::string &service, time_point now) const;
+
+    /** @returns whether any service fails. */
+    bool anyFails(time_point now) const;
+
+    /**
+     * @param tried endpoints that are not to be used again
+     * @returns the endpoints of a service in the order of endpointsOf; those of a group that runs as many requests as
+     * it may are not usable
+     */
+    std::vector<endpoint_view> viewsOf(const std::string &service, std::span<const std::string> tried, time_point now);
+
+    /** @returns an endpoint by itself, without regard to how many requests its group runs. */
     endpoint_view viewOf(const gateway_endpoint &endpoint, std::span<const std::string> tried, time_point now) const;
 
     /** @returns whether an endpoint of the service takes work, at once or when a slot is free. */
@@ -60,14 +92,17 @@
 
 private:
     void rebuild();
+    void countGroups(const std::vector<gateway_endpoint_ptr> &endpoints, time_point now);
+    bool groupHasRoom(const std::string &service, const gateway_endpoint &endpoint, time_point now) const;
     bool takesWork(const gateway_endpoint &endpoint, time_point now) const;
 
     const std::string m_dataCentre;
     std::map<std::string, gateway_endpoint_ptr> m_endpoints;
     std::map<std::string, std::vector<gateway_endpoint_ptr>> m_byService;
     std::set<std::string> m_dataCentresOut;
-    std::map<std::string, time_point> m_closedUntil; ///< By group; groups that are open are left out.
-    std::map<std::string, std::string> m_groupOf; ///< By endpoint id.
+    std::map<std::string, std::shared_ptr<endpoint_group>> m_groups; ///< By name.
+    std::map<std::string, pace_model> m_paceModels; ///< By service.
+    std::map<std::string, service_health> m_health; ///< By service.
 };
 
 } // namespace bronzechute
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balance/caller_redirect.h"
 #include "gateway/endpoint_table.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/request_dispatcher.h"
@@ -19,6 +20,7 @@
     endpoint_table &endpoints;
     request_dispatcher &dispatch;
     gateway_metrics &metrics;
+    const caller_redirect &redirect;
 };
 
 } // namespace bronzechute
--- a/src/gateway/gateway_endpoint.h
+++ b/src/gateway/gateway_endpoint.h
@@ -2,6 +2,7 @@
 
 #include "balance/token_bucket.h"
 #include "base/boot_clock.h"
+#include "gateway/endpoint_group.h"
 #include "routing/endpoint_record.h"
 
 #include <memory>
@@ -15,6 +16,7 @@
 struct gateway_endpoint
 {
     endpoint_record record;
+    std::shared_ptr<endpoint_group> group; ///< Null for an endpoint that runs by itself, or is not known not to.
     bool listed = true; ///< False from the moment at which it may get nothing new.
     int ownRunning = 0; ///< Requests that this gateway has sent and that have not ended.
     int peersRunning = 0; ///< Requests of the other gateways, as last heard.
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -84,6 +84,11 @@
 {
     startDeadline();
     m_context.dispatch.countRequest(m_plan.service);
+    if (m_context.redirect.active() && !m_plan.returned
+        && m_context.endpoints.fails(m_plan.service, boot_clock::now())) {
+        fail(statusUnavailable, "left_to_others", returnTime(refusal_cause::unavailable, {}));
+        return;
+    }
     requestPlacement();
 }
 
@@ -144,7 +149,11 @@
 
 std::chrono::milliseconds gateway_exchange::returnTime(refusal_cause cause, boot_clock::duration expectedWait) const
 {
-    const auto latest = (m_plan.callerDeadline - boot_clock::now()) / returnShare;
+    const time_point now = boot_clock::now();
+    const auto latest = (m_plan.callerDeadline - now) / returnShare;
+    if (m_context.redirect.active()) {
+        return m_context.redirect.returnAfter(now, latest, m_context.dispatch.random());
+    }
     return returnAfter(cause, expectedWait, latest, m_context.dispatch.random());
 }
 
@@ -195,6 +204,10 @@
         return;
     }
     if (head.status == statusMisdirected || findHeader(head.headers, names.notRun)) {
+        const auto fault = findHeader(head.headers, names.faultEndpoint);
+        if (fault && *fault != m_endpoint->record.id) {
+            m_context.endpoints.recordBrokenGroup(*m_endpoint, boot_clock::now());
+        }
         continueAfter(attempt_end::refused, "status " + std::to_string(head.status));
         return;
     }
@@ -239,7 +252,9 @@
         if (!relayEvent(event)) {
             return;
         }
-        if (m_eventsRelayed > 1) {
+        const bool follows = m_eventsRelayed > 1;
+        m_context.endpoints.recordEvent(*m_endpoint, follows ? std::optional(now - m_lastEventAt) : std::nullopt, now);
+        if (follows) {
             const double gap = std::chrono::duration<double, std::milli>(now - m_lastEventAt).count();
             m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
             double &smoothed = m_endpoint->gapMs;
@@ -377,11 +392,13 @@
     const time_point now = boot_clock::now();
     if (end == attempt_end::answered) {
         endpoint->failures = 0;
+        m_context.endpoints.recordAnswer(*endpoint, now);
         returnChannel(*endpoint, channel);
     } else {
         channel->cancel();
         endpoint->avoidUntil = now + avoidance * (1 << std::min(endpoint->failures, mostDoublings));
         ++endpoint->failures;
+        m_context.endpoints.recordFailure(*endpoint);
         logLine(log_level::info, "gateway", "attempt ended without an answer",
                 {{"request_id", m_id},
                  {"endpoint", endpoint->record.id},
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -33,6 +33,8 @@
 constexpr std::chrono::milliseconds coordinatorPoll {200};
 constexpr std::chrono::milliseconds coordinatorPatience {1500};
 constexpr std::chrono::milliseconds coordinatorTurn {400};
+// Callers are lost for as long as it takes to notice that the gateway cannot serve them.
+constexpr std::chrono::milliseconds reachInterval {100};
 // The process has to end by itself before the drain timeout is over.
 constexpr std::chrono::milliseconds exitMargin {800};
 
@@ -56,6 +58,7 @@
         return listening.error();
     }
     role->startCoordinator();
+    role->watchReach();
     role->m_source = role->m_options.openSource(*role);
     role->m_thread = std::thread([loop = &role->m_loop] { loop->run(); });
     return role;
@@ -68,13 +71,14 @@
     , m_metrics(m_registry)
     , m_endpoints(settings.dataCentre)
     , m_dispatcher(m_loop, m_endpoints, settings.gateway.repeats, std::random_device()())
-    , m_context {m_loop, m_options.headers, m_endpoints, m_dispatcher, m_metrics}
-    , m_exchange(m_loop, settings.listen.peers.host, settings.listen.peers.port, settings.node,
+    , m_context {m_loop, m_options.headers, m_endpoints, m_dispatcher, m_metrics, m_redirect}
+    , m_exchange(m_loop, settings.listen.peers.host, settings.listen.peers.port, settings.node, settings.dataCentre,
                  hostsOf(settings.gateway.seeds), m_endpoints, [this] { refreshShares(); })
     , m_status(*this)
     , m_callers(m_loop, *this, *this)
     , m_statusListener(m_loop, m_status, *this)
     , m_leaseTimer(m_loop)
+    , m_reachTimer(m_loop)
 {
     registerGauges();
 }
@@ -236,7 +240,7 @@
 
 bool gateway_role::ready() const
 {
-    return m_table != nullptr && m_listed && !m_draining;
+    return m_table != nullptr && m_listed && !m_draining && !m_redirect.active();
 }
 
 void gateway_role::onRouting(std::shared_ptr<const routing_table> table)
@@ -264,7 +268,7 @@
         names.insert(known.name);
     }
     std::erase_if(m_callerTimeouts, [&names](const auto &entry) { return !names.contains(entry.first); });
-    m_endpoints.applyColdRates(*m_table, m_exchange.gateways());
+    m_endpoints.applyRouting(*m_table, m_exchange.gateways());
     if (m_coordinator != nullptr) {
         m_coordinator->setRouting(m_table);
     }
@@ -276,7 +280,7 @@
         m_removals.erase(record.id);
         m_endpoints.update(record);
         if (m_table != nullptr) {
-            m_endpoints.applyColdRates(*m_table, m_exchange.gateways());
+            m_endpoints.applyRouting(*m_table, m_exchange.gateways());
         }
         m_dispatcher.serveLines();
     });
@@ -358,6 +362,28 @@
     });
 }
 
+void gateway_role::watchReach()
+{
+    m_reachTimer.expires_after(reachInterval);
+    m_reachTimer.async_wait([this](const boost::system::error_code &code) {
+        if (code) {
+            return;
+        }
+        const time_point now = boot_clock::now();
+        const bool cutOff = m_exchange.cutOff();
+        const bool fails = cutOff && m_endpoints.anyFails(now);
+        if (m_redirect.update(cutOff, fails, now)) {
+            logLine(log_level::warn, "gateway",
+                    m_redirect.active() ? "callers are left to other data centres" : "callers are taken again",
+                    {{"cut_off", cutOff}, {"service_fails", fails}});
+            if (m_redirect.active()) {
+                m_callers.closeIdle();
+            }
+        }
+        watchReach();
+    });
+}
+
 void gateway_role::shareGroups()
 {
     m_exchange.setGroups(m_coordinator->groupStates());
@@ -371,7 +397,7 @@
         m_gateways = gateways;
         m_dispatcher.setGateways(gateways);
         if (m_table != nullptr) {
-            m_endpoints.applyColdRates(*m_table, gateways);
+            m_endpoints.applyRouting(*m_table, gateways);
         }
     }
     if (m_dispatcher.waiting() > 0) {
@@ -386,7 +412,7 @@
 
 bool gateway_role::closing() const
 {
-    return m_draining;
+    return m_draining || m_redirect.active();
 }
 
 } // namespace bronzechute
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balance/caller_redirect.h"
 #include "balance/caller_timeouts.h"
 #include "base/result.h"
 #include "gateway/coordinator_lease.h"
@@ -71,6 +72,7 @@
     void scheduleRemoval(const std::string &id);
     void refreshShares();
     void shareGroups();
+    void watchReach();
     void startCoordinator();
     void watchCoordinator();
     void reject(const gateway_request &request, const request_rejection &rejection, caller_response &response);
@@ -85,12 +87,14 @@
     gateway_metrics m_metrics;
     endpoint_table m_endpoints;
     request_dispatcher m_dispatcher;
+    caller_redirect m_redirect;
     gateway_context m_context;
     load_exchange m_exchange;
     status_handler m_status;
     gateway_listener m_callers;
     gateway_listener m_statusListener;
     boost::asio::steady_timer m_leaseTimer;
+    boost::asio::steady_timer m_reachTimer;
     std::unique_ptr<platform_store> m_leaseStore;
     std::unique_ptr<coordinator_lease> m_lease;
     std::unique_ptr<rank_engine_client> m_engines;
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -15,7 +15,7 @@
 // Between two reports the others place requests with an older view; a request runs for some hundreds of ms.
 constexpr std::chrono::milliseconds reportInterval {40};
 // Sent also without a change, so that the others know that this gateway is alive.
-constexpr std::chrono::milliseconds quietInterval {400};
+constexpr std::chrono::milliseconds quietInterval {250};
 // Well below the time for which endpoint_table takes a group for closed without a further word.
 constexpr std::chrono::milliseconds groupsInterval {500};
 // Until the others were heard, this many are assumed to share the fleet's bounds.
@@ -25,7 +25,8 @@
 } // namespace
 
 load_exchange::load_exchange(asio::io_context &loop, std::string host, std::uint16_t port, std::string node,
-                             std::vector<std::string> seeds, endpoint_table &endpoints, std::function<void()> onReport)
+                             std::string dataCentre, std::vector<std::string> seeds, endpoint_table &endpoints,
+                             std::function<void()> onReport)
     : m_socket(loop)
     , m_timer(loop)
     , m_host(std::move(host))
@@ -37,6 +38,7 @@
 {
     std::random_device entropy;
     m_report.node = std::move(node);
+    m_report.dataCentre = std::move(dataCentre);
     m_report.incarnation = (static_cast<std::uint64_t>(entropy()) << 32) | entropy();
 }
 
@@ -77,6 +79,11 @@
     return m_peers.anyCoordinates(boot_clock::now());
 }
 
+bool load_exchange::cutOff() const
+{
+    return m_peers.cutOff(m_report.dataCentre, boot_clock::now());
+}
+
 std::size_t load_exchange::turn() const
 {
     const auto hosts = m_peers.heard(boot_clock::now());
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -28,7 +28,8 @@
      * @param onReport called after another gateway's report was taken over
      */
     load_exchange(boost::asio::io_context &loop, std::string host, std::uint16_t port, std::string node,
-                  std::vector<std::string> seeds, endpoint_table &endpoints, std::function<void()> onReport);
+                  std::string dataCentre, std::vector<std::string> seeds, endpoint_table &endpoints,
+                  std::function<void()> onReport);
 
     /** @returns the cause when the address cannot be used. */
     boost::system::error_code start();
@@ -39,6 +40,9 @@
     /** @returns whether another gateway coordinates the expert maps. */
     bool otherCoordinates() const;
 
+    /** @returns whether all gateways of other data centres are out of reach. */
+    bool cutOff() const;
+
     /** @returns how many of the other gateways come before this one, for taking turns. */
     std::size_t turn() const;
 
--- a/src/gateway/load_report.cpp
+++ b/src/gateway/load_report.cpp
@@ -17,7 +17,8 @@
         groups.push_back({group.name, group.open, group.endpoints});
     }
     const nlohmann::json message = {formatVersion,      report.node,  report.incarnation, report.sequence,
-                                    report.coordinates, report.peers, report.running,     groups};
+                                    report.coordinates, report.peers, report.running,     groups,
+                                    report.dataCentre};
     std::string datagram;
     nlohmann::json::to_msgpack(message, datagram);
     return datagram;
@@ -40,6 +41,10 @@
         for (const nlohmann::json &group : message.at(7)) {
             report.groups.push_back({group.at(0), group.at(1), group.at(2)});
         }
+        constexpr std::size_t dataCentreIndex = 8; // Absent in reports of earlier processes.
+        if (message.size() > dataCentreIndex) {
+            message.at(dataCentreIndex).get_to(report.dataCentre);
+        }
         return report;
     } catch (const nlohmann::json::exception &) {
         return std::nullopt; // Datagrams come from anywhere; the caller counts those that are not reports.
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -17,6 +17,7 @@
     std::string node;
     std::uint64_t incarnation = 0; ///< Of the sending process.
     std::uint64_t sequence = 0; ///< Rises with each report of an incarnation.
+    std::string dataCentre; ///< Of the sender; empty from processes that do not tell it.
     bool coordinates = false; ///< Whether the sender holds the lease of the coordinator of expert maps.
     std::vector<std::string> peers; ///< Hosts of the gateways that the sender knows.
     std::map<std::string, int> running; ///< Requests under way, by endpoint id; endpoints without any are left out.
--- a/src/gateway/map_coordinator.cpp
+++ b/src/gateway/map_coordinator.cpp
@@ -64,14 +64,6 @@
 void map_coordinator::setRouting(std::shared_ptr<const routing_table> table)
 {
     m_table = std::move(table);
-    m_gapTargetMs.clear();
-    for (const route &declared : m_table->document().routes) {
-        for (const weighted_service &share : declared.services) {
-            if (declared.gapTarget.count() > 0) {
-                m_gapTargetMs.try_emplace(share.service, static_cast<double>(declared.gapTarget.count()));
-            }
-        }
-    }
 }
 
 void map_coordinator::stop()
@@ -459,8 +451,8 @@
 
 bool map_coordinator::slow(const rank_group &group) const
 {
-    const auto declared = m_gapTargetMs.find(group.service);
-    const double target = declared == m_gapTargetMs.end() ? usualGapTargetMs : declared->second;
+    const auto declared = m_table->gapTargetOf(group.service).count();
+    const double target = declared == 0 ? usualGapTargetMs : static_cast<double>(declared);
     double sum = 0;
     for (const gateway_endpoint_ptr &rank : group.ranks) {
         sum += rank->longestGapMs;
--- a/src/gateway/map_coordinator.h
+++ b/src/gateway/map_coordinator.h
@@ -91,7 +91,6 @@
     rank_engine_client &m_engines;
     const coordinator_term &m_leadership;
     std::shared_ptr<const routing_table> m_table;
-    std::map<std::string, double> m_gapTargetMs; ///< Longest pause between events, by service; of the first such route.
     std::map<std::string, rank_group> m_groups;
     std::map<std::string, service_state> m_services;
     std::map<std::string, std::string> m_groupOfEndpoint; ///< By endpoint id.
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::seconds candidateLifetime {30};
 // Longer than the interval of reports; the lease alone decides who coordinates.
 constexpr std::chrono::milliseconds coordinatorSilence {1200};
+// Several reports of each gateway are due within this time.
+constexpr std::chrono::milliseconds cutOffSilence {700};
 
 } // namespace
 
@@ -82,6 +84,22 @@
     });
 }
 
+bool peer_loads::cutOff(const std::string &dataCentre, time_point now) const
+{
+    bool known = false;
+    for (const auto &[host, other] : m_peers) {
+        const bool elsewhere = !other.report.dataCentre.empty() && other.report.dataCentre != dataCentre;
+        if (!elsewhere || now - other.heardAt > candidateLifetime) {
+            continue;
+        }
+        if (now - other.heardAt <= cutOffSilence) {
+            return false;
+        }
+        known = true;
+    }
+    return known;
+}
+
 std::vector<std::string> peer_loads::targets(time_point now) const
 {
     std::vector<std::string> hosts;
--- a/src/gateway/peer_loads.h
+++ b/src/gateway/peer_loads.h
@@ -31,6 +31,12 @@
     /** @returns whether another gateway coordinates the expert maps. */
     bool anyCoordinates(time_point now) const;
 
+    /**
+     * @param dataCentre of this gateway
+     * @returns whether gateways of other data centres are known and all of them have been silent for a while
+     */
+    bool cutOff(const std::string &dataCentre, time_point now) const;
+
     /** @returns hosts to report to. */
     std::vector<std::string> targets(time_point now) const;
 
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -64,15 +64,9 @@
 
 gateway_endpoint_ptr request_dispatcher::choose(const std::string &service, std::span<const std::string> tried)
 {
-    const auto &endpoints = m_endpoints.endpointsOf(service);
-    const time_point now = boot_clock::now();
-    std::vector<endpoint_view> views;
-    views.reserve(endpoints.size());
-    for (const gateway_endpoint_ptr &endpoint : endpoints) {
-        views.push_back(m_endpoints.viewOf(*endpoint, tried, now));
-    }
+    const std::vector<endpoint_view> views = m_endpoints.viewsOf(service, tried, boot_clock::now());
     const auto index = placeRequest(views, overcommit, m_random);
-    return index ? endpoints[*index] : nullptr;
+    return index ? m_endpoints.endpointsOf(service)[*index] : nullptr;
 }
 
 void request_dispatcher::place(const gateway_endpoint_ptr &endpoint, const std::shared_ptr<placement_client> &client)
--- a/src/gateway/session_options.h
+++ b/src/gateway/session_options.h
@@ -13,7 +13,7 @@
     /** @returns the limits in force. */
     virtual caller_limits limits() const = 0;
 
-    /** @returns whether connections are closed after the request under way, because the process stops. */
+    /** @returns whether connections are closed after the request under way. */
     virtual bool closing() const = 0;
 };
 
--- a/src/routing/routing_table.cpp
+++ b/src/routing/routing_table.cpp
@@ -34,6 +34,15 @@
     for (std::size_t index = 0; index < m_document.services.size(); ++index) {
         m_serviceByName.emplace(m_document.services[index].name, index);
     }
+    for (const route &declared : m_document.routes) {
+        if (declared.gapTarget.count() == 0) {
+            continue;
+        }
+        for (const weighted_service &share : declared.services) {
+            const auto [known, isNew] = m_gapTargets.try_emplace(share.service, declared.gapTarget);
+            known->second = std::min(known->second, declared.gapTarget);
+        }
+    }
 }
 
 const route *routing_table::findRoute(std::string_view host, std::string_view path) const
@@ -62,4 +71,10 @@
     return service == m_serviceByName.end() ? nullptr : &m_document.services[service->second];
 }
 
+std::chrono::milliseconds routing_table::gapTargetOf(std::string_view service) const
+{
+    const auto target = m_gapTargets.find(service);
+    return target == m_gapTargets.end() ? std::chrono::milliseconds(0) : target->second;
+}
+
 } // namespace bronzechute
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -43,6 +43,9 @@
     /** @returns null for a service that the document does not have. */
     const routed_service *findService(std::string_view name) const;
 
+    /** @returns the shortest longest pause between events that a route to the service declares; 0 without any. */
+    std::chrono::milliseconds gapTargetOf(std::string_view service) const;
+
     /** @returns whether requests need a key unless their route is anonymous. */
     bool asksForKeys() const
     {
@@ -67,6 +70,7 @@
     text_map<std::vector<std::size_t>> m_routesByHost; ///< Longest prefix first.
     text_map<std::size_t> m_accountByKey;
     text_map<std::size_t> m_serviceByName;
+    text_map<std::chrono::milliseconds> m_gapTargets; ///< By service.
 };
 
 } // namespace bronzechute
