--- a/src/balance/pass_pace.cpp
+++ b/src/balance/pass_pace.cpp
@@ -1,7 +1,7 @@
 #include "balance/pass_pace.h"
 
 #include <algorithm>
-#include <cmath>
+#include <functional>
 
 namespace bronzechute {
 
@@ -13,9 +13,11 @@
 // The median of fewer pauses may be one of a single stream that was held up.
 constexpr std::size_t fewestGaps = 5;
 // Part of the accepted pause that a pass may take; the rest is for its way to the caller.
-constexpr double usableShare = 0.96;
+constexpr double usableShare = 0.98;
+// Passes in which a map is changed are longer by the change itself, however few requests run.
+constexpr double ignoredShare = 0.1;
 // With fewer requests the engines would answer much less in all, so that late answers are the lesser evil.
-constexpr double leastShare = 0.5;
+constexpr double leastShare = 0.4;
 
 } // namespace
 
@@ -48,10 +50,15 @@
     if (m_intervals.empty() || model.gapTarget.count() == 0 || model.stepMsPerRequest <= 0) {
         return model.slots;
     }
-    double longest = 0; // Length of a pass as a multiple of what a step of its requests takes.
+    std::vector<double> lengths; // Of passes, as multiples of what a step of their requests takes.
+    lengths.reserve(m_intervals.size());
     for (const interval &each : m_intervals) {
-        longest = std::max(longest, each.gapMs / (model.stepMs + model.stepMsPerRequest * each.running));
+        lengths.push_back(each.gapMs / (model.stepMs + model.stepMsPerRequest * each.running));
     }
+    const auto ignored = static_cast<std::ptrdiff_t>(ignoredShare * static_cast<double>(lengths.size()));
+    const auto last = lengths.begin() + ignored;
+    std::ranges::nth_element(lengths, last, std::greater<>());
+    const double longest = *last;
     const double accepted = usableShare * static_cast<double>(model.gapTarget.count());
     const double bound = (accepted / longest - model.stepMs) / model.stepMsPerRequest;
     return bound < leastShare * model.slots ? model.slots : std::min(bound, model.slots);
--- a/src/config/configuration_reader.cpp
+++ b/src/config/configuration_reader.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::int64_t schemaVersion = 1;
+constexpr std::int64_t readableSchema = 1;
 constexpr std::int64_t largestShare = 1000000;
 constexpr std::int64_t highestPriority = 9;
 constexpr std::int64_t longestDeadlineMs = 24LL * 60 * 60 * 1000;
@@ -34,7 +34,7 @@
 configuration configuration_reader::read(document_mapping document, std::vector<configuration_problem> &problems)
 {
     configuration content;
-    document.integer("schema", schemaVersion, schemaVersion, schemaVersion, true);
+    document.integer("schema", readableSchema, readableSchema, readableSchema, true);
     document.forEach("pools", [&](document_mapping &node) { content.pools.push_back(readPool(node)); });
     document.forEach("classes", [&](document_mapping &node) { content.classes.push_back(readClass(node)); });
     document.forEach("accounts", [&](document_mapping &node) { content.accounts.push_back(readAccount(node)); });
--- a/src/expert_map/demand_tracker.cpp
+++ b/src/expert_map/demand_tracker.cpp
@@ -1,6 +1,7 @@
 #include "expert_map/demand_tracker.h"
 
 #include <cmath>
+#include <numeric>
 
 namespace bronzechute {
 
@@ -8,9 +9,9 @@
 
 // Fewer choices than this for each expert say little about its demand.
 constexpr double fewestChoicesPerExpert = 20;
-// Cosine between two samples: noise stays above, a shift of a fifth of the demand falls below.
-constexpr double steadySimilarity = 0.8;
-constexpr double smoothing = 0.5;
+// Cosine between two samples: noise stays above, a shift of an eighth of the demand falls below.
+constexpr double steadySimilarity = 0.88;
+constexpr double demandSmoothing = 0.5;
 
 double similarity(const load_matrix &left, const load_matrix &right)
 {
@@ -25,6 +26,16 @@
     return product / std::sqrt(std::max(leftSquare * rightSquare, 1e-12));
 }
 
+/** @returns the counts with a sum of one for each layer, as a mean over the layers. */
+load_matrix scaled(load_matrix counts)
+{
+    const double total = std::accumulate(counts.tokens.begin(), counts.tokens.end(), 0.0);
+    for (double &tokens : counts.tokens) {
+        tokens *= static_cast<double>(counts.layers) / total;
+    }
+    return counts;
+}
+
 } // namespace
 
 void demand_tracker::restart()
@@ -53,16 +64,14 @@
         return change::unknown; // The next sample covers this time as well.
     }
     m_last = counts;
-    for (double &tokens : sample.tokens) {
-        tokens *= static_cast<double>(sample.layers) / total;
-    }
+    sample = scaled(std::move(sample));
     const bool shifted = m_sample && similarity(*m_sample, sample) < steadySimilarity;
     if (shifted || !m_demand) {
         m_demand = shifted ? std::nullopt : std::optional(sample);
     } else {
         for (std::size_t index = 0; index < sample.tokens.size(); ++index) {
             double &tokens = m_demand->tokens[index];
-            tokens += smoothing * (sample.tokens[index] - tokens);
+            tokens += demandSmoothing * (sample.tokens[index] - tokens);
         }
     }
     m_sample = std::move(sample);
--- a/src/gateway/coordinator_lease.cpp
+++ b/src/gateway/coordinator_lease.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-constexpr std::chrono::seconds timeToLive {3};
-constexpr std::chrono::milliseconds renewInterval {800};
-constexpr std::chrono::milliseconds acquireInterval {700};
+constexpr std::chrono::seconds timeToLive {2};
+constexpr std::chrono::milliseconds renewInterval {500};
+constexpr std::chrono::milliseconds acquireInterval {400};
 // The holder stops this long before the store lets the lease lapse, so that two never act at once.
-constexpr std::chrono::milliseconds safetyMargin {600};
+constexpr std::chrono::milliseconds safetyMargin {400};
 
 } // namespace
 
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -26,7 +26,11 @@
 {
     constexpr double thousand = 1000.0;
     const double context = (engine.meanPromptTokens + engine.meanAnswerTokens / 2) / thousand;
-    const double perRequest = engine.stepMsPerRequest + engine.stepMsPerThousandTokens * context;
+    double perRequest = engine.stepMsPerRequest + engine.stepMsPerThousandTokens * context;
+    if (engine.promptTokensPerSecond > 0 && engine.meanAnswerTokens > 0) {
+        // Each request that ends is followed by one whose prompt is read between the steps of the others.
+        perRequest += thousand * engine.meanPromptTokens / engine.promptTokensPerSecond / engine.meanAnswerTokens;
+    }
     return {engine.stepMs, perRequest, static_cast<double>(engine.slots), gapTarget};
 }
 
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -439,6 +439,7 @@
              {"service", m_plan.service},
              {"account", m_plan.account},
              {"configuration", m_plan.table->version()},
+             {"returned", m_plan.returned},
              {"endpoints", m_tried},
              {"events", m_eventsRelayed},
              {"first_byte_ms", m_firstByteAt ? milliseconds(*m_firstByteAt - m_request.arrivedAt) : -1},
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -31,8 +31,8 @@
 constexpr std::chrono::milliseconds drainPoll {20};
 const std::string coordinatorKey = "bronzechute/expert-maps/coordinator";
 constexpr std::chrono::milliseconds coordinatorPoll {200};
-constexpr std::chrono::milliseconds coordinatorPatience {1500};
-constexpr std::chrono::milliseconds coordinatorTurn {400};
+constexpr std::chrono::milliseconds coordinatorPatience {700};
+constexpr std::chrono::milliseconds coordinatorTurn {300};
 // Callers are lost for as long as it takes to notice that the gateway cannot serve them.
 constexpr std::chrono::milliseconds reachInterval {100};
 // The process has to end by itself before the drain timeout is over.
--- a/src/gateway/map_coordinator.cpp
+++ b/src/gateway/map_coordinator.cpp
@@ -11,9 +11,9 @@
 
 constexpr std::chrono::milliseconds tickInterval {20};
 constexpr std::chrono::milliseconds idleInterval {100};
-constexpr std::chrono::milliseconds countsInterval {400};
+constexpr std::chrono::milliseconds countsInterval {200};
 // After a shift, a short sample shows the new demand alone.
-constexpr std::chrono::milliseconds shiftedInterval {150};
+constexpr std::chrono::milliseconds shiftedInterval {100};
 constexpr std::chrono::milliseconds discoverInterval {500};
 // A report is some hundred ms old when it is read; asking more often tells little more.
 constexpr std::chrono::milliseconds monitorInterval {500};
@@ -22,7 +22,7 @@
 constexpr std::chrono::seconds demandLifetime {10};
 constexpr std::chrono::milliseconds shortestPause {600};
 constexpr std::chrono::milliseconds heldPatience {700};
-constexpr std::chrono::milliseconds checkInterval {300};
+constexpr std::chrono::milliseconds switchCheckInterval {300};
 // Counts that cover a longer time mix demand from before a shift with that after it.
 constexpr std::chrono::milliseconds longestSample {1000};
 // Versions of one term; those of a later one are higher, because terms are revisions of the store.
@@ -384,6 +384,7 @@
                 logLine(log_level::info, "coordinator", "demand for experts has shifted",
                         {{"service", service}, {"endpoint", id}, {"step", counts.value().step}});
                 next = shiftedInterval;
+                asked.shiftedAt = boot_clock::now();
             }
             if (asked.demand.demand()) {
                 asked.known = asked.demand.demand();
@@ -402,7 +403,9 @@
     if (!group.map || !(knowsDemand || again) || profile == nullptr || !group.complete() || !group.open) {
         return;
     }
-    if (!again && (now - group.changedAt < shortestPause || !slow(group))) {
+    // Every pass with the map of before the shift may make all streams of the group late.
+    const bool shifted = knowsDemand && state.shiftedAt > group.changedAt;
+    if (!again && !shifted && (now - group.changedAt < shortestPause || !slow(group))) {
         return;
     }
     group.formedAgain = false;
@@ -497,7 +500,7 @@
     if (group.change->phase() == switch_phase::locating && !group.stepAsked) {
         locate(group);
     }
-    if (group.change->phase() == switch_phase::arming && now - group.change->heldSince() > checkInterval) {
+    if (group.change->phase() == switch_phase::arming && now - group.change->heldSince() > switchCheckInterval) {
         check(group, now);
     }
     if (group.change->ended()) {
@@ -507,7 +510,7 @@
 
 void map_coordinator::check(rank_group &group, time_point now)
 {
-    if (now - group.checkedAt < checkInterval) {
+    if (now - group.checkedAt < switchCheckInterval) {
         return;
     }
     group.checkedAt = now;
--- a/src/gateway/map_coordinator.h
+++ b/src/gateway/map_coordinator.h
@@ -60,6 +60,7 @@
         bool countsAsked = false;
         std::optional<load_matrix> known; ///< Newest demand, also while the tracker begins anew.
         time_point knownAt {};
+        time_point shiftedAt {}; ///< When a sample last differed from the one before.
     };
 
     void schedule();
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -11,7 +11,7 @@
 // Hosts that never answer are tried for this long after they were last named.
 constexpr std::chrono::seconds candidateLifetime {30};
 // Longer than the interval of reports; the lease alone decides who coordinates.
-constexpr std::chrono::milliseconds coordinatorSilence {1200};
+constexpr std::chrono::milliseconds coordinatorSilence {800};
 // Several reports of each gateway are due within this time.
 constexpr std::chrono::milliseconds cutOffSilence {700};
 
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // While requests wait, slots freed at other gateways and expired waits are looked for this often.
-constexpr std::chrono::milliseconds checkInterval {10};
+constexpr std::chrono::milliseconds lineCheckInterval {10};
 // Requests beyond its slots wait at the gateway, where the first endpoint with a free slot takes them.
 constexpr int overcommit = 0;
 
@@ -164,7 +164,7 @@
         return;
     }
     m_checkScheduled = true;
-    m_timer.expires_after(checkInterval);
+    m_timer.expires_after(lineCheckInterval);
     m_timer.async_wait([this](const boost::system::error_code &code) {
         if (code) {
             return;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-constexpr const char *listenStep = "http.listen";
+constexpr const char *httpListenStep = "http.listen";
 constexpr std::size_t streamBlockBytes = std::size_t {16} * 1024;
 constexpr unsigned int connectionIdleSeconds = 120;
 constexpr int listenBacklog = 1024;
@@ -106,7 +106,7 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(options.port);
     if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
-        return error {errc::invalid_argument, listenStep, peer, "not an IPv4 address"};
+        return error {errc::invalid_argument, httpListenStep, peer, "not an IPv4 address"};
     }
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     scope_guard closeSocket([descriptor] { close(descriptor); });
@@ -118,13 +118,13 @@
         || getsockname(descriptor, reinterpret_cast<sockaddr *>(&address), &length) != 0) {
         // Read before the error is built: its allocations may change errno.
         const int reason = errno;
-        return error {errc::unavailable, listenStep, peer, std::strerror(reason)};
+        return error {errc::unavailable, httpListenStep, peer, std::strerror(reason)};
     }
     server->m_port = ntohs(address.sin_port);
 
     _u_instance *instance = server->m_instance.get();
     if (ulfius_init_instance(instance, server->m_port, &address, nullptr) != U_OK) {
-        return error {errc::unavailable, listenStep, peer, "ulfius_init_instance failed"};
+        return error {errc::unavailable, httpListenStep, peer, "ulfius_init_instance failed"};
     }
     scope_guard cleanInstance([instance] { ulfius_clean_instance(instance); });
     // One byte over the limit is let in, so that a body of exactly the limit differs from a larger one.
@@ -149,7 +149,7 @@
     }
     mhdOptions.push_back({MHD_OPTION_END, 0, nullptr});
     if (ulfius_start_framework_with_mhd_options(instance, flags, mhdOptions.data()) != U_OK) {
-        return error {errc::unavailable, listenStep, peer, "ulfius could not start"};
+        return error {errc::unavailable, httpListenStep, peer, "ulfius could not start"};
     }
     closeSocket.dismiss();
     cleanInstance.dismiss();
--- a/src/link/link_hub.cpp
+++ b/src/link/link_hub.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr const char *listenStep = "link.listen";
+constexpr const char *linkListenStep = "link.listen";
 constexpr std::chrono::milliseconds maintenanceInterval {100};
 
 std::string addressText(const nng_sockaddr &address)
@@ -48,7 +48,7 @@
         status = nng_stream_listener_get_int(hub->m_listener, NNG_OPT_TCP_BOUND_PORT, &port);
     }
     if (status != 0) {
-        return error {errc::unavailable, listenStep, address, nng_strerror(status)};
+        return error {errc::unavailable, linkListenStep, address, nng_strerror(status)};
     }
     hub->m_port = static_cast<std::uint16_t>(port);
     return hub;
--- a/src/policy/circuit_breaker.cpp
+++ b/src/policy/circuit_breaker.cpp
@@ -6,7 +6,7 @@
 namespace bronzechute {
 namespace {
 
-constexpr double smoothing = 0.2; // Weight of one answer in the smoothed pace.
+constexpr double paceSmoothing = 0.2; // Weight of one answer in the smoothed pace.
 constexpr std::size_t fewestPeers = 3; // With fewer peers, a median says little about who is slow.
 
 } // namespace
@@ -49,7 +49,7 @@
         }
         return;
     }
-    each.paceMs = each.samples == 0 ? paceMs : each.paceMs + smoothing * (paceMs - each.paceMs);
+    each.paceMs = each.samples == 0 ? paceMs : each.paceMs + paceSmoothing * (paceMs - each.paceMs);
     ++each.samples;
     if (each.samples >= m_settings.lagSamples) {
         if (lags(each)) {
--- a/src/store/claim_settler.cpp
+++ b/src/store/claim_settler.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr const char *settleStep = "claim.settle";
-constexpr std::chrono::milliseconds retryInterval {500};
+constexpr std::chrono::milliseconds settleRetryInterval {500};
 constexpr int attemptLimit = 4;
 
 // Answers that wait for the store; beyond this only the fact that the request ran is kept.
@@ -133,7 +133,7 @@
         lock.unlock();
         runOnce();
         lock.lock();
-        m_wake.wait_for(lock, retryInterval, [this] { return m_stopping; });
+        m_wake.wait_for(lock, settleRetryInterval, [this] { return m_stopping; });
     }
 }
 
--- a/src/store/configuration_watcher.cpp
+++ b/src/store/configuration_watcher.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds retryInterval {500};
+constexpr std::chrono::milliseconds watchRetryInterval {500};
 
 } // namespace
 
@@ -83,7 +83,7 @@
         }
         m_checkRequested = false;
         lock.unlock();
-        wait = check() ? m_checkInterval : std::min(m_checkInterval, retryInterval);
+        wait = check() ? m_checkInterval : std::min(m_checkInterval, watchRetryInterval);
         lock.lock();
     }
 }
--- a/src/store/incarnation_lease.cpp
+++ b/src/store/incarnation_lease.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds retryInterval {500};
+constexpr std::chrono::milliseconds leaseRetryInterval {500};
 
 } // namespace
 
@@ -49,7 +49,7 @@
         lock.lock();
         // Two renewals may fail before the lease lapses.
         const std::chrono::milliseconds wait =
-            m_lease == 0 ? retryInterval : std::chrono::milliseconds(m_timeToLive) / 3;
+            m_lease == 0 ? leaseRetryInterval : std::chrono::milliseconds(m_timeToLive) / 3;
         m_stopChanged.wait_for(lock, wait, [this] { return m_stopping; });
     }
 }
--- a/tests/gateway/endpoint_table_test.cpp
+++ b/tests/gateway/endpoint_table_test.cpp
@@ -1,8 +1,11 @@
 #include "gateway/endpoint_table.h"
 #include "gateway/load_report.h"
+#include "gateway/peer_loads.h"
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace bronzechute {
 
 namespace {
@@ -51,6 +54,116 @@
     EXPECT_TRUE(usable("a", start + 2s));
 }
 
+TEST_F(grouped_endpoints, getNothingWhileOneOfThemIsTheCauseOfRefusals)
+{
+    m_table.setGroups({{"g", true, {"a", "b"}}}, start);
+    m_table.recordBrokenGroup(*m_table.all().at("a"), start);
+    EXPECT_FALSE(usable("b", start + 100ms));
+    EXPECT_TRUE(usable("alone", start + 100ms));
+    EXPECT_TRUE(usable("b", start + 1s));
+}
+
+TEST_F(grouped_endpoints, getNothingWhileNoneOfTheirStreamsGoesOn)
+{
+    m_table.setGroups({{"g", true, {"a", "b"}}}, start);
+    m_table.all().at("a")->ownRunning = 4;
+    m_table.viewsOf("models", {}, start);
+    m_table.recordEvent(*m_table.all().at("a"), std::nullopt, start + 100ms);
+    EXPECT_TRUE(usable("b", start + 500ms));
+    m_table.viewsOf("models", {}, start + 700ms);
+    EXPECT_FALSE(usable("b", start + 700ms));
+    m_table.recordEvent(*m_table.all().at("a"), 600ms, start + 710ms);
+    EXPECT_TRUE(usable("b", start + 720ms));
+}
+
+TEST_F(grouped_endpoints, runNoMoreThanTheirPassesAllow)
+{
+    routing_document document;
+    engine_profile engine;
+    engine.slots = 10;
+    engine.stepMs = 35;
+    engine.stepMsPerRequest = 2.8;
+    document.services = {{"models", 0, 0, engine}};
+    route declared;
+    declared.services = {{"models", 1}};
+    declared.gapTarget = 120ms;
+    document.routes = {declared};
+    m_table.applyRouting(routing_table(document), 1);
+    m_table.setGroups({{"g", true, {"a", "b"}}}, start);
+    const auto &first = m_table.all().at("a");
+    first->ownRunning = 9;
+    m_table.all().at("b")->ownRunning = 9;
+    const auto groupTakesMore = [&](time_point now) {
+        const auto views = m_table.viewsOf("models", {}, now);
+        return std::ranges::any_of(views, [](const endpoint_view &view) { return view.usable && view.slots > 1; });
+    };
+    for (auto &[id, endpoint] : m_table.all()) {
+        endpoint->record.slots = id == "alone" ? 1 : 10;
+    }
+    EXPECT_TRUE(groupTakesMore(start));
+    for (int count = 0; count < 60; ++count) {
+        m_table.recordEvent(*first, 130ms, start + count * 10ms);
+    }
+    EXPECT_FALSE(groupTakesMore(start + 600ms));
+    first->ownRunning = 2;
+    EXPECT_TRUE(groupTakesMore(start + 600ms));
+}
+
+TEST(service_health, failsOnlyWithoutAnyAnswer)
+{
+    endpoint_table table("here");
+    endpoint_record record;
+    record.id = "a";
+    record.service = "models";
+    table.update(record);
+    const gateway_endpoint &endpoint = *table.all().at("a");
+    for (int count = 0; count < 5; ++count) {
+        table.recordFailure(endpoint);
+    }
+    EXPECT_TRUE(table.fails("models", start));
+    EXPECT_TRUE(table.anyFails(start));
+    table.recordAnswer(endpoint, start);
+    EXPECT_FALSE(table.fails("models", start + 1s));
+    EXPECT_FALSE(table.fails("unknown", start));
+}
+
+class reach_of_others : public testing::Test
+{
+protected:
+    void hear(const std::string &host, const std::string &dataCentre, time_point now)
+    {
+        load_report report;
+        report.dataCentre = dataCentre;
+        report.sequence = ++m_sequence;
+        m_peers.record(host, report, now);
+    }
+
+    peer_loads m_peers {"10.0.0.1"};
+    std::uint64_t m_sequence = 0;
+};
+
+TEST_F(reach_of_others, isLostOnlyWhenAllOtherDataCentresAreSilent)
+{
+    EXPECT_FALSE(m_peers.cutOff("here", start)); // Nothing is known of others.
+    hear("10.0.0.2", "here", start);
+    hear("10.0.1.1", "there", start);
+    hear("10.0.2.1", "elsewhere", start);
+    EXPECT_FALSE(m_peers.cutOff("here", start + 100ms));
+    hear("10.0.2.1", "elsewhere", start + 900ms);
+    EXPECT_FALSE(m_peers.cutOff("here", start + 1s));
+    hear("10.0.0.2", "here", start + 2s);
+    EXPECT_TRUE(m_peers.cutOff("here", start + 2s));
+    hear("10.0.1.1", "there", start + 3s);
+    EXPECT_FALSE(m_peers.cutOff("here", start + 3s));
+}
+
+TEST_F(reach_of_others, isNotMissedWhenTheyAreGoneForGood)
+{
+    hear("10.0.1.1", "there", start);
+    EXPECT_TRUE(m_peers.cutOff("here", start + 5s));
+    EXPECT_FALSE(m_peers.cutOff("here", start + 60s));
+}
+
 TEST(load_report, keepsItsContentOnTheWire)
 {
     load_report report;
@@ -58,6 +171,7 @@
     report.incarnation = 7;
     report.sequence = 9;
     report.coordinates = true;
+    report.dataCentre = "here";
     report.peers = {"10.0.0.1"};
     report.running = {{"a", 3}};
     report.groups = {{"models/g", false, {"a", "b"}}, {"models/h", true, {}}};
--- a/tests/standins/forwarder.cpp
+++ b/tests/standins/forwarder.cpp
@@ -1,5 +1,8 @@
 #include "standins/forwarder.h"
 
+#include "http/http_status.h"
+
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
@@ -149,8 +152,6 @@
 
 http_reply forwarder::handle(const http_request &request)
 {
-    constexpr int statusBadRequest = 400;
-    constexpr int statusNotFound = 404;
     if (request.path == "/standin/faults" && request.method == "POST") {
         const std::string problem = apply(request.body);
         return {problem.empty() ? 200 : statusBadRequest, {}, problem, nullptr};
--- a/tests/standins/kv_server.cpp
+++ b/tests/standins/kv_server.cpp
@@ -1,5 +1,6 @@
 #include "standins/kv_server.h"
 
+#include "http/http_status.h"
 #include "standins/standin_reply.h"
 
 #include <algorithm>
@@ -13,11 +14,6 @@
 
 using json = nlohmann::json;
 
-constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
-constexpr int statusNotFound = 404;
-constexpr int statusGone = 410;
-constexpr int statusUnavailable = 503;
 constexpr std::chrono::milliseconds longestWatch {30000};
 constexpr std::chrono::milliseconds leaseCheck {100};
 
--- a/tests/standins/kv_state.cpp
+++ b/tests/standins/kv_state.cpp
@@ -1,15 +1,14 @@
 #include "standins/kv_state.h"
 
+#include "http/http_status.h"
+
+
 #include <algorithm>
 
 namespace bronzechute::standins {
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusBadRequest = 400;
-constexpr int statusNotFound = 404;
-constexpr int statusConditionFailed = 412;
 constexpr std::size_t entryLimit = 32;
 
 } // namespace
--- a/tests/standins/model_engine.cpp
+++ b/tests/standins/model_engine.cpp
@@ -1,5 +1,6 @@
 #include "standins/model_engine.h"
 
+#include "http/http_status.h"
 #include "standins/completion_format.h"
 #include "standins/completion_request.h"
 #include "standins/completion_source.h"
@@ -13,8 +14,6 @@
 
 namespace {
 
-constexpr int statusBadRequest = 400;
-constexpr int statusNotFound = 404;
 constexpr std::chrono::milliseconds watchInterval {200};
 constexpr std::size_t longestOrder = 200; // More would make the statistics of a long run large.
 
--- a/tests/standins/plain_service.cpp
+++ b/tests/standins/plain_service.cpp
@@ -1,5 +1,6 @@
 #include "standins/plain_service.h"
 
+#include "http/http_status.h"
 #include "base/scope_guard.h"
 #include "standins/cut_source.h"
 
@@ -12,8 +13,6 @@
 namespace {
 
 constexpr int statusCreated = 201;
-constexpr int statusBadRequest = 400;
-constexpr int statusNotFound = 404;
 constexpr std::string_view orderPrefix = "/orders/";
 
 nlohmann::json orderJson(const order_book::order &order)
--- a/tests/standins/rank_passes.cpp
+++ b/tests/standins/rank_passes.cpp
@@ -1,5 +1,8 @@
 #include "standins/rank_passes.h"
 
+#include "http/http_status.h"
+
+
 #include <algorithm>
 #include <mutex>
 
@@ -7,9 +10,6 @@
 
 namespace {
 
-constexpr int statusOk = 200;
-constexpr int statusAccepted = 202;
-constexpr int statusBadRequest = 400;
 constexpr int statusConflict = 409;
 constexpr std::int64_t passesUntilShift = 120;
 constexpr double hotChoices = 60;
--- a/tests/standins/routed_endpoint.cpp
+++ b/tests/standins/routed_endpoint.cpp
@@ -1,5 +1,6 @@
 #include "standins/routed_endpoint.h"
 
+#include "http/http_status.h"
 #include "standins/routed_answer.h"
 
 #include <algorithm>
@@ -13,10 +14,7 @@
 
 using json = nlohmann::json;
 
-constexpr int statusOk = 200;
 constexpr int statusFailed = 500;
-constexpr int statusUnavailable = 503;
-constexpr int statusMisdirected = 421;
 constexpr std::chrono::seconds coldWindow {1};
 constexpr std::chrono::milliseconds lateOrderDelay {300};
 // What the users tolerate above the rate of a cold endpoint, in each second.
--- a/tests/standins/standin_reply.cpp
+++ b/tests/standins/standin_reply.cpp
@@ -1,5 +1,6 @@
 #include "standins/standin_reply.h"
 
+#include "http/http_status.h"
 #include "standins/cut_source.h"
 
 #include <memory>
@@ -13,7 +14,6 @@
 
 http_reply cutReply()
 {
-    constexpr int statusOk = 200;
     return {statusOk, {}, {}, std::make_shared<cut_source>("")};
 }
 
