--- a/tests/site/site_test.cpp
+++ b/tests/site/site_test.cpp
@@ -234,6 +234,46 @@
     deployment->inject("office-1.link", {{"pause_down", false}, {"cut_open", true}});
 }
 
+TEST(cut_off_site, leavesItsCallersToOthersUntilItIsInReachAgain)
+{
+    gateway_site deployment;
+    deployment.startStore();
+    deployment.put("op/config", siteDocument(1));
+    deployment.startEndpoint("office-1", site_names::plainService, "here");
+    deployment.startGateway("gateway-here", "here");
+    deployment.startGateway("gateway-there", "there");
+    ASSERT_TRUE(deployment.waitReady("gateway-here"));
+    ASSERT_TRUE(deployment.waitReady("gateway-there"));
+    int requests = 0;
+    const auto ask = [&] {
+        fetch_request request;
+        request.url = deployment.url("gateway-here") + "/read/1";
+        request.headers = {{"Host", site_names::host},
+                           {"X-Attempt-Id", "cut-off-" + std::to_string(++requests)},
+                           {"X-Deadline-Ms", "600"},
+                           {"Authorization", std::string("Bearer ") + site_names::key}};
+        return fetch(request);
+    };
+    ASSERT_TRUE(eventuallyTrue([&] { return ask().status == 200; }));
+    const auto hears = [&] {
+        return deployment.output("gateway-here").find("other gateways in reach changed") != std::string::npos;
+    };
+    ASSERT_TRUE(eventuallyTrue(hears));
+    deployment.process("gateway-there").freeze();
+    std::this_thread::sleep_for(1500ms);
+    EXPECT_TRUE(deployment.ready("gateway-here")); // It still serves its callers.
+    deployment.inject("office-1.link", {{"pause_down", true}});
+    EXPECT_TRUE(eventuallyTrue([&] {
+        ask();
+        return !deployment.ready("gateway-here");
+    }));
+    const fetch_answer refused = ask();
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_TRUE(findHeader(refused.headers, "Retry-After").has_value());
+    deployment.process("gateway-there").thaw();
+    EXPECT_TRUE(deployment.waitReady("gateway-here"));
+}
+
 TEST_F(site, noticesChangedSettingsWithoutASignal)
 {
     deployment->changeSettings("gateway-1", "log: {level: debug}\n");
