gateway: the limit of a rank group is derived once a placement

Ruled out: a cache in pass_pace, as the limit is the same for a whole group within one look through its endpoints. Change: countGroups derives it once for each group and keeps the result beside the counts. No change of behaviour.

--- a/src/gateway/endpoint_group.h
+++ b/src/gateway/endpoint_group.h
@@ -19,6 +19,7 @@
     int endpoints = 0; ///< Listed ones, when the endpoints were last looked through.
     int running = 0; ///< Requests of all gateways, when the endpoints were last looked through.
     int ownRunning = 0; ///< Requests of this gateway, when the endpoints were last looked through.
+    bool full = false; ///< Whether it then ran as many requests as its passes allow.
 };
 
 } // namespace bronzechute
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -203,8 +203,9 @@
     endpoint.group->brokenUntil = now + brokenLifetime;
 }
 
-void endpoint_table::countGroups(const std::vector<gateway_endpoint_ptr> &endpoints, time_point now)
+void endpoint_table::countGroups(const std::string &service, time_point now)
 {
+    const auto &endpoints = endpointsOf(service);
     for (const gateway_endpoint_ptr &endpoint : endpoints) {
         if (endpoint->group != nullptr) {
             endpoint->group->endpoints = 0;
@@ -212,40 +213,38 @@
             endpoint->group->ownRunning = 0;
         }
     }
+    std::vector<endpoint_group *> groups;
     for (const gateway_endpoint_ptr &endpoint : endpoints) {
-        if (endpoint->group != nullptr) {
-            ++endpoint->group->endpoints;
-            endpoint->group->running += endpoint->ownRunning + endpoint->peersRunning;
-            endpoint->group->ownRunning += endpoint->ownRunning;
+        endpoint_group *const group = endpoint->group.get();
+        if (group == nullptr) {
+            continue;
         }
-    }
-    for (const gateway_endpoint_ptr &endpoint : endpoints) {
-        if (endpoint->group != nullptr && endpoint->group->ownRunning < fewestWitnesses) {
-            endpoint->group->progressAt = now;
+        if (group->endpoints++ == 0) {
+            groups.push_back(group);
         }
+        group->running += endpoint->ownRunning + endpoint->peersRunning;
+        group->ownRunning += endpoint->ownRunning;
     }
-}
-
-bool endpoint_table::groupHasRoom(const std::string &service, const gateway_endpoint &endpoint, time_point now) const
-{
     const auto model = m_paceModels.find(service);
-    if (endpoint.group == nullptr || model == m_paceModels.end()) {
-        return true;
+    for (endpoint_group *const group : groups) {
+        if (group->ownRunning < fewestWitnesses) {
+            group->progressAt = now;
+        }
+        group->full =
+            model != m_paceModels.end() && group->running >= group->pace.limit(model->second, now) * group->endpoints;
     }
-    endpoint_group &group = *endpoint.group;
-    return group.running < group.pace.limit(model->second, now) * group.endpoints;
 }
 
 std::vector<endpoint_view> endpoint_table::viewsOf(const std::string &service, std::span<const std::string> tried,
                                                    time_point now)
 {
+    countGroups(service, now);
     const auto &endpoints = endpointsOf(service);
-    countGroups(endpoints, now);
     std::vector<endpoint_view> views;
     views.reserve(endpoints.size());
     for (const gateway_endpoint_ptr &endpoint : endpoints) {
         endpoint_view view = viewOf(*endpoint, tried, now);
-        view.usable = view.usable && groupHasRoom(service, *endpoint, now);
+        view.usable = view.usable && (endpoint->group == nullptr || !endpoint->group->full);
         views.push_back(view);
     }
     return views;
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -92,8 +92,7 @@
 
 private:
     void rebuild();
-    void countGroups(const std::vector<gateway_endpoint_ptr> &endpoints, time_point now);
-    bool groupHasRoom(const std::string &service, const gateway_endpoint &endpoint, time_point now) const;
+    void countGroups(const std::string &service, time_point now);
     bool takesWork(const gateway_endpoint &endpoint, time_point now) const;
 
     const std::string m_dataCentre;
