store, platform, gateway: deletions after an outage wait for an unbroken recovery

Cause: after an outage of the store the gateway removed endpoints whose entries had vanished 1.9 s after it read the deletion, by a timer of its own.

Ruled out: keeping entries until the next listing only, since a silent store confirms nothing and the long poll notices its silence up to 3 s late; one more flag on the event, since the gateway does not know whether the store answers.

The gateway's removal timers and the flag on events and in the observer are gone.

--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -22,8 +22,6 @@
 
 // Retry-After in seconds: another gateway, or this one shortly after, can serve the caller.
 constexpr const char *rejectionRetryAfterSeconds = "0.2";
-// Entries that expired during an outage of the directory are written again within about 2 s after it.
-constexpr std::chrono::milliseconds removalDelay {1900};
 // The platform's load balancer takes this long to notice that the process is no longer ready.
 constexpr std::chrono::milliseconds deregistrationDelay {2500};
 // Requests that arrive later are accepted only if they end before the process does; others are left to another gateway.
@@ -277,7 +275,6 @@
 void gateway_role::onEndpoint(const endpoint_record &record)
 {
     asio::post(m_loop, [this, record] {
-        m_removalTimers.erase(record.id);
         m_endpoints.update(record);
         if (m_table != nullptr) {
             m_endpoints.applyRouting(*m_table, m_loadExchange.gateways());
@@ -286,30 +283,9 @@
     });
 }
 
-void gateway_role::onEndpointGone(const std::string &id, bool afterOutage)
+void gateway_role::onEndpointGone(const std::string &id)
 {
-    asio::post(m_loop, [this, id, afterOutage] {
-        if (afterOutage) {
-            scheduleRemoval(id);
-        } else {
-            m_endpoints.remove(id);
-        }
-    });
-}
-
-void gateway_role::scheduleRemoval(const std::string &id)
-{
-    auto &timer = m_removalTimers[id];
-    if (timer != nullptr) {
-        return;
-    }
-    timer = std::make_unique<asio::steady_timer>(m_loop, removalDelay);
-    timer->async_wait([this, id](const boost::system::error_code &code) {
-        if (!code) {
-            m_endpoints.remove(id);
-            m_removalTimers.erase(id);
-        }
-    });
+    asio::post(m_loop, [this, id] { m_endpoints.remove(id); });
 }
 
 void gateway_role::onDataCentre(const std::string &name, bool inService)
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -43,7 +43,7 @@
 
     void onRouting(std::shared_ptr<const routing_table> table) override;
     void onEndpoint(const endpoint_record &record) override;
-    void onEndpointGone(const std::string &id, bool afterOutage) override;
+    void onEndpointGone(const std::string &id) override;
     void onDataCentre(const std::string &name, bool inService) override;
     void onInitialListComplete() override;
 
@@ -69,7 +69,6 @@
     result<void> listen();
     bool ready() const;
     void applyRoutingTable(std::shared_ptr<const routing_table> table);
-    void scheduleRemoval(const std::string &id);
     void updateGatewayShares();
     void publishGroupStates();
     void monitorReachability();
@@ -101,7 +100,6 @@
     std::unique_ptr<map_coordinator> m_coordinator;
     time_point m_coordinatorAbsentSince {};
     std::shared_ptr<const routing_table> m_table;
-    std::map<std::string, std::unique_ptr<boost::asio::steady_timer>> m_removalTimers; ///< By endpoint id.
     bool m_initialListComplete = false;
     int m_gatewayCount = 0;
     std::atomic<bool> m_draining {false};
--- a/src/routing/routing_observer.h
+++ b/src/routing/routing_observer.h
@@ -20,14 +20,8 @@
     /** Reports a new or changed entry of the endpoint directory. */
     virtual void onEndpoint(const endpoint_record &record) = 0;
 
-    /**
-     * Reports that an endpoint is no longer in the directory.
-     *
-     * @param id id of the endpoint
-     * @param afterOutage whether the directory was unreachable until just before. Its entry may then have expired
-     *                    although the endpoint is alive.
-     */
-    virtual void onEndpointGone(const std::string &id, bool afterOutage) = 0;
+    /** Reports that the endpoint with this id is no longer in the directory. */
+    virtual void onEndpointGone(const std::string &id) = 0;
 
     /** Reports that operators took a data centre out of service, or put it back into service. */
     virtual void onDataCentre(const std::string &name, bool inService) = 0;
--- a/src/store/platform_store.h
+++ b/src/store/platform_store.h
@@ -29,7 +29,6 @@
     bool deleted = false;
     store_entry entry; ///< For a deletion only the key and the mod revision are set.
     bool moreFollow = false; ///< More events of the same listing or message follow immediately.
-    bool afterOutage = false; ///< First report after an outage of the store; a deletion may come from expired leases.
 
     friend bool operator==(const store_event &, const store_event &) = default;
 };
@@ -113,8 +112,9 @@
      * Calls back for each change of a key with the prefix, from one thread at a time.
      *
      * The watch reconnects automatically. After each connection it lists the prefix and reports every existing entry,
-     * and reports keys that were removed in the meantime as deleted, so that no final state is missed. Callers have to
-     * tolerate repeated and outdated events. The watch must not be destroyed from its own callback.
+     * and reports keys that were removed in the meantime as deleted, so that no final state is missed. An
+     * implementation may report deletions late after an outage, when leases may have expired. Callers have to tolerate
+     * repeated and outdated events. The watch must not be destroyed from its own callback.
      */
     virtual std::unique_ptr<store_watch> watch(const std::string &prefix,
                                                std::function<void(const store_event &)> onEvent) = 0;
