expert_map: lost commands to an engine are repeated with growing delays

Ruled out: giving the change up at the first unknown outcome, since an answer that is lost is the usual case and the group may be held already.

Change: the first repetition follows after 5 ms, the next ones after twice the time, 160 ms at most, for each rank and phase.

--- a/src/expert_map/group_switch.cpp
+++ b/src/expert_map/group_switch.cpp
@@ -13,6 +13,10 @@
 constexpr std::chrono::milliseconds stepMarginTime {260};
 constexpr std::int64_t maxStepMarginFactor = 16;
 constexpr std::chrono::milliseconds armRetryInterval {40};
+// A command whose outcome is unknown is repeated after this time, doubled with each further one.
+constexpr std::chrono::milliseconds minLostRetryInterval {5};
+constexpr std::chrono::milliseconds maxLostRetryInterval {160};
+constexpr int maxLostDoublings = 5;
 // The switch is abandoned if not every rank has started to load within this time.
 constexpr std::chrono::seconds switchPrepareTimeout {3};
 
@@ -106,8 +110,13 @@
     }
     rank_progress &progress = m_ranks[sent.rank];
     progress.inFlight = false;
+    progress.lost = outcome == command_outcome::unknown ? progress.lost : 0;
     if (outcome == command_outcome::unknown) {
-        progress.retryAt = now; // Commands are idempotent, and a lost command must not delay the group.
+        // Commands are idempotent. A single lost one must hardly delay the group, and an engine that is down refuses
+        // connections within a millisecond.
+        progress.retryAt = now
+            + std::min(minLostRetryInterval * (1 << std::min(progress.lost, maxLostDoublings)), maxLostRetryInterval);
+        ++progress.lost;
         return;
     }
     if (outcome == command_outcome::rejected) {
--- a/src/expert_map/group_switch.h
+++ b/src/expert_map/group_switch.h
@@ -112,6 +112,7 @@
     {
         bool inFlight = false;
         bool confirmed = false; ///< Whether the rank has accepted the command of the current phase.
+        int lost = 0; ///< Commands of the current phase in a row whose outcome is unknown.
         time_point retryAt {};
     };
 
--- a/tests/expert_map/group_switch_test.cpp
+++ b/tests/expert_map/group_switch_test.cpp
@@ -228,6 +228,24 @@
     EXPECT_TRUE(change.due(time_point {1h}).empty());
 }
 
+// An engine that is down refuses each connection at once.
+TEST(group_switch, repeatsLostCommandsWithGrowingDelays)
+{
+    const time_point begin {1h};
+    group_switch change(1, 5, 1, 10ms, begin);
+    int sent = 0;
+    time_point secondAt {};
+    for (time_point now = begin; now < begin + 1s; now += 1ms) {
+        for (const addressed_command &command : change.due(now)) {
+            ++sent;
+            secondAt = sent == 2 ? now : secondAt;
+            change.onOutcome(command, command_outcome::unknown, now);
+        }
+    }
+    EXPECT_LE(secondAt - begin, 10ms) << "a lost command delays the group";
+    EXPECT_LE(sent, 12);
+}
+
 struct step_row
 {
     const char *name; ///< Failure that the row guards against.
