balance, gateway: streams that cannot complete are refused at once; reused addresses

Ruled out: refusing by the declared maximum length (69 events, which usual passes of 120 ms would not allow either); by the exact estimate, which is often off, so that a stream has to miss its deadline by a quarter; dropping an endpoint at its first 421, which a caller may provoke.

Change: the estimate of the answer's length that callers send is decoded; balance/stream_demand decides by it and by the pace of the rank group, measured within the last 1.5 s, whether the stream completes. Other groups are chosen first; if none is fast enough the caller is refused at once (`cannot_complete`, not run), also when it waits already. A new endpoint removes those that started at its address before.

--- a/src/gateway/endpoint_group.h
+++ b/src/gateway/endpoint_group.h
@@ -16,6 +16,8 @@
     time_point refusedUntil {}; ///< Likewise, as an endpoint refused a request and named another as the cause.
     time_point progressAt {}; ///< Last event on any of its streams, or last time too few ran to detect a stall.
     pass_latency_limiter pace;
+    boot_clock::duration eventInterval {}; ///< Moving average of the gap between events of its streams.
+    time_point eventIntervalAt {}; ///< When eventInterval was last measured.
     int endpoints =
         0; ///< Listed endpoints that get requests; updated by endpoint_table::viewsOf(), as are the fields below.
     int running = 0; ///< Requests of all gateways.
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -20,6 +20,10 @@
 constexpr std::chrono::milliseconds refusalTimeout {400};
 // A forward pass takes well under 200 ms. Without an event for longer than this, an engine of the group is missing.
 constexpr std::chrono::milliseconds progressTimeout {500};
+// Without a measurement for longer than this, the pace of a group is unknown.
+constexpr std::chrono::milliseconds intervalLifetime {1500};
+// Number of gaps over which the interval between events is averaged.
+constexpr int intervalSmoothing = 16;
 // Fewer requests or failures than this are no evidence of a stalled group or a failing service.
 constexpr int minDetectionSamples = 3;
 
@@ -67,6 +71,7 @@
              {"data_centre", record.dataCentre},
              {"leaving", record.leaving},
              {"cold_ms", record.coldRemaining.count()}});
+    removePredecessors(record);
     rebuild();
 }
 
@@ -84,6 +89,20 @@
     rebuild();
 }
 
+void endpoint_table::removePredecessors(const endpoint_record &record)
+{
+    std::vector<std::string> gone;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        const bool sameAddress = id != record.id && endpoint->record.address == record.address;
+        if (sameAddress && endpoint->record.startedAtMs < record.startedAtMs) {
+            gone.push_back(id);
+        }
+    }
+    for (const std::string &id : gone) {
+        remove(id);
+    }
+}
+
 void endpoint_table::setDataCentre(const std::string &name, bool inService)
 {
     const bool changed =
@@ -138,13 +157,24 @@
     return view;
 }
 
-bool endpoint_table::anyUsable(const std::string &service, time_point now) const
+bool endpoint_table::anyUsable(const std::string &service, time_point now,
+                               const std::optional<stream_demand> &demand) const
 {
     return std::ranges::any_of(endpointsOf(service), [&](const gateway_endpoint_ptr &endpoint) {
-        return acceptsRequests(*endpoint, now) && now >= endpoint->suspectUntil;
+        return acceptsRequests(*endpoint, now) && now >= endpoint->suspectUntil
+            && (!demand || completes(*endpoint, *demand, now));
     });
 }
 
+bool endpoint_table::completes(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now) const
+{
+    const endpoint_group *const group = endpoint.group.get();
+    if (group == nullptr || now - group->eventIntervalAt > intervalLifetime) {
+        return true;
+    }
+    return canComplete(demand, group->eventInterval, now);
+}
+
 bool endpoint_table::acceptsRequests(const gateway_endpoint &endpoint, time_point now) const
 {
     if (!endpoint.listed || endpoint.record.leaving || m_dataCentresOutOfService.contains(endpoint.record.dataCentre)) {
@@ -167,6 +197,11 @@
     }
     endpoint_group &group = *endpoint.group;
     group.progressAt = now;
+    if (gap) {
+        const bool known = now - group.eventIntervalAt <= intervalLifetime;
+        group.eventInterval = known ? group.eventInterval + (*gap - group.eventInterval) / intervalSmoothing : *gap;
+        group.eventIntervalAt = now;
+    }
     if (gap && group.endpoints > 0) {
         group.pace.record(*gap, static_cast<double>(group.running) / group.endpoints, now);
     }
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -2,6 +2,7 @@
 
 #include "balance/endpoint_view.h"
 #include "balance/pass_latency_model.h"
+#include "balance/stream_demand.h"
 #include "gateway/gateway_endpoint.h"
 #include "gateway/group_state.h"
 #include "gateway/service_health.h"
@@ -25,7 +26,10 @@
     /** @param dataCentre data centre of this gateway */
     explicit endpoint_table(std::string dataCentre);
 
-    /** Adds an endpoint or updates its record. A restart under a known id replaces the earlier entry. */
+    /**
+     * Adds an endpoint or updates its record. A restart under a known id replaces the earlier entry, and a new endpoint
+     * replaces those that started at its address before.
+     */
     void update(const endpoint_record &record);
 
     /** Removes an endpoint. It gets no new requests; those in flight continue. */
@@ -72,6 +76,9 @@
     /** @returns whether several attempts in a row got no response, and none has arrived for a while. */
     bool isFailing(const std::string &service, time_point now) const;
 
+    /** @returns whether a stream can complete at the endpoint at the pace of its rank group, as far as it is known. */
+    bool completes(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now) const;
+
     /** @returns whether any service is failing. */
     bool anyServiceFailing(time_point now) const;
 
@@ -85,8 +92,12 @@
     /** @returns the view of one endpoint, without the concurrency limit of its group. */
     endpoint_view viewOf(const gateway_endpoint &endpoint, std::span<const std::string> tried, time_point now) const;
 
-    /** @returns whether the service has an endpoint that accepts requests, now or once a slot is free. */
-    bool anyUsable(const std::string &service, time_point now) const;
+    /**
+     * @param demand what the request needs, if it is known
+     * @returns whether the service has an endpoint that accepts requests, now or once a slot is free
+     */
+    bool anyUsable(const std::string &service, time_point now,
+                   const std::optional<stream_demand> &demand = std::nullopt) const;
 
     std::size_t size() const
     {
@@ -94,6 +105,7 @@
     }
 
 private:
+    void removePredecessors(const endpoint_record &record);
     void rebuild();
     static void setAvoided(gateway_endpoint &endpoint, bool avoided, time_point now);
     void updateGroupLoads(const std::string &service, time_point now);
--- a/src/gateway/exchange_plan.h
+++ b/src/gateway/exchange_plan.h
@@ -20,6 +20,7 @@
     time_point callerDeadline {}; ///< When the caller stops waiting.
     time_point deadline {}; ///< callerDeadline or the route's timeout, whichever is earlier.
     std::optional<int> maxAnswerTokens; ///< Upper bound declared by the caller.
+    std::optional<int> expectedAnswerTokens; ///< Estimate of the caller.
     bool isCallerRetry = false; ///< Whether the caller was refused before and has spent part of its timeout on that.
 };
 
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -106,6 +106,18 @@
     return m_tried;
 }
 
+std::optional<stream_demand> gateway_exchange::demand() const
+{
+    const routed_service *service = m_plan.table->findService(m_plan.service);
+    if (!streaming() || !m_plan.expectedAnswerTokens || service == nullptr || !service->engine) {
+        return std::nullopt;
+    }
+    // An engine produces one event in each pass.
+    const double events =
+        static_cast<double>(*m_plan.expectedAnswerTokens) / std::max(1, service->engine->stepsPerPass);
+    return stream_demand {std::max(0.0, events - static_cast<double>(m_eventsRelayed)), m_plan.deadline};
+}
+
 void gateway_exchange::onPlaced(const gateway_endpoint_ptr &endpoint)
 {
     m_ticket.reset();
@@ -132,8 +144,10 @@
         fail(statusBadGateway, "unknown", retryAfterFailure);
         return;
     }
-    static constexpr std::array<const char *, 3> outcomes {"no_endpoint", "line_too_long", "waited_too_long"};
-    const auto cause = reason == refusal::no_endpoint ? refusal_cause::unavailable : refusal_cause::overloaded;
+    static constexpr std::array<const char *, 4> outcomes {"no_endpoint", "line_too_long", "cannot_complete",
+                                                           "waited_too_long"};
+    const bool unavailable = reason == refusal::no_endpoint || reason == refusal::cannot_complete;
+    const auto cause = unavailable ? refusal_cause::unavailable : refusal_cause::overloaded;
     fail(statusServiceUnavailable, outcomes.at(static_cast<std::size_t>(reason)), retryAfterTime(cause, expectedWait));
 }
 
--- a/src/gateway/gateway_exchange.h
+++ b/src/gateway/gateway_exchange.h
@@ -46,6 +46,7 @@
     void onPlaced(const gateway_endpoint_ptr &endpoint) override;
     void onRefused(refusal reason, boot_clock::duration expectedWait) override;
     std::span<const std::string> tried() const override;
+    std::optional<stream_demand> demand() const override;
 
     void onHead(response_head head) override;
     void onBody(std::string_view bytes) override;
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "balance/stream_demand.h"
 #include "gateway/gateway_endpoint.h"
 
+#include <optional>
 #include <span>
 #include <string>
 
@@ -11,6 +13,7 @@
 enum class refusal {
     no_endpoint, ///< No endpoint of the service accepts requests.
     wait_too_long, ///< The expected wait exceeds what is of use to the caller.
+    cannot_complete, ///< The streams of all usable endpoints are so slow that this one would miss its deadline.
     queue_timeout, ///< It was queued until its latest start had passed.
 };
 
@@ -31,6 +34,9 @@
 
     /** @returns the ids of endpoints that were tried already and must not be chosen again. */
     virtual std::span<const std::string> tried() const = 0;
+
+    /** @returns what the stream needs; nothing if its length is not known or it is no stream. */
+    virtual std::optional<stream_demand> demand() const = 0;
 };
 
 } // namespace bronzechute
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -41,10 +41,14 @@
     if (!request.returned) {
         queue.arrivals.record(now);
     }
+    if (isTooSlow(service, *client, now)) {
+        client->onRefused(refusal::cannot_complete, {});
+        return std::nullopt;
+    }
     request.ticket = m_nextTicket++;
     const std::size_t ahead = queue.waiting.countAhead(request, now);
     if (ahead == 0) {
-        if (const gateway_endpoint_ptr endpoint = choose(service, client->tried())) {
+        if (const gateway_endpoint_ptr endpoint = choose(service, *client)) {
             place(endpoint, client);
             return std::nullopt;
         }
@@ -72,11 +76,24 @@
     return slots / static_cast<std::size_t>(std::max(1, m_gatewayCount));
 }
 
-gateway_endpoint_ptr request_dispatcher::choose(const std::string &service, std::span<const std::string> tried)
+gateway_endpoint_ptr request_dispatcher::choose(const std::string &service, const placement_client &client)
 {
-    const std::vector<endpoint_view> views = m_endpoints.viewsOf(service, tried, boot_clock::now());
+    const time_point now = boot_clock::now();
+    std::vector<endpoint_view> views = m_endpoints.viewsOf(service, client.tried(), now);
+    const auto &endpoints = m_endpoints.endpointsOf(service);
+    if (const auto demand = client.demand()) {
+        for (std::size_t index = 0; index < views.size(); ++index) {
+            views[index].usable = views[index].usable && m_endpoints.completes(*endpoints[index], *demand, now);
+        }
+    }
     const auto index = placeRequest(views, overcommit, m_random);
-    return index ? m_endpoints.endpointsOf(service)[*index] : nullptr;
+    return index ? endpoints[*index] : nullptr;
+}
+
+bool request_dispatcher::isTooSlow(const std::string &service, const placement_client &client, time_point now) const
+{
+    const auto demand = client.demand();
+    return demand && m_endpoints.anyUsable(service, now) && !m_endpoints.anyUsable(service, now, demand);
 }
 
 void request_dispatcher::place(const gateway_endpoint_ptr &endpoint, const std::shared_ptr<placement_client> &client)
@@ -148,7 +165,12 @@
         const auto request = queue.waiting.pop(boot_clock::now());
         const auto found = queue.clients.find(request->ticket);
         const std::shared_ptr<placement_client> client = found->second;
-        const gateway_endpoint_ptr endpoint = choose(service, client->tried());
+        if (isTooSlow(service, *client, boot_clock::now())) {
+            queue.clients.erase(found);
+            client->onRefused(refusal::cannot_complete, {});
+            continue;
+        }
+        const gateway_endpoint_ptr endpoint = choose(service, *client);
         if (endpoint == nullptr) {
             queue.waiting.push(*request);
             return;
--- a/src/gateway/request_matcher.cpp
+++ b/src/gateway/request_matcher.cpp
@@ -38,6 +38,20 @@
     return matched.services.back().service;
 }
 
+/** @returns the number of tokens, which is positive, or nothing if the text is another one. */
+std::optional<int> parseTokens(std::string_view text)
+{
+    int tokens = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), tokens);
+    return parsed.ec == std::errc() && tokens > 0 ? std::optional(tokens) : std::nullopt;
+}
+
+std::optional<int> expectedAnswerTokens(const gateway_request &request, const wire_headers &names)
+{
+    const auto text = findHeader(request.headers, names.answerLength);
+    return text ? parseTokens(*text) : std::nullopt;
+}
+
 /** @returns the second of the two counts of the field, the maximum number of answer tokens. */
 std::optional<int> maxAnswerTokens(const gateway_request &request, const wire_headers &names)
 {
@@ -46,9 +60,7 @@
     if (comma == std::string::npos) {
         return std::nullopt;
     }
-    int tokens = 0;
-    const auto parsed = std::from_chars(text->data() + comma + 1, text->data() + text->size(), tokens);
-    return parsed.ec == std::errc() && tokens > 0 ? std::optional(tokens) : std::nullopt;
+    return parseTokens(std::string_view(*text).substr(comma + 1));
 }
 
 } // namespace
@@ -93,6 +105,7 @@
         plan.deadline = std::min(plan.deadline, plan.callerDeadline);
     }
     plan.maxAnswerTokens = maxAnswerTokens(request, names);
+    plan.expectedAnswerTokens = expectedAnswerTokens(request, names);
     plan.service = selectService(*plan.matched, random);
     plan.table = std::move(table);
     return plan;
--- a/tests/balance/admission_test.cpp
+++ b/tests/balance/admission_test.cpp
@@ -4,6 +4,7 @@
 #include "balance/retry_delay.h"
 #include "balance/retry_detector.h"
 #include "balance/start_deadlines.h"
+#include "balance/stream_demand.h"
 #include "balance/token_bucket.h"
 #include "balance/windowed_retry_budget.h"
 
@@ -51,6 +52,35 @@
         admission_case {"late_start_refused_although_there_is_room", {20, 20ms, 40ms, true}, 900ms, true}),
     [](const auto &row) { return row.param.name; });
 
+struct completion_case
+{
+    std::string name;
+    double events;
+    std::chrono::milliseconds interval;
+    std::chrono::milliseconds timeLeft;
+    bool completes;
+};
+
+class completion_rule : public testing::TestWithParam<completion_case>
+{
+};
+
+TEST_P(completion_rule, decides)
+{
+    const stream_demand demand {GetParam().events, start + GetParam().timeLeft};
+    EXPECT_EQ(canComplete(demand, GetParam().interval, start), GetParam().completes);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, completion_rule,
+    testing::Values(completion_case {"usual_stream_refused", 28, 60ms, 8000ms, true},
+                    completion_case {"late_but_complete_stream_refused", 28, 250ms, 8000ms, true},
+                    completion_case {"stream_of_a_group_slowed_down_runs_into_its_deadline", 28, 700ms, 8000ms, false},
+                    completion_case {"short_stream_refused_for_the_long_ones", 8, 700ms, 8000ms, true},
+                    completion_case {"estimate_taken_for_exact", 28, 300ms, 8000ms, true},
+                    completion_case {"complete_stream_refused", 0, 700ms, 100ms, true}),
+    [](const auto &row) { return row.param.name; });
+
 struct retry_delay_case
 {
     std::string name;
--- a/tests/gateway/endpoint_table_test.cpp
+++ b/tests/gateway/endpoint_table_test.cpp
@@ -36,6 +36,43 @@
     endpoint_table m_table {"here"};
 };
 
+struct reuse_row
+{
+    const char *name; ///< Failure that the row guards against.
+    std::int64_t startedAtMs; ///< Of the second endpoint at the address; the first one started at 1000.
+    bool firstKnown; ///< Whether the first endpoint is known afterwards.
+};
+
+class reused_address : public testing::TestWithParam<reuse_row>
+{
+};
+
+// The entry of an endpoint that crashed stays for some time, and longer after an outage of the store.
+TEST_P(reused_address, belongsToTheLastProcessThatStarted)
+{
+    endpoint_table table("here");
+    endpoint_record first;
+    first.id = "first";
+    first.service = "models";
+    first.address = "10.0.0.1:80";
+    first.startedAtMs = 1000;
+    table.update(first);
+    endpoint_record second = first;
+    second.id = "second";
+    second.service = "office";
+    second.startedAtMs = GetParam().startedAtMs;
+    table.update(second);
+    EXPECT_EQ(table.all().contains("first"), GetParam().firstKnown);
+    EXPECT_TRUE(table.all().contains("second"));
+    EXPECT_EQ(table.endpointsOf("models").size(), GetParam().firstKnown ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, reused_address,
+                         testing::Values(reuse_row {"crashed_endpoint_gets_requests", 2000, false},
+                                         reuse_row {"late_entry_displaces_a_live_endpoint", 500, true},
+                                         reuse_row {"unknown_start_displaces_a_live_endpoint", 0, true}),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 TEST_F(grouped_endpoints, getNoRequestsWhileTheirGroupIsClosed)
 {
     m_table.setGroups({{"g", false, {"a", "b"}, {}}}, start);
@@ -74,6 +111,23 @@
     EXPECT_TRUE(usable("b", start + 2s));
 }
 
+TEST_F(grouped_endpoints, takeOnlyStreamsThatCompleteAtTheirPace)
+{
+    m_table.setGroups({{"g", true, {"a", "b", "alone"}, {}}}, start);
+    const gateway_endpoint &measured = *m_table.all().at("a");
+    for (int count = 0; count < 20; ++count) {
+        m_table.recordEvent(measured, 500ms, start);
+    }
+    const gateway_endpoint &other = *m_table.all().at("b");
+    const stream_demand shortStream {10, start + 8s};
+    const stream_demand longStream {40, start + 8s};
+    EXPECT_TRUE(m_table.completes(other, shortStream, start + 100ms));
+    EXPECT_FALSE(m_table.completes(other, longStream, start + 100ms));
+    EXPECT_FALSE(m_table.anyUsable("models", start + 100ms, longStream));
+    EXPECT_TRUE(m_table.anyUsable("models", start + 100ms, shortStream));
+    EXPECT_TRUE(m_table.anyUsable("models", start + 3s, longStream)) << "the pace is not known any more";
+}
+
 TEST_F(grouped_endpoints, getNoRequestsWhileAllTheirStreamsStall)
 {
     m_table.setGroups({{"g", true, {"a", "b"}, {}}}, start);
--- /dev/null
+++ b/tests/gateway/request_dispatcher_test.cpp
@@ -0,0 +1,131 @@
+#include "gateway/request_dispatcher.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <vector>
+
+namespace bronzechute {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** A request that records what the dispatcher decides. */
+class recorded_client : public placement_client
+{
+public:
+    explicit recorded_client(std::optional<stream_demand> demand) : m_demand(demand)
+    {
+    }
+
+    void onPlaced(const gateway_endpoint_ptr &placed) override
+    {
+        endpoint = placed;
+    }
+
+    void onRefused(refusal reason, boot_clock::duration) override
+    {
+        refused = reason;
+    }
+
+    std::span<const std::string> tried() const override
+    {
+        return {};
+    }
+
+    std::optional<stream_demand> demand() const override
+    {
+        return m_demand;
+    }
+
+    gateway_endpoint_ptr endpoint;
+    std::optional<refusal> refused;
+
+private:
+    const std::optional<stream_demand> m_demand;
+};
+
+/** A group of two engines with one slot each. */
+class dispatched_streams : public testing::Test
+{
+protected:
+    dispatched_streams()
+    {
+        for (const char *id : {"a", "b"}) {
+            endpoint_record record;
+            record.id = id;
+            record.service = "models";
+            record.slots = 1;
+            m_endpoints.update(record);
+        }
+    }
+
+    void setGroup(bool open)
+    {
+        m_endpoints.setGroups({{"g", open, {"a", "b"}, {}}}, boot_clock::now());
+    }
+
+    /** Records streams of the group whose events follow at this interval. */
+    void measure(std::chrono::milliseconds interval)
+    {
+        for (int count = 0; count < 100; ++count) {
+            m_endpoints.recordEvent(*m_endpoints.all().at("a"), interval, boot_clock::now());
+        }
+    }
+
+    std::shared_ptr<recorded_client> submit(double events)
+    {
+        const time_point now = boot_clock::now();
+        auto client = std::make_shared<recorded_client>(stream_demand {events, now + 8s});
+        waiting_request request;
+        request.arrivedAt = now;
+        request.expiresAt = now + 1600ms;
+        m_dispatcher.submit("models", request, client);
+        return client;
+    }
+
+    boost::asio::io_context m_loop;
+    endpoint_table m_endpoints {"here"};
+    request_dispatcher m_dispatcher {m_loop, m_endpoints, {}, 1};
+};
+
+TEST_F(dispatched_streams, areRefusedAtOnceWhenTheyCannotComplete)
+{
+    setGroup(true);
+    measure(700ms);
+    EXPECT_EQ(submit(28)->refused, refusal::cannot_complete);
+    EXPECT_NE(submit(8)->endpoint, nullptr) << "a short stream completes";
+}
+
+TEST_F(dispatched_streams, doNotWaitBehindOneThatCannotCompleteAnyMore)
+{
+    setGroup(true);
+    const std::vector running {submit(28), submit(28)};
+    const auto slow = submit(28);
+    const auto quick = submit(8);
+    EXPECT_FALSE(slow->refused) << "the pace is not known yet";
+    measure(700ms);
+    m_dispatcher.release(running.front()->endpoint);
+    EXPECT_EQ(slow->refused, refusal::cannot_complete);
+    EXPECT_NE(quick->endpoint, nullptr);
+}
+
+TEST_F(dispatched_streams, waitWhileTheirGroupForms)
+{
+    setGroup(false);
+    const auto first = submit(28);
+    const auto second = submit(28);
+    const auto third = submit(28);
+    EXPECT_FALSE(first->refused);
+    EXPECT_FALSE(second->refused);
+    EXPECT_EQ(third->refused, refusal::no_endpoint) << "more wait than the two slots can take";
+    setGroup(true);
+    m_dispatcher.serveQueues();
+    EXPECT_NE(first->endpoint, nullptr);
+    EXPECT_NE(second->endpoint, nullptr);
+}
+
+} // namespace
+
+} // namespace bronzechute
