--- a/src/gateway/map_coordinator.cpp
+++ b/src/gateway/map_coordinator.cpp
@@ -34,35 +34,6 @@
 constexpr double slowGapShare = 0.62;
 constexpr std::chrono::milliseconds defaultGapTarget {100};
 
-boot_clock::duration fromMilliseconds(double value)
-{
-    return std::chrono::duration_cast<boot_clock::duration>(std::chrono::duration<double, std::milli>(value));
-}
-
-/** @returns the recent duration of a pass, from the streams of this gateway; zero when unknown. */
-boot_clock::duration meanStepTime(const rank_group &group)
-{
-    double sumMs = 0;
-    int measured = 0;
-    for (const gateway_endpoint_ptr &rank : group.ranks) {
-        if (rank != nullptr && rank->gapMs > 0) {
-            sumMs += rank->gapMs;
-            ++measured;
-        }
-    }
-    return fromMilliseconds(measured == 0 ? 0.0 : sumMs / measured); // Each pass produces one event of each stream.
-}
-
-/** @returns the duration of the longest recent passes, as a mean over the ranks, all of which have to be known. */
-boot_clock::duration longestStepTime(const rank_group &group)
-{
-    double sumMs = 0;
-    for (const gateway_endpoint_ptr &rank : group.ranks) {
-        sumMs += rank->longestGapMs;
-    }
-    return fromMilliseconds(sumMs / static_cast<double>(group.ranks.size()));
-}
-
 } // namespace
 
 map_coordinator::map_coordinator(boost::asio::io_context &loop, endpoint_table &endpoints, rank_engine_client &engines,
@@ -225,7 +196,7 @@
 
 void map_coordinator::readSpeeds(rank_group &group, time_point now)
 {
-    if (!group.open || !group.complete() || !group.speeds.isDue(isSlow(group), longestStepTime(group), now)) {
+    if (!group.open || !group.complete() || !group.speeds.isDue(isSlow(group), group.longestStepTime(), now)) {
         return;
     }
     for (const gateway_endpoint_ptr &rank : group.ranks) {
@@ -488,7 +459,7 @@
 {
     const auto declared = m_table->gapTargetOf(group.service);
     const auto target = declared.count() == 0 ? defaultGapTarget : declared;
-    return longestStepTime(group) > slowGapShare * std::chrono::duration<double, std::milli>(target);
+    return group.longestStepTime() > slowGapShare * std::chrono::duration<double, std::milli>(target);
 }
 
 rank_group *map_coordinator::groupWithSwitch(const std::string &key, std::int64_t version)
@@ -576,7 +547,7 @@
                                  located->mapSwitch->onNewEpoch();
                                  return;
                              }
-                             located->mapSwitch->onStep(report.value().step, meanStepTime(*located));
+                             located->mapSwitch->onStep(report.value().step, located->meanStepTime());
                              advanceSwitch(*located, boot_clock::now());
                          });
 }
--- a/src/gateway/rank_group.h
+++ b/src/gateway/rank_group.h
@@ -50,6 +50,12 @@
         return step >= switchStep;
     }
 
+    /** @returns the recent duration of a step, from the streams of this gateway; zero when unknown. */
+    boot_clock::duration meanStepTime() const;
+
+    /** @returns the duration of the longest recent steps, as a mean over the ranks, all of which have to be known. */
+    boot_clock::duration longestStepTime() const;
+
     /** @returns whether the group uses the map with which it formed. */
     bool hasInitialMap() const
     {
