balance, gateway: completion is judged by the shortest recent pause and the maximum

Two reasons in its log: the mean of 16 gaps is less than one pass of a gateway's streams, so that the second after a shift of demand counted as a lasting slowdown; and some callers' estimates are several times their declared maximum.

Ruled out: a larger margin alone, since wild estimates exceed any.

Change: recent_minimum gives the shortest pause of the last one to two seconds, and nothing before a whole second was measured; the estimate counts up to the declared maximum (exchange_plan::expectedAnswerTokens).

--- a/src/balance/stream_demand.h
+++ b/src/balance/stream_demand.h
@@ -18,6 +18,7 @@
  * group that one engine slows down so much that its streams reach their deadline: those that cannot complete would take
  * the slots of those that can, and their callers would learn it only at the deadline.
  *
+ * @param eventInterval the shortest recent one, so that a short slowdown rejects nothing
  * @returns false if the stream would clearly miss its deadline when it starts now
  */
 bool canComplete(const stream_demand &demand, boot_clock::duration eventInterval, time_point now);
--- a/src/gateway/endpoint_group.h
+++ b/src/gateway/endpoint_group.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balance/pass_latency_limiter.h"
+#include "balance/recent_minimum.h"
 #include "base/boot_clock.h"
 
 #include <string>
@@ -16,8 +17,7 @@
     time_point refusedUntil {}; ///< Likewise, as an endpoint refused a request and named another as the cause.
     time_point progressAt {}; ///< Last event on any of its streams, or last time too few ran to detect a stall.
     pass_latency_limiter pace;
-    boot_clock::duration eventInterval {}; ///< Moving average of the gap between events of its streams.
-    time_point eventIntervalAt {}; ///< When eventInterval was last measured.
+    recent_minimum eventInterval; ///< Of the gaps between events of its streams.
     int endpoints =
         0; ///< Listed endpoints that get requests; updated by endpoint_table::viewsOf(), as are the fields below.
     int running = 0; ///< Requests of all gateways.
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -20,10 +20,6 @@
 constexpr std::chrono::milliseconds refusalTimeout {400};
 // A forward pass takes well under 200 ms. Without an event for longer than this, an engine of the group is missing.
 constexpr std::chrono::milliseconds progressTimeout {500};
-// Without a measurement for longer than this, the pace of a group is unknown.
-constexpr std::chrono::milliseconds intervalLifetime {1500};
-// Number of gaps over which the interval between events is averaged.
-constexpr int intervalSmoothing = 16;
 // Fewer requests or failures than this are no evidence of a stalled group or a failing service.
 constexpr int minDetectionSamples = 3;
 
@@ -168,11 +164,8 @@
 
 bool endpoint_table::completes(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now) const
 {
-    const endpoint_group *const group = endpoint.group.get();
-    if (group == nullptr || now - group->eventIntervalAt > intervalLifetime) {
-        return true;
-    }
-    return canComplete(demand, group->eventInterval, now);
+    const auto interval = endpoint.group == nullptr ? std::nullopt : endpoint.group->eventInterval.value(now);
+    return !interval || canComplete(demand, *interval, now);
 }
 
 bool endpoint_table::acceptsRequests(const gateway_endpoint &endpoint, time_point now) const
@@ -198,9 +191,7 @@
     endpoint_group &group = *endpoint.group;
     group.progressAt = now;
     if (gap) {
-        const bool known = now - group.eventIntervalAt <= intervalLifetime;
-        group.eventInterval = known ? group.eventInterval + (*gap - group.eventInterval) / intervalSmoothing : *gap;
-        group.eventIntervalAt = now;
+        group.eventInterval.record(*gap, now);
     }
     if (gap && group.endpoints > 0) {
         group.pace.record(*gap, static_cast<double>(group.running) / group.endpoints, now);
--- a/src/gateway/exchange_plan.h
+++ b/src/gateway/exchange_plan.h
@@ -3,6 +3,7 @@
 #include "base/boot_clock.h"
 #include "routing/routing_table.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,8 +21,18 @@
     time_point callerDeadline {}; ///< When the caller stops waiting.
     time_point deadline {}; ///< callerDeadline or the route's timeout, whichever is earlier.
     std::optional<int> maxAnswerTokens; ///< Upper bound declared by the caller.
-    std::optional<int> expectedAnswerTokens; ///< Estimate of the caller.
+    std::optional<int> answerTokensEstimate; ///< Estimate of the caller, which may be far off.
     bool isCallerRetry = false; ///< Whether the caller was refused before and has spent part of its timeout on that.
+
+    /** @returns the caller's estimate within its upper bound, at which the engine stops; nothing without an estimate.
+     */
+    std::optional<int> expectedAnswerTokens() const
+    {
+        if (!answerTokensEstimate) {
+            return std::nullopt;
+        }
+        return std::min(*answerTokensEstimate, maxAnswerTokens.value_or(*answerTokensEstimate));
+    }
 };
 
 } // namespace bronzechute
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -109,12 +109,12 @@
 std::optional<stream_demand> gateway_exchange::demand() const
 {
     const routed_service *service = m_plan.table->findService(m_plan.service);
-    if (!streaming() || !m_plan.expectedAnswerTokens || service == nullptr || !service->engine) {
+    const std::optional<int> tokens = m_plan.expectedAnswerTokens();
+    if (!streaming() || !tokens || service == nullptr || !service->engine) {
         return std::nullopt;
     }
     // An engine produces one event in each pass.
-    const double events =
-        static_cast<double>(*m_plan.expectedAnswerTokens) / std::max(1, service->engine->stepsPerPass);
+    const double events = static_cast<double>(*tokens) / std::max(1, service->engine->stepsPerPass);
     return stream_demand {std::max(0.0, events - static_cast<double>(m_eventsRelayed)), m_plan.deadline};
 }
 
--- a/src/gateway/request_matcher.cpp
+++ b/src/gateway/request_matcher.cpp
@@ -46,7 +46,7 @@
     return parsed.ec == std::errc() && tokens > 0 ? std::optional(tokens) : std::nullopt;
 }
 
-std::optional<int> expectedAnswerTokens(const gateway_request &request, const wire_headers &names)
+std::optional<int> answerTokensEstimate(const gateway_request &request, const wire_headers &names)
 {
     const auto text = findHeader(request.headers, names.answerLength);
     return text ? parseTokens(*text) : std::nullopt;
@@ -105,7 +105,7 @@
         plan.deadline = std::min(plan.deadline, plan.callerDeadline);
     }
     plan.maxAnswerTokens = maxAnswerTokens(request, names);
-    plan.expectedAnswerTokens = expectedAnswerTokens(request, names);
+    plan.answerTokensEstimate = answerTokensEstimate(request, names);
     plan.service = selectService(*plan.matched, random);
     plan.table = std::move(table);
     return plan;
--- a/tests/balance/admission_test.cpp
+++ b/tests/balance/admission_test.cpp
@@ -1,5 +1,6 @@
 #include "balance/admission.h"
 #include "balance/completion_rate.h"
+#include "balance/recent_minimum.h"
 #include "balance/response_bounds.h"
 #include "balance/retry_delay.h"
 #include "balance/retry_detector.h"
@@ -81,6 +82,47 @@
                     completion_case {"complete_stream_refused", 0, 700ms, 100ms, true}),
     [](const auto &row) { return row.param.name; });
 
+struct measured_gap
+{
+    std::chrono::milliseconds at;
+    std::chrono::milliseconds gap;
+};
+
+struct minimum_case
+{
+    std::string name;
+    std::vector<measured_gap> gaps;
+    std::chrono::milliseconds askedAt;
+    std::optional<boot_clock::duration> expected;
+};
+
+class minimum_rule : public testing::TestWithParam<minimum_case>
+{
+};
+
+TEST_P(minimum_rule, follows)
+{
+    recent_minimum minimum;
+    for (const measured_gap &each : GetParam().gaps) {
+        minimum.record(each.gap, start + each.at);
+    }
+    EXPECT_EQ(minimum.value(start + GetParam().askedAt), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, minimum_rule,
+    testing::Values(minimum_case {"first_slow_gaps_decide", {{0ms, 700ms}, {700ms, 700ms}}, 800ms, std::nullopt},
+                    minimum_case {"shift_of_demand_counts_as_slow",
+                                  {{0ms, 60ms}, {900ms, 60ms}, {1100ms, 200ms}, {1500ms, 200ms}},
+                                  1500ms,
+                                  60ms},
+                    minimum_case {"lasting_slowdown_is_not_seen",
+                                  {{0ms, 60ms}, {700ms, 700ms}, {1400ms, 600ms}, {2100ms, 700ms}, {2800ms, 700ms}},
+                                  2800ms,
+                                  600ms},
+                    minimum_case {"old_measurement_decides", {{0ms, 700ms}, {1100ms, 700ms}}, 3100ms, std::nullopt}),
+    [](const auto &row) { return row.param.name; });
+
 struct retry_delay_case
 {
     std::string name;
