platform, gateway, expert_map: no report of an engine can end the process

A report with a huge `size` made the coordinator allocate a place for each rank; the exception left the event loop's thread and ended the process with all its requests. Counts of another number of experts than the map has were read beyond their end. A slowdown is new input of the planner and was not bounded.

Ruled out: catching at each callback, since a forgotten one is the fault again.

--- a/src/expert_map/map_change.cpp
+++ b/src/expert_map/map_change.cpp
@@ -35,6 +35,9 @@
 std::optional<map_change> planMapChange(const expert_map &current, const load_matrix &demand,
                                         const std::vector<double> &speeds, const engine_profile &profile)
 {
+    if (demand.layers != current.layers || demand.experts != current.experts) {
+        return std::nullopt; // Counts of an engine with another model.
+    }
     placement_plan plan = planPlacement(current, demand, speeds, limitsOf(profile));
     const double gain = plan.loadBefore > 0 ? 1.0 - plan.loadAfter / plan.loadBefore : 0.0;
     if (gain < minMapChangeGainShare) {
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -2,6 +2,7 @@
 
 #include "balance/response_bounds.h"
 #include "base/request_id.h"
+#include "gateway/event_loop.h"
 #include "gateway/gateway_exchange.h"
 #include "gateway/message_head.h"
 #include "gateway/request_matcher.h"
@@ -58,7 +59,7 @@
     role->startCoordinator();
     role->monitorReachability();
     role->m_source = role->m_options.openSource(*role);
-    role->m_thread = std::thread([loop = &role->m_loop] { loop->run(); });
+    role->m_thread = std::thread([loop = &role->m_loop] { runEventLoop(*loop); });
     return role;
 }
 
--- a/tests/expert_map/map_change_test.cpp
+++ b/tests/expert_map/map_change_test.cpp
@@ -55,6 +55,17 @@
               std::nullopt);
 }
 
+TEST(map_change, isNotPlannedForDemandOfAnotherModel)
+{
+    const expert_map current = roundRobinMap(layers, experts, ranks);
+    for (const auto &[otherLayers, otherExperts] : {std::pair {layers, experts - 1}, std::pair {layers - 1, experts}}) {
+        load_matrix demand(otherLayers, otherExperts);
+        std::ranges::fill(demand.tokens, 1.0);
+        demand.at(0, 0) = 40;
+        EXPECT_EQ(planMapChange(current, demand, even, profile()), std::nullopt);
+    }
+}
+
 TEST(map_change, keepsTheMemoryLimitsOfEachRank)
 {
     const expert_map current = roundRobinMap(layers, experts, ranks);
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -136,6 +136,35 @@
     EXPECT_FALSE(decodeReport(R"({"group":{"name":"g","epoch":-1,"rank":0,"state":"open"},"size":8})"));
 }
 
+struct report_case
+{
+    std::string name; ///< Failure that the row guards against.
+    std::string report;
+};
+
+class malformed_report : public testing::TestWithParam<report_case>
+{
+};
+
+// The gateway keeps a place for each rank, so that an unchecked number could exhaust its memory.
+TEST_P(malformed_report, isNotUsed)
+{
+    const auto report = decodeReport(GetParam().report);
+    EXPECT_TRUE(!report || report.value().ranks <= 65535);
+    EXPECT_TRUE(!report || (report.value().pace >= 1.0 && report.value().pace <= 1000.0));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, malformed_report,
+    testing::Values(
+        report_case {"huge_group", R"({"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":9000000000000})"},
+        report_case {"negative_group", R"({"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":-1})"},
+        report_case {"endless_slowdown",
+                     R"({"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":2,"pace":1e300})"},
+        report_case {"negative_slowdown",
+                     R"({"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":2,"pace":-3})"}),
+    [](const auto &row) { return row.param.name; });
+
 TEST(rank_messages, decodeCountsAndExperts)
 {
     const auto counts = decodeCounts(R"({"step":9,"epoch":1,"counts":[1,2,3,4]})", 2);
