known-red: a switch whose first rank is gone is never ended

Reading the coordinator: a switch that may hold its group is kept when the lease is lost, and whether it is over is asked of the first rank alone.

Change: a test that plays it.

--- a/tests/gateway/map_coordinator_test.cpp
+++ b/tests/gateway/map_coordinator_test.cpp
@@ -47,7 +47,13 @@
         report.held = reportedHold;
         report.prepared = reportedPrepared;
         report.pace = report.rank == 1 ? slowdownOfLast : 1.0;
-        m_waiting.emplace_back([done, report] { done(report); });
+        m_waiting.emplace_back([this, done, report] {
+            if (holdingRankGone && report.rank == 0) {
+                done(error {errc::unavailable, "test", {}, "connection refused"});
+            } else {
+                done(report);
+            }
+        });
     }
 
     void readCounts(const gateway_endpoint_ptr &, std::size_t,
@@ -73,8 +79,10 @@
     {
         sent.push_back(order);
         const bool arms = order.kind == rank_command_kind::arm;
-        m_waiting.emplace_back(
-            [this, done, arms] { done(arms && armsLost ? command_outcome::unknown : command_outcome::accepted); });
+        m_waiting.emplace_back([this, done, arms, earlier = order.epoch < epoch] {
+            const auto refused = earlier ? command_outcome::rejected : command_outcome::accepted;
+            done(arms && armsLost ? command_outcome::unknown : refused);
+        });
     }
 
     void deliver()
@@ -97,6 +105,7 @@
     std::int64_t map = 0;
     bool open = true;
     bool armsLost = false;
+    bool holdingRankGone = false; ///< The first rank does not answer requests for its report.
     double slowdownOfLast = 1.0; ///< Of the rank with the highest number.
     std::optional<std::int64_t> reportedHold;
     std::optional<std::int64_t> reportedPrepared;
@@ -210,6 +219,21 @@
     }));
 }
 
+// The engine of the first rank crashes during a switch, and the group forms again without this gateway being the
+// coordinator any more.
+TEST_F(coordinated_group, endsASwitchWhoseFirstRankIsGone)
+{
+    m_engines.armsLost = true;
+    ASSERT_TRUE(runUntil([this] { return m_engines.count(rank_command_kind::arm) > 0; }));
+    m_term.value = 0;
+    m_engines.deliver();
+    m_engines.holdingRankGone = true;
+    m_engines.armsLost = false;
+    m_engines.epoch = 2;
+    EXPECT_TRUE(runUntil([this] { return !m_coordinator.switching(); }, 3000ms));
+    EXPECT_LE(m_engines.count(rank_command_kind::arm), 60U) << "the engines get a command every 40 ms without an end";
+}
+
 TEST_F(coordinated_group, isReleasedEvenIfTheLeaseIsLostDuringAHold)
 {
     m_engines.armsLost = true;
