tests: a test that could not fail, and a bound that had been lowered

Bounds come from what is stated, not from the figure.

Ruled out: dropping the row with 0.8, which compares with two other policies.

Change: the fake engines tell their experts, and the test ends with a control: the same group gets commands once its streams are slow. No other check changes.

--- a/tests/balance/load_replay_test.cpp
+++ b/tests/balance/load_replay_test.cpp
@@ -97,6 +97,14 @@
     }
 }
 
+// Callers wait 1.6 s twice and come back once after a third of the rest of their 8 s, so that each of them outlasts 4.5
+// s.
+TEST(load_replay, nearlyAllCallersOutlastACrashedGroup)
+{
+    const replay_pattern pattern {.name = "outage", .load = 0.6, .outage = 4500ms};
+    EXPECT_GE(replayLoad(pattern, replay_policy::bronzechute, seed).served, 0.95);
+}
+
 INSTANTIATE_TEST_SUITE_P(rows, outage_replay,
                          // Callers wait 1.6 s twice and come back once, so that all outlast 2 s. In 4.5 s, more callers
                          // come back than all slots can take at its end.
--- a/tests/gateway/map_coordinator_test.cpp
+++ b/tests/gateway/map_coordinator_test.cpp
@@ -69,9 +69,15 @@
         m_waiting.emplace_back([done, counts] { done(counts); });
     }
 
-    void readExperts(const gateway_endpoint_ptr &, std::function<void(const result<rank_experts> &)> done) override
+    void readExperts(const gateway_endpoint_ptr &endpoint,
+                     std::function<void(const result<rank_experts> &)> done) override
     {
-        m_waiting.emplace_back([done] { done(error {errc::unavailable, "test", {}, {}}); });
+        const std::size_t rank = endpoint->record.id == "e0" ? 0 : 1;
+        rank_experts held {map, {{}}};
+        for (std::size_t expert = rank; expert < experts; expert += ranks) {
+            held.byLayer.front().push_back(static_cast<std::uint16_t>(expert));
+        }
+        m_waiting.emplace_back([done, held] { done(held); });
     }
 
     void send(const gateway_endpoint_ptr &, const rank_command &order, const expert_map &,
@@ -184,6 +190,10 @@
     }
     m_engines.map = 5; // A map that was planned before.
     EXPECT_FALSE(runUntil([this] { return !m_engines.sent.empty(); }, 1500ms));
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        endpoint->longestGapMs = 110;
+    }
+    EXPECT_TRUE(runUntil([this] { return !m_engines.sent.empty(); })) << "nothing but the fast streams held it back";
 }
 
 TEST_F(coordinated_group, getsAMapBeforeItsStreamsAreLate)
