gateway: log prompt parts, status and events of failed attempts

Ruled out: logging whole headers, which is neither bounded nor free of the callers' data; ids of parts are opaque. Change: the ids of the prompt parts that requests share are read (at most 16, 64 bytes each) and logged with each request and each failed attempt, with the status and events of the attempt; a counter of failed attempts by end and by whether the answer had begun. No decision is changed.

--- a/src/gateway/exchange_plan.h
+++ b/src/gateway/exchange_plan.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace bronzechute {
 
@@ -22,6 +23,7 @@
     time_point deadline {}; ///< callerDeadline or the route's timeout, whichever is earlier.
     std::optional<int> maxAnswerTokens; ///< Upper bound declared by the caller.
     std::optional<int> answerTokensEstimate; ///< Estimate of the caller, which may be far off.
+    std::vector<std::string> promptParts; ///< Ids of the prompt parts that other requests may share.
     bool isCallerRetry = false; ///< Whether the caller was refused before and has spent part of its timeout on that.
 
     /** @returns the caller's estimate within its upper bound, at which the engine stops; nothing without an estimate.
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -168,6 +168,8 @@
     m_eventParser = {};
     m_body.clear();
     m_relayingEvents = false;
+    m_attemptStatus = 0;
+    m_attemptEvents = 0;
     m_connection = acquireConnection(m_context.loop, *m_endpoint);
     ++m_sentAttempts;
     startAttemptTimer();
@@ -181,6 +183,7 @@
 void gateway_exchange::onHead(response_head head)
 {
     const wire_headers &names = m_context.headers;
+    m_attemptStatus = head.status;
     const auto id = findHeader(head.headers, names.requestId);
     if (id && *id != m_id) {
         retryOrFail(attempt_outcome::failed, "response carries the id of another request");
@@ -232,6 +235,7 @@
 {
     const time_point now = boot_clock::now();
     for (const raw_event &event : m_eventParser.feed(bytes)) {
+        ++m_attemptEvents;
         if (!relayEvent(event)) {
             return;
         }
@@ -383,6 +387,7 @@
             now + suspectPeriod * (1 << std::min(endpoint->consecutiveFailures, maxSuspectDoublings));
         ++endpoint->consecutiveFailures;
         m_context.endpoints.recordFailure(*endpoint);
+        m_context.metrics.countFailedAttempt(nameOf(end), m_attemptEvents > 0);
         logLine(log_level::info, "gateway", "attempt failed",
                 {{"request_id", m_id},
                  {"endpoint", endpoint->record.id},
@@ -390,6 +395,9 @@
                  {"attempt", m_tried.size()},
                  {"end", nameOf(end)},
                  {"cause", cause},
+                 {"status", m_attemptStatus},
+                 {"events", m_attemptEvents},
+                 {"parts", m_plan.promptParts},
                  {"after_ms", milliseconds(now - m_attemptStartedAt)},
                  {"own_running", endpoint->ownRunning},
                  {"peers_running", endpoint->peersRunning}});
@@ -424,6 +432,7 @@
              {"account", m_plan.account},
              {"configuration", m_plan.table->version()},
              {"returned", m_plan.isCallerRetry},
+             {"parts", m_plan.promptParts},
              {"endpoints", m_tried},
              {"events", m_eventsRelayed},
              {"first_byte_ms", m_firstByteAt ? milliseconds(*m_firstByteAt - m_request.arrivedAt) : -1},
--- a/src/gateway/gateway_exchange.h
+++ b/src/gateway/gateway_exchange.h
@@ -110,6 +110,8 @@
     event_stream_parser m_eventParser;
     std::optional<std::int64_t> m_lastEventId;
     std::int64_t m_eventsRelayed = 0;
+    int m_attemptStatus = 0; ///< Status of the response to the current attempt; 0 before its head.
+    std::int64_t m_attemptEvents = 0; ///< Events of the current attempt.
     std::optional<time_point> m_firstByteAt;
 };
 
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -27,6 +27,19 @@
             .add();
     }
 
+    /**
+     * @param end value of "end" in the log line of the attempt
+     * @param begun whether the endpoint had sent an event of its answer
+     */
+    void countFailedAttempt(const std::string &end, bool begun)
+    {
+        m_registry
+            .counter("bronzechute_gateway_failed_attempts_total",
+                     "end=\"" + end + "\",begun=\"" + (begun ? "yes" : "no") + "\"",
+                     "Attempts that ended without an answer.")
+            .add();
+    }
+
 private:
     metrics_registry &m_registry;
 
--- a/src/gateway/request_matcher.cpp
+++ b/src/gateway/request_matcher.cpp
@@ -1,5 +1,6 @@
 #include "gateway/request_matcher.h"
 
+#include "gateway/prompt_parts.h"
 #include "http/http_status.h"
 
 #include <algorithm>
@@ -106,6 +107,7 @@
     }
     plan.maxAnswerTokens = maxAnswerTokens(request, names);
     plan.answerTokensEstimate = answerTokensEstimate(request, names);
+    plan.promptParts = sharedPromptParts(findHeader(request.headers, names.promptParts).value_or(""));
     plan.service = selectService(*plan.matched, random);
     plan.table = std::move(table);
     return plan;
--- a/src/gateway/wire_headers.h
+++ b/src/gateway/wire_headers.h
@@ -16,6 +16,8 @@
     std::string signature = "X-Signature"; ///< In each response of an endpoint that ran the request.
     std::string tokenCounts = "X-Tokens"; ///< Prompt tokens and maximum answer tokens, comma-separated.
     std::string answerLength = "X-Answer-Tokens"; ///< The caller's estimate of the number of answer tokens.
+    std::string promptParts =
+        "X-Prompt-Parts"; ///< Ids of the prompt's parts with their tokens; see sharedPromptParts().
     std::string keyScheme = "Bearer"; ///< Authorization scheme of API keys.
     std::string readyPath = "/ready"; ///< Path of the readiness check of the platform's load balancer.
 
--- a/tests/gateway/request_matcher_test.cpp
+++ b/tests/gateway/request_matcher_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/prompt_parts.h"
 #include "gateway/request_matcher.h"
 
 #include <gtest/gtest.h>
@@ -53,6 +54,46 @@
                     length_row {"negative_estimate_counts", {{"X-Answer-Tokens", "-5"}}, std::nullopt}),
     [](const auto &row) { return std::string(row.param.name); });
 
+struct parts_row
+{
+    const char *name; ///< Failure that the row guards against.
+    const char *field;
+    std::vector<std::string> expected;
+};
+
+class shared_parts : public testing::TestWithParam<parts_row>
+{
+};
+
+TEST_P(shared_parts, areAllButTheLast)
+{
+    EXPECT_EQ(sharedPromptParts(GetParam().field), GetParam().expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    rows, shared_parts,
+    testing::Values(parts_row {"missing_field", "", {}}, parts_row {"own_part_is_taken_for_shared", "91bd3f06:410", {}},
+                    parts_row {"middle_part_is_lost", "5c:800,91:410,e4:250", {"5c", "91"}},
+                    parts_row {"repeated_part_counts_twice", "5c:800,5c:800,e4:250", {"5c"}},
+                    parts_row {"blanks_belong_to_the_id", " 5c :800 ,\t91:4 , e4:250", {"5c", "91"}},
+                    parts_row {"entry_without_tokens", "5c,91:410,e4:250", {"5c", "91"}},
+                    parts_row {"empty_entries", ",,:7,e4:250", {}},
+                    parts_row {"trailing_comma_hides_a_part", "5c:800,91:410,", {"5c", "91"}}),
+    [](const auto &row) { return std::string(row.param.name); });
+
+TEST(shared_parts, areBounded)
+{
+    std::string field;
+    for (int id = 0; id < 1000; ++id) {
+        field += std::string(1000, 'a') + std::to_string(id) + ":1," + std::to_string(id) + ":1,";
+    }
+    const auto parts = sharedPromptParts(field);
+    EXPECT_EQ(parts.size(), maxPromptParts);
+    for (const std::string &part : parts) {
+        EXPECT_LE(part.size(), maxPromptPartBytes);
+    }
+}
+
 } // namespace
 
 } // namespace bronzechute
