--- a/tests/gateway/gateway_harness.cpp
+++ b/tests/gateway/gateway_harness.cpp
@@ -141,7 +141,8 @@
     waitForEventLoop();
 }
 
-void gateway_harness::addEndpoint(const std::string &id, const std::string &address, const std::string &service)
+void gateway_harness::addEndpoint(const std::string &id, const std::string &address, const std::string &service,
+                                  std::int64_t startedAtMs)
 {
     endpoint_record record;
     record.id = id;
@@ -149,6 +150,7 @@
     record.address = address;
     record.dataCentre = "here";
     record.slots = 4;
+    record.startedAtMs = startedAtMs;
     m_observer->onEndpoint(record);
     m_observer->onInitialListComplete();
     waitForEventLoop();
--- a/tests/gateway/gateway_harness.h
+++ b/tests/gateway/gateway_harness.h
@@ -31,7 +31,8 @@
     static routing_document defaultDocument();
 
     void applyDocument(const routing_document &document);
-    void addEndpoint(const std::string &id, const std::string &address, const std::string &service = "service");
+    void addEndpoint(const std::string &id, const std::string &address, const std::string &service = "service",
+                     std::int64_t startedAtMs = 0);
     void removeEndpoint(const std::string &id);
 
     /** Sends one request on a new connection and reads the response. */
