gateway: quarantined prompt parts outlive the gateways and reach new ones

What callers saw: after all gateways had been killed, or when one restarted faster than its peers noticed, requests with a known deadly part reached engines again. Cause: evidence lived only in the gateways' memory, and was sent again only when the number of reachable gateways changed or after 5 s. Ruled out: a lease on the record (it has to outlive its writers) and a watch (each waiting watch of each gateway is a call that the store counts). Gateways send their evidence when they hear a process for the first time. A gateway that reaches neither peers nor the store learns from its own crashes only.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -62,6 +62,9 @@
 {
     for (const std::string &part : m_quarantine.recordAnswer(parts, boot_clock::now())) {
         logLine(log_level::info, "gateway", "prompt part is sound again", {{"part", part}});
+        if (m_onQuarantine) {
+            m_onQuarantine();
+        }
     }
 }
 
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -26,7 +26,7 @@
 
     /**
      * @param onOwnCrash called after requests of this gateway showed a crash, which the others should know soon
-     * @param onQuarantine called after a part was quarantined
+     * @param onQuarantine called after a part was quarantined, or a quarantine ended
      */
     void setListeners(std::function<void()> onOwnCrash, std::function<void()> onQuarantine);
 
--- a/src/gateway/gateway_options.h
+++ b/src/gateway/gateway_options.h
@@ -24,7 +24,7 @@
     /** Subscribes to the operators' configuration and the endpoints. The observer outlives the returned source. */
     std::function<std::unique_ptr<routing_source>(routing_observer &)> openSource;
 
-    /** Opens the store for the coordinator lease; empty if the engines form no rank groups. */
+    /** Opens the store for what must outlive the gateways; empty if nothing is kept and engines form no rank groups. */
     std::function<std::unique_ptr<platform_store>()> openStore;
 
     /** Creates the client for the engines of rank groups; empty if there are none. */
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -29,6 +29,7 @@
 constexpr std::chrono::milliseconds drainAcceptPeriod {2800};
 constexpr std::chrono::milliseconds drainPollInterval {20};
 const std::string coordinatorKey = "bronzechute/expert-maps/coordinator";
+const std::string quarantineKey = "bronzechute/quarantine/prompt-parts";
 constexpr std::chrono::milliseconds coordinatorPollInterval {200};
 constexpr std::chrono::milliseconds coordinatorAbsenceTimeout {700};
 constexpr std::chrono::milliseconds campaignStagger {300};
@@ -56,6 +57,7 @@
     if (!listening) {
         return listening.error();
     }
+    role->startQuarantineRecord();
     role->startCoordinator();
     role->monitorReachability();
     role->m_source = role->m_options.openSource(*role);
@@ -80,7 +82,12 @@
     , m_leasePollTimer(m_loop)
     , m_reachabilityTimer(m_loop)
 {
-    m_guard.setListeners([this] { m_loadExchange.sendReport(); }, {});
+    m_guard.setListeners([this] { m_loadExchange.sendReport(); },
+                         [this] {
+                             if (m_quarantineRecord != nullptr) {
+                                 m_quarantineRecord->save(m_guard.evidence());
+                             }
+                         });
     registerGauges();
 }
 
@@ -88,6 +95,7 @@
 {
     m_source.reset();
     m_lease.reset();
+    m_quarantineRecord.reset();
     m_work.reset();
     m_loop.stop();
     if (m_thread.joinable()) {
@@ -306,6 +314,18 @@
     });
 }
 
+void gateway_role::startQuarantineRecord()
+{
+    if (!m_options.openStore) {
+        return;
+    }
+    m_quarantineStore = m_options.openStore();
+    m_quarantineRecord =
+        std::make_unique<quarantine_record>(*m_quarantineStore, quarantineKey, [this](const crash_evidence &kept) {
+            asio::post(m_loop, [this, kept] { m_guard.merge(kept); });
+        });
+}
+
 void gateway_role::startCoordinator()
 {
     if (!m_options.openStore || !m_options.openEngines) {
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -9,6 +9,7 @@
 #include "gateway/gateway_options.h"
 #include "gateway/load_exchange.h"
 #include "gateway/map_coordinator.h"
+#include "gateway/quarantine_record.h"
 #include "gateway/request_handler.h"
 #include "gateway/request_matcher.h"
 #include "node/node_role.h"
@@ -73,6 +74,7 @@
     void publishGroupStates();
     void monitorReachability();
     void startCoordinator();
+    void startQuarantineRecord();
     void pollCoordinatorLease();
     void reject(const gateway_request &request, const request_rejection &rejection, caller_response &response);
     void registerGauges();
@@ -97,6 +99,8 @@
     boost::asio::steady_timer m_reachabilityTimer;
     std::unique_ptr<platform_store> m_leaseStore;
     std::unique_ptr<coordinator_lease> m_lease;
+    std::unique_ptr<platform_store> m_quarantineStore;
+    std::unique_ptr<quarantine_record> m_quarantineRecord;
     std::unique_ptr<rank_engine_client> m_engines;
     std::unique_ptr<map_coordinator> m_coordinator;
     time_point m_coordinatorAbsentSince {};
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -138,7 +138,9 @@
         return;
     }
     const time_point now = boot_clock::now();
-    m_peers.record(m_sender.address().to_string(), *report, now);
+    if (m_peers.record(m_sender.address().to_string(), *report, now)) {
+        m_evidenceRepetitions = evidenceRepetitions; // A gateway that has just started knows nothing.
+    }
     m_endpoints.setPeersRunning(m_peers.running(now));
     if (!report->evidence.empty()) {
         m_guard.merge(report->evidence);
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -21,15 +21,15 @@
 {
 }
 
-void peer_loads::record(const std::string &host, const load_report &report, time_point now)
+bool peer_loads::record(const std::string &host, const load_report &report, time_point now)
 {
     if (host == m_self) {
-        return;
+        return false;
     }
     peer &known = m_peers[host];
     const bool sameProcess = known.report.incarnation == report.incarnation;
     if (sameProcess && report.sequence <= known.report.sequence) {
-        return;
+        return false;
     }
     known.heardAt = now;
     known.namedAt = now;
@@ -39,6 +39,7 @@
             m_peers[other].namedAt = now;
         }
     }
+    return !sameProcess;
 }
 
 void peer_loads::addCandidates(const std::vector<std::string> &hosts, time_point now)
--- a/src/gateway/peer_loads.h
+++ b/src/gateway/peer_loads.h
@@ -16,8 +16,11 @@
     /** @param self host of this gateway, which is never treated as a peer */
     explicit peer_loads(std::string self);
 
-    /** Applies a report. One that is older than the last of the same process is ignored. */
-    void record(const std::string &host, const load_report &report, time_point now);
+    /**
+     * Applies a report. One that is older than the last of the same process is ignored.
+     * @returns whether the report is the first of a process
+     */
+    bool record(const std::string &host, const load_report &report, time_point now);
 
     /** Adds hosts that may be gateways. Reports are sent to them until they time out. */
     void addCandidates(const std::vector<std::string> &hosts, time_point now);
--- a/tests/standins/routed_endpoint.cpp
+++ b/tests/standins/routed_endpoint.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <cstdlib>
 #include <mutex>
 #include <thread>
 
@@ -210,6 +211,9 @@
                                   + "\r\nX-Server-Signature: " + routedSignature(id) + "\r\n"))) {
         return false;
     }
+    if (isDeadly(request.header("x-prompt-prefix"))) {
+        std::_Exit(EXIT_FAILURE);
+    }
     for (int number = first; number <= m_options.events; ++number) {
         const std::string event = routedEvent(id, number);
         if (m_group != nullptr && !m_group->waitForPass()) {
@@ -227,6 +231,14 @@
     return connection.send("0\r\n\r\n");
 }
 
+bool routed_endpoint::isDeadly(const std::string &prompt)
+{
+    const std::scoped_lock lock(m_mutex);
+    return std::ranges::any_of(m_deadlyParts, [&prompt](const std::string &part) {
+        return ("," + prompt).find("," + part + ":") != std::string::npos;
+    });
+}
+
 bool routed_endpoint::serveRank(const scripted_request &request, raw_connection &connection)
 {
     if (m_group == nullptr) {
@@ -277,6 +289,7 @@
     m_faults.fail = faults.value("fail", m_faults.fail);
     m_faults.refuse = faults.value("refuse", m_faults.refuse);
     m_faults.lateOrders = faults.value("late_orders", m_faults.lateOrders);
+    m_deadlyParts = faults.value("deadly_parts", m_deadlyParts);
     if (faults.contains("cold_ms")) {
         m_coldUntil = boot_clock::now() + std::chrono::milliseconds(faults.at("cold_ms").get<int>());
     }
--- a/tests/standins/routed_endpoint.h
+++ b/tests/standins/routed_endpoint.h
@@ -27,8 +27,9 @@
  * POST /standin/faults takes shares of the requests as numbers from 0 to 1: `lose_answers` (run, then closed without
  * an answer), `cut_answers` (cut in the middle), `garble` (bytes that are no answer), `fail` (status 500, run) and
  * `refuse` (status 503, not run); of the orders `late_orders` (carried out later and not answered); further
- * `break_group_ms`, `cold_ms` and `leave_after_ms` (time after which a request counts as arriving too late). GET
- * /standin/stats shows the runs by request id.
+ * `deadly_parts` (an array; the process ends when it begins to answer a prompt with one), `break_group_ms`, `cold_ms`
+ * and `leave_after_ms` (time after which a request counts as arriving too late). GET /standin/stats shows the runs by
+ * request id.
  *
  * On standard output it writes a line "run ID ACCOUNT" for each run, and "violation MS KIND ID" when a request arrives
  * after the endpoint has left or beyond its rate while cold, with the time of boot_clock in milliseconds.
@@ -67,6 +68,7 @@
     bool serveRank(const scripted_request &request, raw_connection &connection);
     bool run(const scripted_request &request, raw_connection &connection, const fault_shares &faults);
     bool stream(const scripted_request &request, raw_connection &connection, const fault_shares &faults);
+    bool isDeadly(const std::string &prompt);
     bool waitForSlot();
     void noteArrival(const std::string &id);
     void noteRun(const scripted_request &request);
@@ -82,6 +84,7 @@
     int m_running = 0;
     int m_queued = 0;
     fault_shares m_faults;
+    std::vector<std::string> m_deadlyParts;
     std::mt19937_64 m_random;
     time_point m_coldUntil;
     std::optional<time_point> m_leftAt;
