gateway: a stream without an event that ends with its connection is broken off

What callers saw: an endpoint that ended right after the head of a stream with neither a length nor chunks gave its caller an empty stream with status 200. Cause: the end of the connection ends such an answer; only a partial event was taken for a break. Ruled out: the same for chunked streams, whose last chunk says that they are complete, and for streams that end after an event, as the contract allows. Change: such a stream counts as failed before its first event, so it is retried or answered 502.

--- a/src/gateway/endpoint_connection.cpp
+++ b/src/gateway/endpoint_connection.cpp
@@ -163,6 +163,7 @@
     head.status = static_cast<int>(message.result_int());
     head.reason = std::string(message.reason().data(), message.reason().size());
     head.headers = endToEndFields(message);
+    head.endsWithConnection = m_parser->need_eof();
     const auto self = shared_from_this();
     const auto observer = m_observer;
     observer->onHead(std::move(head));
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -290,6 +290,7 @@
     removeHeader(head.headers, "Content-Length");
     m_mayHaveRun = true;
     m_relayingEvents = streaming() && success;
+    m_endsWithConnection = head.endsWithConnection;
     if (!m_headRelayed) {
         m_head = std::move(head);
     }
@@ -368,6 +369,11 @@
         retryOrFail(attempt_outcome::failed, "stream ended within an event");
         return;
     }
+    if (m_endsWithConnection && m_attemptEvents == 0) {
+        noteUnanswered(attempt_end::by_endpoint);
+        retryOrFail(attempt_outcome::failed, "connection ended before the first event");
+        return;
+    }
     if (!m_headRelayed) {
         m_headRelayed = true;
         m_response.begin(m_head);
--- a/src/gateway/gateway_exchange.h
+++ b/src/gateway/gateway_exchange.h
@@ -125,6 +125,7 @@
     event_stream_parser m_eventParser;
     std::optional<std::int64_t> m_lastEventId;
     std::int64_t m_eventsRelayed = 0;
+    bool m_endsWithConnection = false; ///< Whether the end of the connection ends the response to the current attempt.
     int m_attemptStatus = 0; ///< Status of the response to the current attempt; 0 before its head.
     std::int64_t m_attemptEvents = 0; ///< Events of the current attempt.
     std::optional<time_point> m_firstByteAt;
--- a/src/gateway/response_head.h
+++ b/src/gateway/response_head.h
@@ -12,6 +12,7 @@
     int status = 0;
     std::string reason; ///< Reason phrase of the status line.
     header_list headers;
+    bool endsWithConnection = false; ///< The body has neither a length nor chunks.
 
     friend bool operator==(const response_head &, const response_head &) = default;
 };
