gateway: bytes without end fill no memory

What callers saw: nothing yet; an endpoint that sends a body or an event without end made the gateway keep up to 270 MB for one request until its deadline, on machines of 360 MB. Cause: the body of an answer that is relayed as a whole and an event that does not end were collected without a limit. Heads and bytes that are no answer were limited already. Ruled out: relying on the deadline, which bounds only the time. Change: a whole answer may have 8 MiB and an event 1 MiB; beyond that the attempt has failed.

--- a/src/gateway/event_stream_parser.h
+++ b/src/gateway/event_stream_parser.h
@@ -25,6 +25,12 @@
     /** Appends received bytes. @returns the events that they complete */
     std::vector<raw_event> feed(std::string_view bytes);
 
+    /** @returns the length of the incomplete event that is buffered. */
+    std::size_t pendingBytes() const
+    {
+        return m_pending.size();
+    }
+
     /** @returns whether an incomplete event is buffered. */
     bool hasPartial() const
     {
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -34,6 +34,9 @@
 // Callers wait at most a third of their remaining time before a retry.
 constexpr int retryTimeDivisor = 3;
 constexpr std::size_t unsentLimitBytes = std::size_t {256} * 1024;
+// Bytes that are no answer may come without end.
+constexpr std::size_t wholeBodyLimitBytes = std::size_t {8} * 1024 * 1024;
+constexpr std::size_t eventLimitBytes = std::size_t {1024} * 1024;
 constexpr double gapSmoothing = 0.1;
 constexpr double longestGapDecay = 0.02;
 
@@ -300,8 +303,10 @@
 {
     if (m_relayingEvents) {
         relayEvents(bytes);
-    } else {
+    } else if (m_body.size() + bytes.size() <= wholeBodyLimitBytes) {
         m_body.append(bytes);
+    } else {
+        retryOrFail(attempt_outcome::failed, "response body exceeds the size limit");
     }
 }
 
@@ -327,6 +332,9 @@
         }
         m_lastEventAt = now;
     }
+    if (m_eventParser.pendingBytes() > eventLimitBytes) {
+        retryOrFail(attempt_outcome::failed, "event exceeds the size limit");
+    }
 }
 
 bool gateway_exchange::relayEvent(const raw_event &event)
