quarantine, tests: findings of the linter, and a name that two stand-ins shared

Cause: names, moves and concatenations that clang-tidy reports; a new stand-in shifted the batches of the sanitizer build, so that two functions jsonReply met in one compilation. Ruled out: leaving the file out of the joined build. Evidence: the sanitizer build of gateway, quarantine and site tests compiles; it failed before.

--- a/src/gateway/quarantine_record.cpp
+++ b/src/gateway/quarantine_record.cpp
@@ -12,24 +12,24 @@
 namespace {
 
 using json = nlohmann::json;
-using milliseconds = std::chrono::milliseconds;
 
-constexpr milliseconds retryInterval {1000};
+constexpr std::chrono::milliseconds retryInterval {1000};
 // In this time one of the gateways writes, and the others find that nothing is left to do.
-constexpr milliseconds writeSpread {1000};
+constexpr std::chrono::milliseconds writeSpread {1000};
 
 std::int64_t unixMs(time_point at, time_point now, std::chrono::system_clock::time_point wallClock)
 {
     const auto wall = wallClock + std::chrono::duration_cast<std::chrono::system_clock::duration>(at - now);
-    return std::chrono::duration_cast<milliseconds>(wall.time_since_epoch()).count();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(wall.time_since_epoch()).count();
 }
 
 time_point fromUnixMs(std::int64_t at, time_point now, std::chrono::system_clock::time_point wallClock)
 {
-    const auto wallNow = std::chrono::duration_cast<milliseconds>(wallClock.time_since_epoch()).count();
+    const auto wallNow = std::chrono::duration_cast<std::chrono::milliseconds>(wallClock.time_since_epoch()).count();
     // Keeps a time that makes no sense from overflowing the clock.
-    constexpr milliseconds limit = 2 * std::chrono::duration_cast<milliseconds>(part_quarantine::maxDuration);
-    return now + milliseconds(std::clamp(at - wallNow, -limit.count(), limit.count()));
+    constexpr std::chrono::milliseconds limit =
+        2 * std::chrono::duration_cast<std::chrono::milliseconds>(part_quarantine::maxDuration);
+    return now + std::chrono::milliseconds(std::clamp(at - wallNow, -limit.count(), limit.count()));
 }
 
 /** @returns the entries of both, without those that answers disprove, and at most as many as gateways hold. */
@@ -155,7 +155,7 @@
 {
     std::unique_lock lock(m_mutex);
     m_changed.wait(lock, [this] { return m_stopping || m_pending.has_value(); });
-    const milliseconds delay(m_random() % static_cast<std::uint64_t>(writeSpread.count()));
+    const std::chrono::milliseconds delay(m_random() % static_cast<std::uint64_t>(writeSpread.count()));
     return !m_changed.wait_for(lock, delay, [this] { return m_stopping; });
 }
 
--- a/src/quarantine/crash_suspect.h
+++ b/src/quarantine/crash_suspect.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <string>
 #include <vector>
 
@@ -12,7 +11,7 @@
     std::vector<std::string> parts; ///< Ids of the prompt parts that other requests may share, in order.
     bool begun = false; ///< The endpoint had begun to answer, but had not come beyond the beginning.
 
-    friend auto operator<=>(const crash_suspect &, const crash_suspect &) = default;
+    friend bool operator==(const crash_suspect &, const crash_suspect &) = default;
 };
 
 } // namespace bronzechute
--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -168,7 +168,7 @@
     if (now < m_settledAt) {
         return convicted;
     }
-    while (const auto part = worstPart(now)) {
+    while (const std::optional<std::string> part = worstPart(now)) {
         convicted.push_back(convict(*part, now));
     }
     m_judgedVersion = m_version;
@@ -219,7 +219,7 @@
     }
     for (const auto &[run, crash] : m_crashes) {
         const bool isRecent = now - crash.at < suspicionDuration;
-        const auto part = isRecent && !isExplained(crash) ? onlySuspect(crash) : std::nullopt;
+        auto part = isRecent && !isExplained(crash) ? onlySuspect(crash) : std::nullopt;
         if (part && !m_quarantined.contains(*part)) {
             return part;
         }
@@ -235,7 +235,7 @@
     for (int doubled = 1; doubled < convictions && duration < maxDuration; ++doubled) {
         duration *= 2;
     }
-    const quarantined_part entry {part, now, now + duration, convictions};
+    quarantined_part entry {part, now, now + duration, convictions};
     refuse(entry);
     return entry;
 }
--- a/tests/gateway/crashing_prompt_test.cpp
+++ b/tests/gateway/crashing_prompt_test.cpp
@@ -84,9 +84,8 @@
         std::ptrdiff_t count = 0;
         for (crashing_engine &engine : m_engines) {
             const auto prompts = engine.prompts();
-            count += std::ranges::count_if(prompts, [&](const std::string &prompt) {
-                return ("," + prompt).find("," + part + ":") != std::string::npos;
-            });
+            count += std::ranges::count_if(
+                prompts, [&](const std::string &prompt) { return prompt.find("," + part + ":") != std::string::npos; });
         }
         return count;
     }
@@ -116,6 +115,12 @@
     int m_requests = 0;
 };
 
+/** @returns a prompt that shares its first part with all others and its second one with some. */
+std::string promptOf(const std::string &part, int own)
+{
+    return "system:40," + part + ":9,own" + std::to_string(own) + ":7";
+}
+
 struct bad_requests_row
 {
     const char *name; ///< Failure that the row guards against.
@@ -136,10 +141,9 @@
     std::map<std::string, std::ptrdiff_t> arrivalsAtFifthCrash;
     for (int request = 0; request < GetParam().requests; ++request) {
         for (const std::string &part : GetParam().deadly) {
-            const std::string own = std::to_string(request);
-            const caller_answer refused = site.ask("system:40," + part + ":9,own" + own + ":7");
+            const caller_answer refused = site.ask(promptOf(part, request));
             EXPECT_FALSE(refused.complete && refused.status == 200);
-            site.ask("system:40,own" + own + "s:7");
+            site.ask(promptOf("sound", request));
             std::this_thread::sleep_for(GetParam().pause);
             if (site.crashes() >= acceptedCrashes) {
                 arrivalsAtFifthCrash.try_emplace(part, site.arrivalsOf(part));
--- a/tests/standins/crashing_engine.cpp
+++ b/tests/standins/crashing_engine.cpp
@@ -16,6 +16,12 @@
     return std::string(size) + "\r\n" + bytes + "\r\n";
 }
 
+std::string eventOf(int number)
+{
+    const std::string text = std::to_string(number);
+    return "id: " + text + "\ndata: token " + text + "\n\n";
+}
+
 } // namespace
 
 crashing_engine::crashing_engine(std::function<void(int)> onStart)
@@ -86,8 +92,7 @@
         return false;
     }
     for (int number = last.empty() ? 1 : std::stoi(last) + 1; number <= events; ++number) {
-        const std::string text = std::to_string(number);
-        if (!connection.send(chunk("id: " + text + "\ndata: token " + text + "\n\n"))) {
+        if (!connection.send(chunk(eventOf(number)))) {
             return false;
         }
         std::this_thread::sleep_for(eventInterval);
--- a/tests/standins/model_engine.cpp
+++ b/tests/standins/model_engine.cpp
@@ -17,14 +17,14 @@
 constexpr std::chrono::milliseconds watchInterval {200};
 constexpr std::size_t longestOrder = 200; // More would make the statistics of a long run large.
 
-http_reply jsonReply(int status, std::string body)
+http_reply jsonTextReply(int status, std::string body)
 {
     return {status, {{"Content-Type", "application/json"}}, std::move(body), nullptr};
 }
 
 http_reply errorReply(int status, const std::string &message)
 {
-    return jsonReply(status, nlohmann::json {{"error", {{"message", message}}}}.dump());
+    return jsonTextReply(status, nlohmann::json {{"error", {{"message", message}}}}.dump());
 }
 
 std::string sample(const std::string &name, const std::string &labels, double value)
@@ -80,7 +80,7 @@
 {
     if (request.path == "/standin/faults" && request.method == "POST") {
         const std::string problem = m_faults.apply(request.body);
-        return problem.empty() ? jsonReply(200, "{}") : errorReply(statusBadRequest, problem);
+        return problem.empty() ? jsonTextReply(200, "{}") : errorReply(statusBadRequest, problem);
     }
     if (request.path == "/standin/stats") {
         return stats();
@@ -93,7 +93,7 @@
         return complete(request, false);
     }
     if (request.path == "/v1/models") {
-        return jsonReply(200, R"({"object":"list","data":[{"id":")" + m_options.model + R"(","object":"model"}]})");
+        return jsonTextReply(200, R"({"object":"list","data":[{"id":")" + m_options.model + R"(","object":"model"}]})");
     }
     if (request.path == "/health") {
         return {200, {}, "", nullptr};
@@ -163,7 +163,7 @@
     const std::scoped_lock lock(m_mutex);
     object["requests"] = m_runs;
     object["order"] = m_order;
-    return jsonReply(200, object.dump());
+    return jsonTextReply(200, object.dump());
 }
 
 void model_engine::watchClients()
