--- a/bench/capacity_fleet_sections.py
+++ b/bench/capacity_fleet_sections.py
@@ -70,6 +70,21 @@
     return out
 
 
+def section_evidence(m):
+    peers = m.nodes - 1
+    repeat_s = 5
+    crash_bytes, part_bytes, id_bytes, parts = 300, 40, 64, 384
+    answered, answered_bytes = 16384, 120
+    return ["## Evidence on crashes", "",
+            f"Not measured; from the bounds of the code. A load report carries at most {parts} parts ({size(parts * (id_bytes + 4))} of the longest ids), "
+            f"three times after a change and every {repeat_s} s while there is evidence, to each other gateway. What a node receives with {m.nodes} gateways:", ""] + table(
+                ["known", "bytes a second", "against the limit"], [
+                    ["one crash that nothing explains, with 10 suspects", size(peers * crash_bytes / repeat_s), verdict(peers * crash_bytes / repeat_s, m.byte_limit)],
+                    ["one convicted part", size(peers * part_bytes / repeat_s), verdict(peers * part_bytes / repeat_s, m.byte_limit)]]) + [
+                        "The change for the row that misses: repeat to a few random peers instead of all. "
+                        f"Memory of answered parts: {size(answered * answered_bytes)} at most. Store: one call a gateway at its start, and one a gateway and conviction.", ""]
+
+
 def section_storm(m):
     per_dc_workers = m.workers / m.data_centres
     per_dc_nodes = m.nodes / m.data_centres
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -9,7 +9,7 @@
 
 sys.dont_write_bytecode = True
 
-from capacity_fleet_sections import section_claims, section_maps, section_storm, section_store
+from capacity_fleet_sections import section_claims, section_evidence, section_maps, section_storm, section_store
 from capacity_process_sections import section_configuration, section_entry, section_links, section_slopes
 from capacity_text import number, size, table, verdict
 
@@ -175,7 +175,7 @@
            "Written by `bench/capacity_page.py` from `bench/capacity_slopes.json` and the constants below; do not edit. "
            "\"Measured range\" is a value on the fitted line between measured points, \"extrapolated\" one beyond them or a sum that has such a part.", ""]
     for section in (section_summary, section_inputs, section_slopes, section_links, section_entry, section_configuration, section_store,
-                    section_claims, section_maps, section_storm):
+                    section_claims, section_maps, section_evidence, section_storm):
         out += section(m)
     return "\n".join(out + NOT_MEASURED) + "\n"
 
