--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -382,6 +382,7 @@
     scratch = tempfile.mkdtemp()
     gateways = []
     result = NOT_RUN
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # Ends what was started, too.
     try:
         record("disruption: " + ("on" if trouble() else "off (TROUBLE=0)"))
         result = BROKEN if case(record, scratch, gateways) else HELD
@@ -390,8 +391,6 @@
     finally:
         for gateway in gateways:
             gateway.end()
-        if os.environ.get("KEEP"):
-            shutil.copytree(scratch, os.environ["KEEP"], dirs_exist_ok=True)
         shutil.rmtree(scratch, ignore_errors=True)
     record({HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "the case could not run"}[result])
     sys.stdout.flush()
