--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,7 @@
-"""Requests with a part of a prompt that crashes workers, on kept channels, while the gateway's machine freezes."""
+"""Workers that spoil a few answers with bytes without end, where a chunked body is due, until the caller closes."""
 
 import os
-import subprocess
+import random
 import sys
 import threading
 import time
@@ -9,151 +9,211 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
 
-from harness import API_KEY, HOST, Gateway, Store, Stream, configuration, free_port, register, run_case, trouble
+from harness import API_KEY, HOST, Gateway, Store, Stream, configuration, listen, register, run_case, serve, trouble
 
-ENGINES = 4
+WORKERS = 16
+FAULTY = 9  # The site's doses of garble go to a share of 0.6.
+SPOILED = 0.05  # Of the answers of a faulty worker: the site's doses of garble go to 0.05.
 SLOTS = 12
-CLIENTS = 40
-TAINTED = "5c1e07a2"
-TAINTED_EVERY_S = 0.01
-FREEZE_AFTER_S = 0.04  # After the first request with the part.
-FREEZE_S = 1.0  # The site's doses of node_freeze go to 4 s.
-BACK_AFTER_S = 2
+PER_S = 75  # The site's streams in a second, over all machines.
+RUN_S = 95
+FRONTS = 2  # The site has four; the loss of any number of them is to be borne.
+RESTART_AFTER_S = 0.5
+LINK_BYTES_PER_S = 1500e6 / 8  # The link of the front machine.
+MEMORY_MIB = 390  # memory_mb of the smallest front machine of the site.
 BUDGET_MS = 8000
+EVENTS = 10
+GAP_S = 0.03
 
 
-class Engine:
-    """Keeps the process of a worker: a crashed one is back after some seconds, as a new incarnation."""
+class Link:
+    """Shares the bytes that the machine's link carries in a second."""
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._free_at = time.monotonic()
+
+    def pass_bytes(self, count):
+        with self._lock:
+            self._free_at = max(self._free_at, time.monotonic()) + count / LINK_BYTES_PER_S
+            delay = self._free_at - time.monotonic()
+        if delay > 0:
+            time.sleep(delay)
+
 
-    def __init__(self, store, record, identity):
-        self._store, self._record, self._identity = store, record, identity
-        self.crashes = 0
-        self._ended = False
-        self._port = free_port()
+class Engine:
+    def __init__(self, store, record, identity, faulty, link, answered):
+        self._record, self._identity, self._faulty, self._link = record, identity, faulty, link
+        self._random = random.Random(identity)
+        self.taken = answered
+        self.spoiled = 0
+        server = listen()
+        serve(server, self._session)
+        register(store, identity, "huvo11a", "127.0.0.1:%d" % server.getsockname()[1], SLOTS, int(time.time() * 1000))
+
+    def _session(self, connection):
+        stream = Stream(connection)
+        try:
+            while True:
+                request = stream.message()
+                if request.headers.get("x-target-instance", self._identity) != self._identity:
+                    connection.sendall(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
+                    continue
+                attempt = request.headers["x-attempt-id"]
+                self.taken.setdefault(attempt, []).append((self._identity, self._faulty))
+                self._record(f"worker {self._identity} runs {attempt}")
+                time.sleep(0.08)
+                connection.sendall(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt.encode()
+                                   + b"\r\nX-Server-Signature: 3e1b.07\r\nContent-Type: text/event-stream\r\n"
+                                   b"Transfer-Encoding: chunked\r\n\r\n")
+                if self._faulty and self._random.random() < SPOILED:
+                    self._spoil(connection, attempt)
+                for number in range(1, EVENTS + 1):
+                    event = b"id: %d\ndata: %s-%d\n\n" % (number, attempt.encode(), number)
+                    connection.sendall(b"%x\r\n" % len(event) + event + b"\r\n")
+                    time.sleep(GAP_S)
+                connection.sendall(b"0\r\n\r\n")
+        except OSError:
+            connection.close()
+
+    def _spoil(self, connection, attempt):
+        """Sends bytes where the size of a chunk and its line end are due, until the caller closes."""
+        self.spoiled += 1
+        self._record(f"worker {self._identity} spoils the answer to {attempt}")
+        connection.sendall(b"40;")
+        noise = b"x" * 262144
+        while True:
+            self._link.pass_bytes(len(noise))
+            connection.sendall(noise)
+
+
+class Front:
+    """A front machine: the platform kills its process when that holds more than memory_mb, and starts it again."""
+
+    def __init__(self, store, record, scratch, gateways, number):
+        self._store, self._record, self._scratch, self._gateways = store, record, scratch, gateways
+        self._host, self._node = f"127.0.0.{number + 1}", f"front-buda-{number + 1}"
+        self.peak = 0.0
+        self.ends = 0
+        self._back_at = 0.0
         self._start()
-        threading.Thread(target=self._watch, daemon=True).start()
+        self.gateway.wait_until_ready()
 
     def _start(self):
-        program = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins", "engine.py")
-        self.process = subprocess.Popen([sys.executable, program, str(self._port), self._identity, TAINTED],
-                                        stdout=subprocess.PIPE, stderr=subprocess.DEVNULL)
-        self.process.stdout.readline()
-        register(self._store, self._identity, "huvo11a", f"127.0.0.1:{self._port}", SLOTS, int(time.time() * 1000))
-
-    def _watch(self):
-        while not self._ended:
-            self.process.wait()
-            if self._ended:
-                return
-            self.crashes += 1
-            self._record(f"worker {self._identity} crashed")
-            time.sleep(BACK_AFTER_S)
-            if not self._ended:
-                self._start()
-                self._record(f"worker {self._identity} is back")
+        self.gateway = Gateway(self._store, self._scratch, host=self._host, node=self._node)
+        self._gateways.append(self.gateway)
 
-    def end(self):
-        self._ended = True
-        self.process.kill()
+    def check(self):
+        now = time.monotonic()
+        if self._back_at:
+            if now >= self._back_at:
+                self._start()
+                self._back_at = 0.0
+            return
+        memory = self.gateway.memory_mb()
+        self.peak = max(self.peak, memory)
+        if memory > MEMORY_MIB * 1.048576:
+            self._record(f"platform: {self._node} holds {memory:.0f} MB, over memory_mb ({MEMORY_MIB} MiB); it is killed")
+            self.gateway.process.kill()
+        if self.gateway.process.poll() is not None:
+            self._record(f"platform: the process of {self._node} has ended")
+            self.ends += 1
+            self._back_at = now + RESTART_AFTER_S
 
 
 class Client:
-    """Sends one request after the other on a channel that it keeps, each when the answer to the last is complete."""
+    """One kept channel, with one request at a time."""
 
-    def __init__(self, gateway, record):
-        self._gateway, self._record = gateway, record
+    def __init__(self, front, record):
+        self._front, self._record = front, record
         self._connection = None
-        self._stream = None
-        self.foreign = []
+        self.busy = False
+        self.lost = []
         self.served = 0
+        self.kept = False  # Whether the channel has carried an earlier request.
 
-    def send(self, part):
+    def front(self):
+        return self._front
+
+    def send(self):
         attempt = uuid.uuid4().hex[:16]
+        begun = False
         try:
             if self._connection is None:
-                self._connection = self._gateway.connect()
-                self._stream = Stream(self._connection)
-            self._record(f"client {attempt} sends, first part {part}")
+                self.kept = False
+                self._connection = self._front.gateway.connect(BUDGET_MS / 1000)
             self._connection.sendall(
                 (f"POST /lohu930/2f HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {BUDGET_MS}\r\n"
-                 f"X-Model: m\r\nX-Token-Count: 400,20\r\nX-Prompt-Prefix: {part}:40,{attempt[:8]}:360\r\n"
+                 f"X-Model: m\r\nX-Token-Count: 400,50\r\nX-Prompt-Prefix: 91bd:40,{attempt[:8]}:360\r\n"
                  f"Authorization: Bearer {API_KEY}\r\nContent-Length: 2\r\n\r\nhi").encode())
-            answer = self._stream.message()
+            stream = Stream(self._connection)
+            stream._more()
+            begun = True
+            answer = stream.message()
+            self.served += answer.status == 200
+            self._record(f"client {attempt} answered {answer.status}")
+            self.kept = True
+            if answer.headers.get("connection", "").lower() == "close":
+                self.close()
         except (OSError, ValueError) as problem:
-            self._record(f"client {attempt} channel closed ({problem})")
-            self._close()
-            return
-        own = answer.headers.get("x-attempt-id", attempt)
-        self._record(f"client {attempt} answered {answer.status}, X-Attempt-Id {own}")
-        if own != attempt:
-            self.foreign.append((attempt, own, answer.status))
-            self._close()
-            return
-        self.served += answer.status == 200
-        if answer.headers.get("connection", "").lower() == "close":
-            self._close()
+            self._record(f"client {attempt} channel closed {'within' if begun else 'without'} an answer ({problem})")
+            if not begun and self.kept:
+                self.lost.append(attempt)
+            self.close()
+        self.busy = False
 
-    def _close(self):
+    def close(self):
         if self._connection is not None:
             self._connection.close()
         self._connection = None
 
 
+def send_one(front, clients, record):
+    client = next((client for client in clients if not client.busy and client.front() is front), None)
+    if client is None:
+        client = Client(front, record)
+        clients.append(client)
+    client.busy = True
+    threading.Thread(target=client.send, daemon=True).start()
+
+
 def case(record, folder, gateways):
     store = Store()
     route = {"name": "r-greetings", "hostname": HOST, "prefix": "/lohu930/", "route_type": "streaming",
              "timeout_ms": BUDGET_MS, "target_latency_ms": 400, "priority": 1, "service": "huvo11a", "max_attempts": 2,
              "sticky": True, "resumable": True, "target_gap_ms": 120}
     store.put("op/config", configuration([route], [{"name": "huvo11a", "max_connections": 408}]))
-    engines = []
-    try:
-        engines += [Engine(store, record, f"i-{index}") for index in range(ENGINES)]
-        gateway = Gateway(store, folder)
-        gateways.append(gateway)
-        gateway.wait_until_ready()
-        return play(record, engines, gateway)
-    finally:
-        for engine in engines:
-            engine.end()
-
-
-def play(record, engines, gateway):
-    clients = [Client(gateway, record) for _ in range(CLIENTS)]
-    go = threading.Barrier(CLIENTS + 1)
-
-    def work(index):
-        client = clients[index]
-        for _ in range(4):  # Sound requests first, for over two seconds.
-            client.send(f"91bd{index % 5:04x}")
-            time.sleep(0.7)
-        go.wait()
-        time.sleep(TAINTED_EVERY_S * index)
-        client.send(TAINTED if trouble() else "91bd0001")
-        for number in range(6):
-            time.sleep(0.4)
-            client.send(f"91bd{number:04x}")
-
-    threads = [threading.Thread(target=work, args=(index,), daemon=True) for index in range(CLIENTS)]
-    for thread in threads:
-        thread.start()
-    go.wait()
-    if trouble():
-        time.sleep(FREEZE_AFTER_S)
-        record("gateway freezes")
-        gateway.freeze()
-        time.sleep(FREEZE_S)
-        gateway.wake()
-        record("gateway wakes")
-    for thread in threads:
-        thread.join(60)
-    foreign = [entry for client in clients for entry in client.foreign]
-    for attempt, other, status in foreign:
-        record(f"MIXED: request {attempt} got the answer {status} of request {other}")
+    link, taken = Link(), {}
+    engines = [Engine(store, record, f"i-{index}", trouble() and index < FAULTY, link, taken)
+               for index in range(WORKERS)]
+    fronts = [Front(store, record, folder, gateways, number) for number in range(FRONTS)]
+    clients = []
+    begin = time.monotonic()
+    sent = 0
+    while time.monotonic() - begin < RUN_S:
+        for front in fronts:
+            front.check()
+        if sent < (time.monotonic() - begin) * PER_S:
+            send_one(fronts[sent % FRONTS], clients, record)
+            sent += 1
+        else:
+            time.sleep(0.003)
+    end = time.monotonic() + BUDGET_MS / 1000 + 2
+    while any(client.busy for client in clients) and time.monotonic() < end:
+        time.sleep(0.05)
+    lost = [attempt for client in clients for attempt in client.lost
+            if attempt in taken and not any(faulty for _, faulty in taken[attempt])]
+    for attempt in lost:
+        record(f"LOST: {attempt} had been passed on to a sound worker, and its kept channel ended without an answer")
     served = sum(client.served for client in clients)
-    record(f"served {served}, crashes {sum(engine.crashes for engine in engines)}, foreign answers {len(foreign)}")
-    if served < CLIENTS:
+    ends = [front.ends for front in fronts]
+    record(f"sent {sent}, served {served}, spoiled {sum(engine.spoiled for engine in engines)}, "
+           f"peaks {[round(front.peak) for front in fronts]} MB, ends of processes {ends}, "
+           f"lost at sound workers {len(lost)}")
+    if sum(ends) == 0 and served < 0.5 * sent:
         raise RuntimeError("too few requests were served")
-    return bool(foreign)
+    faults = sum(1 for count in ends if count >= 3) >= 2
+    return faults or (sum(ends) > 0 and len(lost) > 3)
 
 
 run_case(os.path.dirname(os.path.abspath(__file__)), case)
