review: add a case in which orders run after a 408

Cause: after a freeze, the expired timer for the head of a request answers 408 although the read of its body goes on, and the request is dispatched afterwards (caller_session). Change: review/1, a script that freezes the gateway for 4 s while orders are being received.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,114 +1,125 @@
-"""Orders of clients with slow links, while the gateway's machine freezes for four seconds."""
+"""Case 1: orders that a caller was told have not run (408) run all the same, after a freeze of the gateway."""
 
 import os
 import sys
 import threading
 import time
-import uuid
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "standins"))
 
-from harness import API_KEY, HOST, Gateway, Store, Stream, configuration, run_case, trouble
+import harness
 from workers import PlainWorker
 
-CLIENTS = 24
-RUN_S = 16
-FREEZE_AT_S = 4
-FREEZE_S = 4.0  # The site's largest dose of node_freeze.
-HEAD_S = 0.4  # Time that a client takes for its header; header_timeout_ms is 3,000.
+ROUTE = "/puxa403/"
 BUDGET_MS = 8000
-PROMISES = {408, 421, 429, 503}  # "has not run and never will run"
-
-
-class Client(threading.Thread):
-    """Books orders one after the other on a kept channel, and repeats one only after a promise."""
-
-    def __init__(self, gateway, record, name, end):
-        super().__init__(daemon=True)
-        self._gateway, self._record, self._name, self._end = gateway, record, name, end
-        self.answers = {}  # By attempt.
-        self.orders = {}  # Attempt to order.
-
-    def run(self):
-        connection = None
-        for number in range(10000):
-            order = f"order {self._name}-{number}"
-            for _ in range(2):  # The first attempt and one retry.
-                if time.monotonic() > self._end:
-                    return
-                attempt = uuid.uuid4().hex[:16]
-                self.orders[attempt] = order
-                try:
-                    connection = connection or self._gateway.connect()
-                    status = self._send(connection, attempt, order)
-                except OSError as problem:
-                    self._record(f"client {attempt} channel closed ({problem})")
-                    status = 0
-                self.answers[attempt] = status
-                if status != 200 and connection is not None:
-                    connection.close()
-                    connection = None
-                if status not in PROMISES:
-                    break
-
-    def _send(self, connection, attempt, order):
-        connection.settimeout(BUDGET_MS / 1000)
-        head = (f"POST /puxa403/2f HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {BUDGET_MS}\r\n"
-                f"Authorization: Bearer {API_KEY}\r\nContent-Length: {len(order)}\r\n\r\n").encode()
-        self._record(f"client {attempt} begins ({order})")
-        connection.sendall(head[:40])
-        time.sleep(HEAD_S)
-        connection.sendall(head[40:] + order.encode())
-        self._record(f"client {attempt} sent in full")
-        answer = Stream(connection).message()
-        self._record(f"client {attempt} answered {answer.status}")
-        return answer.status
-
-
-def case(record, folder, gateways):
-    store = Store()
-    route = {"name": "r-orders", "hostname": HOST, "prefix": "/puxa403/", "route_type": "non_idempotent",
-             "timeout_ms": BUDGET_MS, "target_latency_ms": 100, "priority": 2, "service": "wuno96b", "max_attempts": 1}
-    store.put("op/config", configuration([route], [{"name": "wuno96b", "max_connections": 100}]))
-    workers = [PlainWorker(store, record, f"i-{name}", "wuno96b") for name in ("a", "b", "c")]
-    gateway = Gateway(store, folder)
-    gateways.append(gateway)
-    gateway.wait_until_ready()
-    time.sleep(0.5)
-    end = time.monotonic() + RUN_S
-    clients = [Client(gateway, record, f"c{index}", end) for index in range(CLIENTS)]
+FREEZE_S = 4.0  # Largest dose of node_freeze in sites/diszbor.toml.
+SENDING_S = 0.3  # Time that a client takes for the head of its request; the limit, header_timeout_ms, is 3 s.
+ORDERS = 8  # In each round.
+ROUNDS = 3
+PROMISES = (408, 421, 429, 503)  # "Not run, and never will be".
+
+
+def order(attempt, text):
+    body = text.encode()
+    head = (f"POST {ROUTE}2f HTTP/1.1\r\nHost: {harness.HOST}\r\nX-Attempt-Id: {attempt}\r\n"
+            f"X-Deadline-Ms: {BUDGET_MS}\r\nAuthorization: Bearer {harness.API_KEY}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n").encode()
+    return head + body
+
+
+class Client:
+    """Books one order, slowly the first time; books it again, on a new channel, after the promise that it has not run."""
+
+    def __init__(self, gateway, record, number):
+        self.gateway, self.record, self.number = gateway, record, number
+        self.answers = {}  # Statuses by attempt, in order.
+        self.answered = threading.Event()
+
+    def begin(self):
+        """Sends the first part of the head."""
+        data = order(f"o{self.number}-1", f"{20 + self.number} envelopes")
+        self.connection = self.gateway.connect(15)
+        self.connection.sendall(data[:60])
+        self.rest = data[60:]
+
+    def finish(self):
+        """Sends the rest of the request and waits for its answer in a thread of its own."""
+        self.connection.sendall(self.rest)
+        threading.Thread(target=self._await, daemon=True).start()
+
+    def _await(self):
+        first = self._read(self.connection, f"o{self.number}-1", 1)
+        if first and first[0] in PROMISES:
+            time.sleep(0.2)
+            with self.gateway.connect(5) as again:
+                again.sendall(order(f"o{self.number}-2", f"{20 + self.number} envelopes"))
+                self._read(again, f"o{self.number}-2", 1)
+        self._read(self.connection, f"o{self.number}-1", 2)  # What else comes on the first channel.
+        self.answered.set()
+
+    def _read(self, connection, attempt, count):
+        statuses = self.answers.setdefault(attempt, [])
+        stream = harness.Stream(connection)
+        connection.settimeout(10 if not statuses else 1.5)
+        try:
+            while len(statuses) < count:
+                message = stream.message()
+                statuses.append(message.status)
+                self.record(f"the client of {attempt} gets {message.first}, X-Attempt-Id "
+                            f"{message.headers.get('x-attempt-id')}")
+        except (OSError, ValueError):
+            pass
+        return statuses
+
+
+def freeze_while_orders_arrive(gateway, record, first):
+    """One round: orders whose request is under way when the gateway is frozen. Returns their clients."""
+    clients = [Client(gateway, record, first + number) for number in range(ORDERS)]
     for client in clients:
-        time.sleep(0.02)
-        client.start()
-    time.sleep(FREEZE_AT_S)
-    if trouble():
-        record("gateway freezes")
+        client.begin()
+    record(f"{ORDERS} clients have sent the first part of their request")
+    time.sleep(SENDING_S / 2)
+    if harness.trouble():
         gateway.freeze()
-        time.sleep(FREEZE_S)
+        record("the gateway is frozen (SIGSTOP)")
+    time.sleep(SENDING_S / 2)
+    for client in clients:
+        client.finish()
+    record(f"the clients have sent the rest, {SENDING_S} s after the first part")
+    if harness.trouble():
+        time.sleep(FREEZE_S - SENDING_S / 2)
         gateway.wake()
-        record("gateway wakes")
+        record("the gateway goes on (SIGCONT)")
     for client in clients:
-        client.join(RUN_S + 10)
+        client.answered.wait(20)
+    return clients
+
+
+def case(record, scratch, gateways):
+    store = harness.Store()
+    workers = [PlainWorker(store, record, f"i-{number}", "iroda-app", work_s=0.015) for number in range(3)]
+    store.put("op/config", harness.configuration(
+        [{"name": "rendeles", "hostname": harness.HOST, "prefix": ROUTE, "route_type": "non_idempotent",
+          "service": "iroda-app", "timeout_ms": BUDGET_MS, "target_latency_ms": 400, "max_attempts": 1, "priority": 2}],
+        [{"name": "iroda-app", "max_connections": 100, "health_check_path": "/healthz"}]))
+    gateway = harness.Gateway(store, scratch)
+    gateways.append(gateway)
+    gateway.wait_until_ready()
+    clients = []
+    for number in range(ROUNDS):
+        clients += freeze_while_orders_arrive(gateway, record, number * ORDERS)
     time.sleep(1)
-    ran = {}
-    for worker in workers:
-        ran.update(worker.ran)
-    answers = {attempt: status for client in clients for attempt, status in client.answers.items()}
-    orders = {attempt: order for client in clients for attempt, order in client.orders.items()}
-    refused = sorted(attempt for attempt, status in answers.items() if status in PROMISES)
+    ran = {attempt for worker in workers for attempt in worker.ran}
+    refused = [attempt for client in clients for attempt, statuses in client.answers.items()
+               if statuses and statuses[0] in PROMISES]
     broken = [attempt for attempt in refused if attempt in ran]
-    booked = {}
-    for attempt in ran:
-        booked.setdefault(orders.get(attempt, "?"), []).append(attempt)
-    for attempt in broken:
-        record(f"BROKEN: {attempt} was answered {answers[attempt]} and has run; {orders[attempt]} was run "
-               f"{len(booked[orders[attempt]])} time(s) in all")
-    record(f"requests {len(answers)}, answered 200 {list(answers.values()).count(200)}, refused {len(refused)}, "
-           f"refused and run {len(broken)}, orders run more than once "
-           f"{sum(1 for attempts in booked.values() if len(attempts) > 1)}")
-    if list(answers.values()).count(200) < CLIENTS:
-        raise RuntimeError("too few orders were served")
-    return bool(broken)
-
-
-run_case(os.path.dirname(os.path.abspath(__file__)), case)
+    twice = [client.number for client in clients
+             if f"o{client.number}-1" in ran and f"o{client.number}-2" in ran]
+    record(f"REFUSED: of {len(refused)} orders that were answered with a promise, {len(broken)} have run: {broken}; "
+           f"orders booked twice, as their client came back after the promise: {twice}")
+    return len(broken) > 0
+
+
+if __name__ == "__main__":
+    harness.run_case(HERE, case)
