--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -318,11 +318,16 @@
         command = role["run"].split(" ")
         if not os.path.exists(os.path.join(REPOSITORY, command[0])):
             raise FileNotFoundError(command[0] + " is not built; run the build of the deploy file")
-        command = [settings if word == "/etc/bronzechute/boot.toml" else word for word in command]
+        self._command = [settings if word == "/etc/bronzechute/boot.toml" else word for word in command]
+        self._environment = dict(os.environ, BRONZECHUTE_CONFIG=settings)
         self.log_path = os.path.join(folder, f"log-{node}.txt")
-        with open(self.log_path, "wb") as log:
-            self.process = subprocess.Popen(command, cwd=REPOSITORY, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                                            env=dict(os.environ, BRONZECHUTE_CONFIG=settings))
+        self.start()
+
+    def start(self):
+        """Starts the process, also once more after it has ended, as the platform does (DEPLOY.md, "Ends")."""
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(self._command, cwd=REPOSITORY, stdin=subprocess.DEVNULL, stdout=log,
+                                            stderr=log, env=self._environment)
 
     @staticmethod
     def _fill(values, match):
