review: add a case in which a planned stop cuts streams

Cause: a stopping gateway accepts a stream if its answer fits the route's targets; the time in the queue and the pace of busy workers are left out (gateway_role::canFinishBeforeShutdown()). Change: review/5, a script that stops one of two gateways under load, four times.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,219 +1,185 @@
-"""Workers that spoil a few answers with bytes without end, where a chunked body is due, until the caller closes."""
+"""Case 5: a gateway that is stopped as planned cuts streams that it accepted more than three seconds after the SIGTERM."""
 
 import os
 import random
+import signal
+import socket
 import sys
 import threading
 import time
-import uuid
-
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
-
-from harness import API_KEY, HOST, Gateway, Store, Stream, configuration, listen, register, run_case, serve, trouble
-
-WORKERS = 16
-FAULTY = 9  # The site's doses of garble go to a share of 0.6.
-SPOILED = 0.05  # Of the answers of a faulty worker: the site's doses of garble go to 0.05.
-SLOTS = 12
-PER_S = 75  # The site's streams in a second, over all machines.
-RUN_S = 95
-FRONTS = 2  # The site has four; the loss of any number of them is to be borne.
-RESTART_AFTER_S = 0.5
-LINK_BYTES_PER_S = 1500e6 / 8  # The link of the front machine.
-MEMORY_MIB = 390  # memory_mb of the smallest front machine of the site.
-BUDGET_MS = 8000
-EVENTS = 10
-GAP_S = 0.03
-
-
-class Link:
-    """Shares the bytes that the machine's link carries in a second."""
-
-    def __init__(self):
-        self._lock = threading.Lock()
-        self._free_at = time.monotonic()
-
-    def pass_bytes(self, count):
-        with self._lock:
-            self._free_at = max(self._free_at, time.monotonic()) + count / LINK_BYTES_PER_S
-            delay = self._free_at - time.monotonic()
-        if delay > 0:
-            time.sleep(delay)
-
-
-class Engine:
-    def __init__(self, store, record, identity, faulty, link, answered):
-        self._record, self._identity, self._faulty, self._link = record, identity, faulty, link
-        self._random = random.Random(identity)
-        self.taken = answered
-        self.spoiled = 0
-        server = listen()
-        serve(server, self._session)
-        register(store, identity, "huvo11a", "127.0.0.1:%d" % server.getsockname()[1], SLOTS, int(time.time() * 1000))
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "standins"))
+
+import harness
+
+ROUTE = "/lohu930/"
+GRACE_S = 8.0
+ROUNDS = 4
+WORKERS, SLOTS = 6, 12
+TOKENS_PER_EVENT = 5  # The engine's "stride".
+EVENTS = range(8, 21)  # Up to 100 output tokens.
+CHANNELS = 260  # Opened before the SIGTERM, as the platform forwards no new ones to a node that is not ready.
+LOAD = 1.25  # Of what the workers can do; half of it at each gateway.
+EXCUSED_SENT_S = 3.0  # A stream that was sent later than this after the SIGTERM has no excuse.
+
+
+class StreamWorker:
+    """A sound model worker: the more requests run, the more slowly each event is made (PROTOCOL.md)."""
+
+    def __init__(self, store, record, identity):
+        self._record, self._slots, self._running = record, threading.Semaphore(SLOTS), 0
+        self.events = {}  # Events sent, by attempt.
+        server = harness.listen()
+        harness.serve(server, self._session)
+        harness.register(store, identity, "iroda-nyelv", "127.0.0.1:%d" % server.getsockname()[1], SLOTS,
+                         int(time.time() * 1000))
 
     def _session(self, connection):
-        stream = Stream(connection)
+        stream = harness.Stream(connection)
         try:
             while True:
                 request = stream.message()
-                if request.headers.get("x-target-instance", self._identity) != self._identity:
-                    connection.sendall(b"HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n")
-                    continue
-                attempt = request.headers["x-attempt-id"]
-                self.taken.setdefault(attempt, []).append((self._identity, self._faulty))
-                self._record(f"worker {self._identity} runs {attempt}")
-                time.sleep(0.08)
-                connection.sendall(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt.encode()
-                                   + b"\r\nX-Server-Signature: 3e1b.07\r\nContent-Type: text/event-stream\r\n"
-                                   b"Transfer-Encoding: chunked\r\n\r\n")
-                if self._faulty and self._random.random() < SPOILED:
-                    self._spoil(connection, attempt)
-                for number in range(1, EVENTS + 1):
-                    event = b"id: %d\ndata: %s-%d\n\n" % (number, attempt.encode(), number)
-                    connection.sendall(b"%x\r\n" % len(event) + event + b"\r\n")
-                    time.sleep(GAP_S)
-                connection.sendall(b"0\r\n\r\n")
+                with self._slots:
+                    self._running += 1
+                    try:
+                        self._answer(connection, request)
+                    finally:
+                        self._running -= 1
         except OSError:
             connection.close()
 
-    def _spoil(self, connection, attempt):
-        """Sends bytes where the size of a chunk and its line end are due, until the caller closes."""
-        self.spoiled += 1
-        self._record(f"worker {self._identity} spoils the answer to {attempt}")
-        connection.sendall(b"40;")
-        noise = b"x" * 262144
-        while True:
-            self._link.pass_bytes(len(noise))
-            connection.sendall(noise)
-
-
-class Front:
-    """A front machine: the platform kills its process when that holds more than memory_mb, and starts it again."""
-
-    def __init__(self, store, record, scratch, gateways, number):
-        self._store, self._record, self._scratch, self._gateways = store, record, scratch, gateways
-        self._host, self._node = f"127.0.0.{number + 1}", f"front-buda-{number + 1}"
-        self.peak = 0.0
-        self.ends = 0
-        self._back_at = 0.0
-        self._start()
-        self.gateway.wait_until_ready()
-
-    def _start(self):
-        self.gateway = Gateway(self._store, self._scratch, host=self._host, node=self._node)
-        self._gateways.append(self.gateway)
-
-    def check(self):
-        now = time.monotonic()
-        if self._back_at:
-            if now >= self._back_at:
-                self._start()
-                self._back_at = 0.0
-            return
-        memory = self.gateway.memory_mb()
-        self.peak = max(self.peak, memory)
-        if memory > MEMORY_MIB * 1.048576:
-            self._record(f"platform: {self._node} holds {memory:.0f} MB, over memory_mb ({MEMORY_MIB} MiB); it is killed")
-            self.gateway.process.kill()
-        if self.gateway.process.poll() is not None:
-            self._record(f"platform: the process of {self._node} has ended")
-            self.ends += 1
-            self._back_at = now + RESTART_AFTER_S
-
-
-class Client:
-    """One kept channel, with one request at a time."""
-
-    def __init__(self, front, record):
-        self._front, self._record = front, record
-        self._connection = None
-        self.busy = False
-        self.lost = []
-        self.served = 0
-        self.kept = False  # Whether the channel has carried an earlier request.
-
-    def front(self):
-        return self._front
-
-    def send(self):
-        attempt = uuid.uuid4().hex[:16]
-        begun = False
+    def _answer(self, connection, request):
+        attempt = request.headers["x-attempt-id"]
+        after = int(request.headers.get("last-event-id", 0))
+        events = int(request.headers["x-token-count"].split(",")[1]) // TOKENS_PER_EVENT
+        self.events.setdefault(attempt, 0)
+        connection.sendall(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt.encode()
+                           + b"\r\nX-Server-Signature: 3e1b.07.5a2\r\nContent-Type: text/event-stream\r\n"
+                             b"Transfer-Encoding: chunked\r\n\r\n")
+        for number in range(after + 1, events + 1):
+            load = self._running / SLOTS
+            time.sleep(0.25 + 0.1 * load if number == after + 1 else 0.09 + 0.04 * load)
+            event = b"id: %d\ndata: %s\n\n" % (number, attempt.encode())
+            connection.sendall(b"%x\r\n" % len(event) + event + b"\r\n")
+            self.events[attempt] = number
+        connection.sendall(b"0\r\n\r\n")
+
+
+class Draft:
+    """One streamed request of a client, on a channel of its own."""
+
+    def __init__(self, attempt, events, record):
+        self.attempt, self._events, self._record = attempt, events, record
+        self.sent_at = self.ended_at = None
+        self.outcome = "not sent"
+
+    def send(self, connection):
+        self.sent_at = time.monotonic()
         try:
-            if self._connection is None:
-                self.kept = False
-                self._connection = self._front.gateway.connect(BUDGET_MS / 1000)
-            self._connection.sendall(
-                (f"POST /lohu930/2f HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {BUDGET_MS}\r\n"
-                 f"X-Model: m\r\nX-Token-Count: 400,50\r\nX-Prompt-Prefix: 91bd:40,{attempt[:8]}:360\r\n"
-                 f"Authorization: Bearer {API_KEY}\r\nContent-Length: 2\r\n\r\nhi").encode())
-            stream = Stream(self._connection)
-            stream._more()
-            begun = True
-            answer = stream.message()
-            self.served += answer.status == 200
-            self._record(f"client {attempt} answered {answer.status}")
-            self.kept = True
-            if answer.headers.get("connection", "").lower() == "close":
-                self.close()
+            with connection:
+                connection.settimeout(9)
+                connection.sendall(
+                    (f"POST {ROUTE}2f HTTP/1.1\r\nHost: {harness.HOST}\r\nX-Attempt-Id: {self.attempt}\r\n"
+                     f"X-Model: m\r\nX-Token-Count: 700,{self._events * TOKENS_PER_EVENT}\r\nX-Deadline-Ms: 8000\r\n"
+                     f"Authorization: Bearer {harness.API_KEY}\r\nContent-Length: 5\r\n\r\ndraft").encode())
+                message = harness.Stream(connection).message()
+                self.outcome = str(message.status)
         except (OSError, ValueError) as problem:
-            self._record(f"client {attempt} channel closed {'within' if begun else 'without'} an answer ({problem})")
-            if not begun and self.kept:
-                self.lost.append(attempt)
-            self.close()
-        self.busy = False
-
-    def close(self):
-        if self._connection is not None:
-            self._connection.close()
-        self._connection = None
-
-
-def send_one(front, clients, record):
-    client = next((client for client in clients if not client.busy and client.front() is front), None)
-    if client is None:
-        client = Client(front, record)
-        clients.append(client)
-    client.busy = True
-    threading.Thread(target=client.send, daemon=True).start()
-
-
-def case(record, folder, gateways):
-    store = Store()
-    route = {"name": "r-greetings", "hostname": HOST, "prefix": "/lohu930/", "route_type": "streaming",
-             "timeout_ms": BUDGET_MS, "target_latency_ms": 400, "priority": 1, "service": "huvo11a", "max_attempts": 2,
-             "sticky": True, "resumable": True, "target_gap_ms": 120}
-    store.put("op/config", configuration([route], [{"name": "huvo11a", "max_connections": 408}]))
-    link, taken = Link(), {}
-    engines = [Engine(store, record, f"i-{index}", trouble() and index < FAULTY, link, taken)
-               for index in range(WORKERS)]
-    fronts = [Front(store, record, folder, gateways, number) for number in range(FRONTS)]
-    clients = []
-    begin = time.monotonic()
-    sent = 0
-    while time.monotonic() - begin < RUN_S:
-        for front in fronts:
-            front.check()
-        if sent < (time.monotonic() - begin) * PER_S:
-            send_one(fronts[sent % FRONTS], clients, record)
-            sent += 1
-        else:
-            time.sleep(0.003)
-    end = time.monotonic() + BUDGET_MS / 1000 + 2
-    while any(client.busy for client in clients) and time.monotonic() < end:
-        time.sleep(0.05)
-    lost = [attempt for client in clients for attempt in client.lost
-            if attempt in taken and not any(faulty for _, faulty in taken[attempt])]
-    for attempt in lost:
-        record(f"LOST: {attempt} had been passed on to a sound worker, and its kept channel ended without an answer")
-    served = sum(client.served for client in clients)
-    ends = [front.ends for front in fronts]
-    record(f"sent {sent}, served {served}, spoiled {sum(engine.spoiled for engine in engines)}, "
-           f"peaks {[round(front.peak) for front in fronts]} MB, ends of processes {ends}, "
-           f"lost at sound workers {len(lost)}")
-    if sum(ends) == 0 and served < 0.5 * sent:
-        raise RuntimeError("too few requests were served")
-    faults = sum(1 for count in ends if count >= 3) >= 2
-    return faults or (sum(ends) > 0 and len(lost) > 3)
-
-
-run_case(os.path.dirname(os.path.abspath(__file__)), case)
+            self.outcome = f"cut ({problem})"
+        self.ended_at = time.monotonic()
+        self._record(f"{self.attempt} ({self._events} events) ends: {self.outcome}, "
+                     f"{self.ended_at - self.sent_at:.2f} s after it was sent")
+
+
+class Load:
+    """Clients that keep the workers busy: each arrival is a draft at one of the two gateways."""
+
+    def __init__(self, record, stopping, other, rate, name):
+        self._record, self._stopping, self._other, self._rate, self._name = record, stopping, other, rate, name
+        self._random = random.Random(name)
+        self.drafts = []  # Those at the gateway that is to be stopped.
+        self._opened = []  # Channels on which no request has been sent yet.
+
+    def open_channels(self):
+        """Clients open channels before the stop, and send their first request later."""
+        self._opened = [self._stopping.connect(15) for _ in range(CHANNELS)]
+
+    def run(self, seconds):
+        end, number = time.monotonic() + seconds, 0
+        while time.monotonic() < end:
+            number += 1
+            draft = Draft(f"{self._name}-{number}", self._random.choice(EVENTS), self._record)
+            try:
+                if number % 2:
+                    connection = self._other.connect(15)
+                else:
+                    connection = self._opened.pop(0) if self._opened else self._stopping.connect(15)
+                    self.drafts.append(draft)
+            except OSError:
+                self._record(f"{draft.attempt}: no channel")
+                continue
+            threading.Thread(target=draft.send, args=(connection,), daemon=True).start()
+            time.sleep(self._random.expovariate(self._rate))
+
+
+def stop_under_load(record, stopping, other, workers, name):
+    """Stops a gateway under load. Returns the attempts that it cut without an excuse."""
+    full_stream_s = 0.35 + 0.13 * (sum(EVENTS) / len(EVENTS) - 1)
+    load = Load(record, stopping, other, LOAD * WORKERS * SLOTS / full_stream_s, name)
+    running = threading.Thread(target=load.run, args=(3.0 + GRACE_S,), daemon=True)
+    running.start()
+    time.sleep(3.0)
+    load.open_channels()
+    terminated = time.monotonic()
+    if harness.trouble():
+        stopping.process.send_signal(signal.SIGTERM)
+        record(f"{name}: SIGTERM")
+    running.join()
+    time.sleep(4.0)
+    cut = []
+    for draft in load.drafts:
+        run = any(draft.attempt in worker.events for worker in workers)
+        if not run or not draft.outcome.startswith("cut"):
+            continue
+        late = draft.sent_at - terminated
+        excused = late <= EXCUSED_SENT_S and draft.ended_at - terminated >= GRACE_S * 5 / 6
+        record(f"{draft.attempt} was sent {late:.2f} s after the SIGTERM and its channel ended "
+               f"{draft.ended_at - terminated:.2f} s after it, without a complete answer"
+               + (": excused" if excused else ""))
+        if not excused:
+            cut.append(draft.attempt)
+    return cut
+
+
+def case(record, scratch, gateways):
+    store = harness.Store()
+    workers = [StreamWorker(store, record, f"i-{number}") for number in range(WORKERS)]
+    store.put("op/config", harness.configuration(
+        [{"name": "udvozlet", "hostname": harness.HOST, "prefix": ROUTE, "route_type": "streaming",
+          "service": "iroda-nyelv", "timeout_ms": 8000, "target_latency_ms": 400, "target_gap_ms": 120,
+          "max_attempts": 2, "priority": 1, "resumable": True, "sticky": True}],
+        [{"name": "iroda-nyelv", "max_connections": 408, "health_check_path": "/healthz",
+          "engine": {"slots": SLOTS, "stride": TOKENS_PER_EVENT, "step_ms": 5.85, "per_seq_ms": 0.355,
+                     "context_per_k": 0.036, "read_per_s": 61200.0, "usual": {"prompt": 835, "answer": 70}}}]))
+    hosts = ("127.0.0.1", "127.0.0.2")
+    port = harness.free_port(hosts[0], socket.SOCK_DGRAM)
+    stopping, other = (harness.Gateway(store, scratch, host=host, node=f"front-buda-{number}", seeds=hosts,
+                                       peers_port=port) for number, host in enumerate(hosts, 1))
+    gateways += [stopping, other]
+    cut = []
+    for round_number in range(ROUNDS):
+        if stopping.process.poll() is not None:
+            stopping.start()
+        stopping.wait_until_ready()
+        other.wait_until_ready()
+        time.sleep(1.0)
+        cut += stop_under_load(record, stopping, other, workers, f"r{round_number}")
+        if harness.trouble():
+            record(f"the gateway has exited with {stopping.process.wait(5)}")
+    record(f"LOST: {len(cut)} streams were cut by the planned stop of their gateway without an excuse: {cut}")
+    return len(cut) > 0
+
+
+if __name__ == "__main__":
+    harness.run_case(HERE, case)
