--- a/review/1/case.py
+++ b/review/1/case.py
@@ -29,7 +29,7 @@
 
 
 class Client:
-    """Books one order, slowly the first time; books it again, on a new channel, after the promise that it has not run."""
+    """Books one order; books it again, on a new channel, after the promise that it has not run."""
 
     def __init__(self, gateway, record, number):
         self.gateway, self.record, self.number = gateway, record, number
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Case 2: a caller gets the answer of another request, after a prompt crashed a worker while the gateway stood still."""
+"""Case 2: a caller gets the answer of another request, as a prompt crashed a worker while the gateway was frozen."""
 
 import os
 import socket
