--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,12 +15,12 @@
 
 GROUPS, RANKS, SLOTS = 2, 8, 12
 FRONTS = 1
-PER_S = 75
+PER_S = 100
 CALM_S = 12
 RUN_S = 104
-EXTRA_SHARE = 0.03  # Of the answers of 9 of the 16 workers: the site's dose of garble "extra late" is a share of 0.6.
+EXTRA_SHARE = 0.05  # Of the answers of 9 of the 16 workers: the doses of garble go to 0.6 of the workers and 0.05.
 LATE_SHARE = 0.5  # Of the orders: the dose of applied_late that `fleetbench kinds` names.
-SHIFT_S = 3
+SHIFT_S = 2
 BUDGET_S = 8
 GAP_S = 2  # Clients abandon a stream after a gap of two seconds.
 
