--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,138 +1,205 @@
-"""Workers send a second copy of some answers, and carry some orders out late; maps are switched meanwhile."""
+"""Case 2: a caller gets the answer of another request, after a prompt crashed a worker while the gateway stood still."""
 
 import os
+import socket
 import sys
 import threading
 import time
-import uuid
-
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
-
-from harness import API_KEY, HOST, Gateway, Store, Stream, configuration, free_port, run_case, trouble
-from ranks import COPY_S, EXPERTS, LAYERS, PLACES, SPARE, Group, RankWorker
-
-import socket
 
-GROUPS, RANKS, SLOTS = 2, 8, 12
-FRONTS = 1
-PER_S = 100
-CALM_S = 12
-RUN_S = 104
-EXTRA_SHARE = 0.05  # Of the answers of 9 of the 16 workers: the doses of garble go to 0.6 of the workers and 0.05.
-LATE_SHARE = 0.5  # Of the orders: the dose of applied_late that `fleetbench kinds` names.
-SHIFT_S = 2
-BUDGET_S = 8
-GAP_S = 2  # Clients abandon a stream after a gap of two seconds.
-
-
-class Front:
-    def __init__(self, store, folder, gateways, number, port):
-        self._start = lambda: Gateway(store, folder, host=f"127.0.0.{number + 1}", node=f"front-{number + 1}",
-                                      seeds=[f"127.0.0.{other + 1}" for other in range(FRONTS)], peers_port=port)
-        self._gateways = gateways
-        self.node = f"front-{number + 1}"
-        self.start()
-
-    def start(self):
-        self.gateway = self._start()
-        self._gateways.append(self.gateway)
-
-
-def stream(front, record, outcomes, sent_at):
-    """One client's request with one retry; notes whether it was served, by the time at which it was sent."""
-    end = time.monotonic() + BUDGET_S
-    served = False
-    for _ in range(2):
-        attempt = uuid.uuid4().hex[:16]
-        left = end - time.monotonic()
-        if left <= 0:
-            break
-        pause, connection = 0.0, None
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "standins"))
+
+import harness
+
+ROUTE = "/lohu930/"
+FREEZE_S = 2.0  # At most 4 s in sites/diszbor.toml.
+WORKERS, SLOTS = 3, 12
+BACK_S = 2.0  # A worker that has crashed is back after some seconds.
+FIRST_EVENT_S, EVENT_S, EVENTS = 0.08, 0.04, 5
+READING_S = 0.3  # For the long prompt that crashes the worker.
+WARM_UP_S = 3.0
+CLIENTS = 9
+FOLLOWING = 3  # Sound requests of each client after the one with the bad part.
+PAUSE_S = 0.6  # Between an answer and the next request of a client; longer than an answer takes.
+SHARED_PART, BAD_PART = "5c1e07a2", "bad0f00d"
+
+
+class ModelWorker:
+    """Answers with a stream. It crashes when it begins to write an answer on the bad part, and comes back later."""
+
+    def __init__(self, store, record, name, crashes):
+        self._store, self._record, self._name, self._crashes = store, record, name, crashes
+        self._runs = 0
+        self._start()
+
+    def _start(self):
+        self._runs += 1
+        self._identity, self._alive, self._connections = f"{self._name}-{self._runs}", True, set()
+        self._server = harness.listen()
+        harness.serve(self._server, self._session)
+        harness.register(self._store, self._identity, "iroda-nyelv", "127.0.0.1:%d" % self._server.getsockname()[1],
+                         SLOTS, int(time.time() * 1000))
+
+    def _crash(self):
+        """Ends like a process: nothing listens any more, and all connections are closed."""
+        self._record(f"worker {self._identity} crashes")
+        self._alive = False
         try:
-            connection = front.gateway.connect(1)
-            connection.settimeout(min(GAP_S, left))
-            connection.sendall(
-                (f"POST /lohu930/2f HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {attempt}\r\n"
-                 f"X-Deadline-Ms: {int(left * 1000)}\r\nX-Model: m\r\nX-Token-Count: 400,40\r\n"
-                 f"X-Prompt-Prefix: 91bd:40,{attempt[:8]}:360\r\nAuthorization: Bearer {API_KEY}\r\n"
-                 "Content-Length: 2\r\n\r\nhi").encode())
-            answer = Stream(connection).message()
-            served = answer.status == 200
-            pause = float(answer.headers.get("retry-after", 0))
-            record(f"client {attempt} at {front.node}: {answer.status}")
-        except (OSError, ValueError) as problem:
-            record(f"client {attempt} at {front.node}: {problem}")
+            self._server.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        self._server.close()
+        for connection in list(self._connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        identity = self._identity
+        threading.Timer(BACK_S, self._come_back, (identity,)).start()
+
+    def _come_back(self, identity):
+        self._store.remove("servers/" + identity)
+        self._start()
+
+    def _session(self, connection):
+        identity = self._identity
+        self._connections.add(connection)
+        stream = harness.Stream(connection)
+        try:
+            while True:
+                request = stream.message()
+                attempt = request.headers["x-attempt-id"]
+                self._record(f"worker {identity} runs {attempt}")
+                bad = BAD_PART in request.headers["x-prompt-prefix"]
+                time.sleep(READING_S if bad else FIRST_EVENT_S)
+                connection.sendall(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt.encode()
+                                   + b"\r\nX-Server-Signature: 3e1b.07.5a2\r\nContent-Type: text/event-stream\r\n"
+                                     b"Transfer-Encoding: chunked\r\n\r\n")
+                if bad and self._crashes and self._alive and identity == self._identity:
+                    self._crash()
+                    return
+                for number in range(1, EVENTS + 1):
+                    time.sleep(EVENT_S)
+                    event = b"id: %d\ndata: %s-%d\n\n" % (number, attempt.encode(), number)
+                    connection.sendall(b"%x\r\n" % len(event) + event + b"\r\n")
+                connection.sendall(b"0\r\n\r\n")
+        except (OSError, ValueError):
+            pass
         finally:
-            if connection is not None:
-                connection.close()
-        if served:
-            break
-        time.sleep(min(pause, max(0.0, (end - time.monotonic()) / 3)))
-    outcomes.append((sent_at, served))
-
-
-def share(outcomes, begin, end):
-    wanted = [served for sent_at, served in outcomes if begin <= sent_at < end]
-    return sum(wanted) / max(1, len(wanted))
-
-
-def case(record, folder, gateways):
-    store, board = Store(), {"late": 0.0}
-    route = {"name": "r-greetings", "hostname": HOST, "prefix": "/lohu930/", "route_type": "streaming",
-             "timeout_ms": 8000, "target_latency_ms": 400, "priority": 1, "service": "huvo11a", "max_attempts": 2,
-             "sticky": True, "resumable": True, "target_gap_ms": 120}
-    engine = {"slots": SLOTS, "kv_tokens": 372000, "link_mbps": 92000.0, "expert_mb": COPY_S * 92000 / 8, "stride": 5,
-              "step_ms": 5.85, "per_seq_ms": 0.355, "context_per_k": 0.036, "read_per_s": 61200.0, "chunk": 512,
-              "report_lag_ms": 200.0, "usual": {"prompt": 400, "answer": 40}, "sets": LAYERS, "experts": EXPERTS,
-              "places": PLACES, "spare": SPARE, "expert_share": 0.85, "form_ms": 600.0}
-    store.put("op/config", configuration([route], [{"name": "huvo11a", "max_connections": 408, "engine": engine}]))
-    groups = [Group(f"g{number}", RANKS, record) for number in range(GROUPS)]
-    for group in groups:
-        for number in range(RANKS):
-            RankWorker(store, record, group, number, "huvo11a", SLOTS, board)
-    port = free_port("127.0.0.1", socket.SOCK_DGRAM)
-    fronts = [Front(store, folder, gateways, number, port) for number in range(FRONTS)]
-    for front in fronts:
-        front.gateway.wait_until_ready()
-    outcomes, running = [], {"on": True}
-    begin = time.monotonic()
-
-    def traffic():
-        sent = 0
-        while running["on"]:
-            if sent < (time.monotonic() - begin) * PER_S:
-                threading.Thread(target=stream, daemon=True,
-                                 args=(fronts[sent % FRONTS], record, outcomes, time.monotonic())).start()
-                sent += 1
-            else:
-                time.sleep(0.004)
-
-    def shifts():
-        while running["on"]:
-            time.sleep(SHIFT_S)
-            for group in groups:
-                with group.changed:
-                    group.hot = (group.hot + 5) % EXPERTS
-            record("other experts are in demand")
-
-    threading.Thread(target=traffic, daemon=True).start()
-    threading.Thread(target=shifts, daemon=True).start()
-    time.sleep(CALM_S)
-    if trouble():
-        board["late"] = LATE_SHARE
-        board["extra"] = {worker: EXTRA_SHARE for worker in board["workers"][::2] + board["workers"][1:2]}
-        record("orders are carried out late; some answers come twice")
-    while time.monotonic() < begin + RUN_S and not any(group.mixed_passes for group in groups):
-        time.sleep(0.1)
-    board.update(late=0.0, extra={})
-    time.sleep(0.5)
-    running["on"] = False
-    mixed = sum(group.mixed_passes for group in groups)
-    record(f"served in the calm {share(outcomes, begin + 5, begin + CALM_S - 2):.2f}; passes "
-           f"{sum(group.step for group in groups)}, of them with two maps {mixed}")
-    if share(outcomes, begin + 5, begin + CALM_S - 2) < 0.8:
-        raise RuntimeError("the calm was not served")
-    return mixed > 0
-
-
-run_case(os.path.dirname(os.path.abspath(__file__)), case)
+            connection.close()
+
+
+def request(attempt, parts):
+    body = b"draft"
+    head = (f"POST {ROUTE}2f HTTP/1.1\r\nHost: {harness.HOST}\r\nX-Attempt-Id: {attempt}\r\nX-Model: m\r\n"
+            f"X-Token-Count: 700,25\r\nX-Prompt-Prefix: {parts}\r\nX-Deadline-Ms: 8000\r\n"
+            f"Authorization: Bearer {harness.API_KEY}\r\nContent-Length: {len(body)}\r\n\r\n")
+    return head.encode(), body
+
+
+class Client:
+    """Sends its requests one after the other on a kept channel; its answers have to be those of its requests."""
+
+    def __init__(self, gateway, record, name):
+        self._record, self._name = record, name
+        self._connection = gateway.connect(12)
+        self._stream = harness.Stream(self._connection)
+        self.foreign = []  # Answers that belong to another request than the one that waits for an answer.
+        self.answered = 0
+
+    def send(self, attempt, parts):
+        head, body = request(attempt, parts)
+        self._connection.sendall(head + body)
+
+    def begin(self, attempt, parts):
+        """Sends the head; the body follows with finish()."""
+        head, self._body = request(attempt, parts)
+        self._connection.sendall(head)
+
+    def finish(self):
+        self._connection.sendall(self._body)
+
+    def receive(self, attempt):
+        message = self._stream.message()
+        belongs = message.headers.get("x-attempt-id")
+        self.answered += 1
+        if belongs not in (attempt, None):
+            self.foreign.append((attempt, belongs, message.status))
+            self._record(f"the client of {attempt} gets {message.first} with X-Attempt-Id {belongs}")
+        return message
+
+    def warm_up(self, until):
+        number = 0
+        while time.monotonic() < until:
+            number += 1
+            attempt = f"{self._name}-w{number}"
+            self.send(attempt, f"{SHARED_PART}:40,{self._name}:400,{number:x}:200")
+            self.receive(attempt)
+
+    def follow(self, attempt):
+        """Receives the answer to the request with the bad part, then sends sound requests."""
+        try:
+            message = self.receive(attempt)
+            self._record(f"the client of {attempt} gets {message.first}")
+            for number in range(FOLLOWING):
+                time.sleep(PAUSE_S)
+                following = f"{self._name}-f{number}"
+                self.send(following, f"{SHARED_PART}:40,{self._name}:400,f{number:x}:200")
+                self.receive(following)
+        except (OSError, ValueError) as problem:
+            self._record(f"the channel of {self._name} ends: {problem}")
+
+
+def case(record, scratch, gateways):
+    store = harness.Store()
+    for number in range(WORKERS):
+        ModelWorker(store, record, f"i-{number}", harness.trouble())
+    store.put("op/config", harness.configuration(
+        [{"name": "gyaszlevel", "hostname": harness.HOST, "prefix": ROUTE, "route_type": "streaming",
+          "service": "iroda-nyelv", "timeout_ms": 8000, "target_latency_ms": 400, "target_gap_ms": 120,
+          "max_attempts": 2, "priority": 1, "resumable": True, "sticky": True}],
+        [{"name": "iroda-nyelv", "max_connections": 408, "health_check_path": "/healthz"}]))
+    gateway = harness.Gateway(store, scratch)
+    gateways.append(gateway)
+    gateway.wait_until_ready()
+    clients = [Client(gateway, record, f"c{number}") for number in range(CLIENTS)]
+    until = time.monotonic() + WARM_UP_S
+    warming = [threading.Thread(target=client.warm_up, args=(until,)) for client in clients]
+    for thread in warming:
+        thread.start()
+    for thread in warming:
+        thread.join()
+    first = [Client(gateway, record, f"y{number}") for number in range(1)]
+    for number, client in enumerate(first):
+        client.send(f"y{number}", f"{SHARED_PART}:40,{BAD_PART}:900,{number + 1:x}:100")
+    time.sleep(0.1)
+    for number, client in enumerate(clients):
+        client.begin(f"x{number}", f"{SHARED_PART}:40,{BAD_PART}:900,{number + 16:x}:100")
+    time.sleep(0.05)
+    if harness.trouble():
+        gateway.freeze()
+        record("the gateway is frozen (SIGSTOP)")
+    time.sleep(0.05)
+    for client in clients:
+        client.finish()
+    if harness.trouble():
+        time.sleep(FREEZE_S)
+        gateway.wake()
+        record("the gateway goes on (SIGCONT)")
+    following = [threading.Thread(target=client.follow, args=(f"x{number}",), daemon=True)
+                 for number, client in enumerate(clients)]
+    for thread in following:
+        thread.start()
+    for thread in following:
+        thread.join(20)
+    time.sleep(1)
+    ended = gateway.process.poll()
+    foreign = [each for client in clients for each in client.foreign]
+    record("the gateway " + ("still runs" if ended is None else f"has ended by itself with {ended}"))
+    record(f"MIXED: {len(foreign)} answers belong to another request than the one that waited (request, answer of, "
+           f"status): {foreign}")
+    return len(foreign) > 0
+
+
+if __name__ == "__main__":
+    harness.run_case(HERE, case)
