--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -152,11 +152,13 @@
     }
 }
 
-void endpoint_table::setPeersRunning(const std::map<std::string, int> &running)
+void endpoint_table::setPeerLoads(const std::map<std::string, endpoint_load> &loads)
 {
     for (const auto &[id, endpoint] : m_endpoints) {
-        const auto found = running.find(id);
-        endpoint->peersRunning = found == running.end() ? 0 : found->second;
+        const auto found = loads.find(id);
+        const endpoint_load load = found == loads.end() ? endpoint_load {} : found->second;
+        endpoint->peersRunning = load.requests;
+        endpoint->peersTokens = load.tokens;
     }
 }
 
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balance/endpoint_load.h"
 #include "balance/endpoint_view.h"
 #include "balance/pass_latency_model.h"
 #include "balance/stream_demand.h"
@@ -46,8 +47,8 @@
      */
     void applyRouting(const routing_table &table, int gateways);
 
-    /** Sets the requests of the other gateways in flight, by endpoint id. Missing endpoints have none. */
-    void setPeersRunning(const std::map<std::string, int> &running);
+    /** Sets the work of the other gateways in flight, by endpoint id. Missing endpoints have none. */
+    void setPeerLoads(const std::map<std::string, endpoint_load> &loads);
 
     /**
      * Applies group states from the coordinator. The endpoints of a closed group get no requests until it is reported
--- a/src/gateway/exchange_plan.h
+++ b/src/gateway/exchange_plan.h
@@ -4,6 +4,7 @@
 #include "routing/routing_table.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,6 +22,7 @@
     int priority = 0; ///< 0 is the highest.
     time_point callerDeadline {}; ///< When the caller stops waiting.
     time_point deadline {}; ///< callerDeadline or the route's timeout, whichever is earlier.
+    std::optional<int> promptTokens; ///< Declared by the caller.
     std::optional<int> maxAnswerTokens; ///< Upper bound declared by the caller.
     std::optional<int> answerTokensEstimate; ///< Estimate of the caller, which may be far off.
     std::vector<std::string> promptParts; ///< Ids of the prompt parts that other requests may share.
@@ -35,6 +37,13 @@
         }
         return std::min(*answerTokensEstimate, maxAnswerTokens.value_or(*answerTokensEstimate));
     }
+
+    /** @returns the tokens of the prompt and of the expected response; 0 if the caller declares none. */
+    std::int64_t tokens() const
+    {
+        const std::optional<int> answer = expectedAnswerTokens();
+        return std::int64_t {promptTokens.value_or(0)} + answer.value_or(maxAnswerTokens.value_or(0));
+    }
 };
 
 } // namespace bronzechute
--- a/src/gateway/gateway_endpoint.h
+++ b/src/gateway/gateway_endpoint.h
@@ -5,6 +5,7 @@
 #include "gateway/endpoint_group.h"
 #include "routing/endpoint_record.h"
 
+#include <cstdint>
 #include <memory>
 #include <vector>
 
@@ -20,6 +21,8 @@
     bool listed = true; ///< False once it was removed or replaced and must get no new requests.
     int ownRunning = 0; ///< Requests of this gateway in flight.
     int peersRunning = 0; ///< Requests of the other gateways in flight, as last reported.
+    std::int64_t ownTokens = 0; ///< Work of the requests of this gateway in flight, see placement_client::tokens().
+    std::int64_t peersTokens = 0; ///< Work of those of the other gateways, as last reported.
     int consecutiveFailures = 0; ///< Failed attempts since the last response.
     time_point suspectUntil {}; ///< Other endpoints are preferred until then.
     time_point avoidedUntil {}; ///< No requests until then, as the endpoint would slow its whole rank group down.
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -143,7 +143,7 @@
     const gateway_endpoint_ptr endpoint = std::move(m_endpoint);
     m_endpoint = nullptr;
     m_connection = nullptr;
-    m_context.dispatcher.release(endpoint);
+    m_context.dispatcher.release(endpoint, tokens());
 }
 
 void gateway_exchange::requestPlacementLater()
@@ -181,6 +181,11 @@
     return m_tried;
 }
 
+std::int64_t gateway_exchange::tokens() const
+{
+    return m_plan.tokens();
+}
+
 std::optional<stream_demand> gateway_exchange::demand() const
 {
     const routed_service *service = m_plan.table->findService(m_plan.service);
@@ -197,7 +202,7 @@
 {
     m_ticket.reset();
     if (refuseIfQuarantined()) {
-        m_context.dispatcher.release(endpoint);
+        m_context.dispatcher.release(endpoint, tokens());
         return;
     }
     m_context.guard.onSend(shared_from_this());
@@ -507,7 +512,7 @@
                  {"own_running", endpoint->ownRunning},
                  {"peers_running", endpoint->peersRunning}});
     }
-    m_context.dispatcher.release(endpoint);
+    m_context.dispatcher.release(endpoint, tokens());
 }
 
 void gateway_exchange::fail(int status, const std::string &outcome, std::chrono::milliseconds retryAfter,
--- a/src/gateway/gateway_exchange.h
+++ b/src/gateway/gateway_exchange.h
@@ -48,6 +48,7 @@
     void onPlaced(const gateway_endpoint_ptr &endpoint) override;
     void onRefused(refusal reason, boot_clock::duration expectedWait) override;
     std::span<const std::string> tried() const override;
+    std::int64_t tokens() const override;
     std::optional<stream_demand> demand() const override;
 
     std::span<const std::string> promptParts() const override
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -76,8 +76,34 @@
 {
     const time_point now = boot_clock::now();
     const int known = m_peers.alive(now) + 1;
-    return now - m_startedAt < peerDiscoveryTime ? std::max(known, assumedGatewayCount)
-                                                 : std::max(known, m_maxGateways);
+    return isDiscovered(now) ? std::max(known, m_maxGateways) : std::max(known, assumedGatewayCount);
+}
+
+std::string load_exchange::self() const
+{
+    return m_host;
+}
+
+std::vector<std::string> load_exchange::members(time_point now) const
+{
+    std::vector<std::string> hosts = m_peers.members(now);
+    hosts.insert(std::ranges::lower_bound(hosts, m_host), m_host);
+    return hosts;
+}
+
+bool load_exchange::isDiscovered(time_point now) const
+{
+    return now - m_startedAt >= peerDiscoveryTime;
+}
+
+queue_summary load_exchange::othersQueues(const std::string &service, time_point now) const
+{
+    return m_peers.queues(service, now);
+}
+
+void load_exchange::setQueueSource(std::function<std::map<std::string, queue_summary>()> source)
+{
+    m_queueSource = std::move(source);
 }
 
 bool load_exchange::peerIsCoordinator() const
@@ -142,7 +168,7 @@
     if (m_peers.record(m_sender.address().to_string(), *report, now)) {
         m_evidenceRepetitions = evidenceRepetitions; // A gateway that has just started knows nothing.
     }
-    m_endpoints.setPeersRunning(m_peers.running(now));
+    m_endpoints.setPeerLoads(m_peers.loads(now));
     if (!report->evidence.empty()) {
         m_guard.merge(report->evidence);
     }
@@ -175,6 +201,17 @@
     return running;
 }
 
+std::map<std::string, std::int64_t> load_exchange::ownTokens() const
+{
+    std::map<std::string, std::int64_t> tokens;
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        if (endpoint->ownTokens > 0) {
+            tokens.emplace(id, endpoint->ownTokens);
+        }
+    }
+    return tokens;
+}
+
 bool load_exchange::evidenceDue(time_point now) const
 {
     return m_evidenceRepetitions > 0 || now - m_evidenceSentAt >= evidenceInterval;
@@ -194,7 +231,7 @@
                 {{"before", m_lastAlivePeers}, {"now", alive}});
         m_lastAlivePeers = alive;
         m_maxGateways = std::max(m_maxGateways, alive + 1);
-        m_endpoints.setPeersRunning(m_peers.running(now));
+        m_endpoints.setPeerLoads(m_peers.loads(now));
         m_evidenceRepetitions = evidenceRepetitions; // For gateways that have just come into reach.
     }
     auto running = ownRunning();
@@ -217,6 +254,10 @@
         m_groupsSentAt = now;
     }
     m_report.running = std::move(running);
+    m_report.tokens = ownTokens();
+    if (m_queueSource) {
+        m_report.queues = m_queueSource();
+    }
     m_report.peers = m_peers.heardPeers(now);
     ++m_report.sequence;
     const std::string datagram = encodeLoadReport(m_report, now);
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -2,6 +2,7 @@
 
 #include "gateway/crash_guard.h"
 #include "gateway/endpoint_table.h"
+#include "gateway/fleet_view.h"
 #include "gateway/peer_loads.h"
 
 #include <utility>
@@ -21,7 +22,7 @@
  * Each report is a UDP datagram with the complete load of its sender, so a later one makes up for a lost one. Used from
  * the thread of the event loop.
  */
-class load_exchange
+class load_exchange : public fleet_view
 {
 public:
     /**
@@ -40,6 +41,14 @@
     /** @returns the number of gateways that share global limits, this one included; a high estimate while unknown. */
     int gateways() const;
 
+    std::string self() const override;
+    std::vector<std::string> members(time_point now) const override;
+    bool isDiscovered(time_point now) const override;
+    queue_summary othersQueues(const std::string &service, time_point now) const override;
+
+    /** Sets where the summaries of this gateway's queues come from, by service. */
+    void setQueueSource(std::function<std::map<std::string, queue_summary>()> source);
+
     /** @returns whether another gateway is the coordinator of expert maps. */
     bool peerIsCoordinator() const;
 
@@ -66,6 +75,7 @@
     void onDatagram(std::size_t size);
     void scheduleReport();
     std::map<std::string, int> ownRunning() const;
+    std::map<std::string, std::int64_t> ownTokens() const;
     bool groupsDue(time_point now) const;
     bool evidenceDue(time_point now) const;
 
@@ -77,6 +87,7 @@
     endpoint_table &m_endpoints;
     crash_guard &m_guard;
     const std::function<void()> m_onReport;
+    std::function<std::map<std::string, queue_summary>()> m_queueSource;
     peer_loads m_peers;
     load_report m_report;
     time_point m_startedAt {};
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balance/queue_summary.h"
 #include "base/boot_clock.h"
 #include "gateway/group_state.h"
 #include "quarantine/crash_evidence.h"
@@ -23,6 +24,8 @@
     bool isCoordinator = false; ///< Whether the sender holds the coordinator lease.
     std::vector<std::string> peers; ///< Hosts of the gateways that the sender knows.
     std::map<std::string, int> running; ///< Requests in flight, by endpoint id; idle endpoints are left out.
+    std::map<std::string, std::int64_t> tokens; ///< Work of the requests in flight, by endpoint id.
+    std::map<std::string, queue_summary> queues; ///< By service.
     std::vector<group_state> groups; ///< States of all rank groups; only sent by the coordinator, at intervals.
 
     crash_evidence evidence; ///< On crashes and quarantined prompt parts; only sent when it changed, and at intervals.
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -56,19 +56,46 @@
     return known.heardAt != time_point {} && now - known.heardAt <= peerTimeout;
 }
 
-std::map<std::string, int> peer_loads::running(time_point now) const
+std::map<std::string, endpoint_load> peer_loads::loads(time_point now) const
 {
-    std::map<std::string, int> total;
+    std::map<std::string, endpoint_load> total;
     for (const auto &[host, known] : m_peers) {
-        if (recent(known, now)) {
-            for (const auto &[endpoint, count] : known.report.running) {
-                total[endpoint] += count;
-            }
+        if (!recent(known, now)) {
+            continue;
+        }
+        for (const auto &[endpoint, count] : known.report.running) {
+            total[endpoint].requests += count;
+        }
+        for (const auto &[endpoint, tokens] : known.report.tokens) {
+            total[endpoint].tokens += tokens;
+        }
+    }
+    return total;
+}
+
+queue_summary peer_loads::queues(const std::string &service, time_point now) const
+{
+    queue_summary total;
+    for (const auto &[host, known] : m_peers) {
+        const auto queue = known.report.queues.find(service);
+        if (recent(known, now) && queue != known.report.queues.end()) {
+            total += queue->second;
         }
     }
     return total;
 }
 
+std::vector<std::string> peer_loads::members(time_point now) const
+{
+    std::vector<std::string> hosts;
+    for (const auto &[host, known] : m_peers) {
+        if (known.heardAt != time_point {} && now - known.namedAt <= candidateTimeout) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
 int peer_loads::alive(time_point now) const
 {
     int count = 0;
--- a/src/gateway/peer_loads.h
+++ b/src/gateway/peer_loads.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "balance/endpoint_load.h"
+#include "balance/queue_summary.h"
 #include "base/boot_clock.h"
 #include "gateway/load_report.h"
 
@@ -25,8 +27,14 @@
     /** Adds hosts that may be gateways. Reports are sent to them until they time out. */
     void addCandidates(const std::vector<std::string> &hosts, time_point now);
 
-    /** @returns the requests in flight of all live peers, by endpoint id. */
-    std::map<std::string, int> running(time_point now) const;
+    /** @returns the work in flight of all live peers, by endpoint id. */
+    std::map<std::string, endpoint_load> loads(time_point now) const;
+
+    /** @returns the sum of the queues of all live peers for a service. */
+    queue_summary queues(const std::string &service, time_point now) const;
+
+    /** @returns the hosts of the peers that were heard or named lately, so that they may still be running. */
+    std::vector<std::string> members(time_point now) const;
 
     /** @returns the number of live peers. */
     int alive(time_point now) const;
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -3,6 +3,7 @@
 #include "balance/stream_demand.h"
 #include "gateway/gateway_endpoint.h"
 
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -35,6 +36,12 @@
     /** @returns the ids of endpoints that were tried already and must not be chosen again. */
     virtual std::span<const std::string> tried() const = 0;
 
+    /** @returns the tokens that the request asks for, of its prompt and its response; 0 if they are not known. */
+    virtual std::int64_t tokens() const
+    {
+        return 0;
+    }
+
     /** @returns what the stream needs; nothing if its length is not known or it is no stream. */
     virtual std::optional<stream_demand> demand() const = 0;
 };
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -99,6 +99,7 @@
 void request_dispatcher::place(const gateway_endpoint_ptr &endpoint, const std::shared_ptr<placement_client> &client)
 {
     ++endpoint->ownRunning;
+    endpoint->ownTokens += client->tokens();
     endpoint->coldRate.take(boot_clock::now());
     client->onPlaced(endpoint);
 }
@@ -110,9 +111,10 @@
     queue.clients.erase(ticket);
 }
 
-void request_dispatcher::release(const gateway_endpoint_ptr &endpoint)
+void request_dispatcher::release(const gateway_endpoint_ptr &endpoint, std::int64_t tokens)
 {
     --endpoint->ownRunning;
+    endpoint->ownTokens -= tokens;
     service_queue &queue = queueOf(endpoint->record.service);
     queue.completions.record(boot_clock::now());
     if (!queue.waiting.empty()) {
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -41,8 +41,11 @@
     /** Removes a request from the queue. */
     void withdraw(const std::string &service, std::uint64_t ticket);
 
-    /** Frees the slot of a request that was placed. */
-    void release(const gateway_endpoint_ptr &endpoint);
+    /**
+     * Frees the slot of a request that was placed.
+     * @param tokens as placement_client::tokens() told when it was placed
+     */
+    void release(const gateway_endpoint_ptr &endpoint, std::int64_t tokens = 0);
 
     /** Counts a caller's request, which adds to the retry budget of the service. */
     void countRequest(const std::string &service);
--- a/src/gateway/request_matcher.cpp
+++ b/src/gateway/request_matcher.cpp
@@ -53,6 +53,13 @@
     return text ? parseTokens(*text) : std::nullopt;
 }
 
+/** @returns the first of the two counts of the field. */
+std::optional<int> promptTokens(const gateway_request &request, const wire_headers &names)
+{
+    const auto text = findHeader(request.headers, names.tokenCounts);
+    return text ? parseTokens(*text) : std::nullopt;
+}
+
 /** @returns the second of the two counts of the field, the maximum number of answer tokens. */
 std::optional<int> maxAnswerTokens(const gateway_request &request, const wire_headers &names)
 {
@@ -105,6 +112,7 @@
         plan.callerDeadline = request.arrivedAt + time;
         plan.deadline = std::min(plan.deadline, plan.callerDeadline);
     }
+    plan.promptTokens = promptTokens(request, names);
     plan.maxAnswerTokens = maxAnswerTokens(request, names);
     plan.answerTokensEstimate = answerTokensEstimate(request, names);
     plan.promptParts = sharedPromptParts(findHeader(request.headers, names.promptParts).value_or(""));
--- a/utilities/lint_batches.py
+++ b/utilities/lint_batches.py
@@ -3,6 +3,9 @@
 
 Runs clang-tidy over the files in batches: files of one folder are included into one translation unit, so that the
 headers that they share are analysed once. A batch with any finding is repeated file by file, and that result counts.
+
+A file without findings is not analysed again while it, its headers, the settings, the compiler arguments and
+clang-tidy are the same, see lint_results.py.
 """
 
 import concurrent.futures
@@ -13,6 +16,8 @@
 import subprocess
 import sys
 
+from lint_results import LintResults
+
 FILES_PER_BATCH = 10
 HEADER_FILTER = r"(src|platform|tests|bench)/.*\.(h|cpp)$"
 
@@ -65,15 +70,21 @@
     if missing:
         print("no compile command for", *missing)
         return 1
+    results_of_earlier_runs = LintResults(commands, compiler_arguments)
+    unknown = [file for file in known if not results_of_earlier_runs.is_clean(file)]
     batches = []
-    for _, group in itertools.groupby(sorted(known), key=os.path.dirname):
+    for _, group in itertools.groupby(sorted(unknown), key=os.path.dirname):
         files = list(group)
         batches += [files[begin:begin + FILES_PER_BATCH] for begin in range(0, len(files), FILES_PER_BATCH)]
     with concurrent.futures.ThreadPoolExecutor(os.cpu_count()) as pool:
-        results = pool.map(lambda item: run_batch(directory, item[0], item[1], commands), enumerate(batches))
-        findings = [result for result in results if result]
+        results = list(pool.map(lambda item: run_batch(directory, item[0], item[1], commands), enumerate(batches)))
+    for batch, result in zip(batches, results):
+        if not result:
+            results_of_earlier_runs.record_clean(batch)
+    findings = [result for result in results if result]
     print("".join(findings), end="")
-    print(f"clang-tidy: {len(known)} files in {len(batches)} batches, {len(findings)} batches with findings")
+    print(f"clang-tidy: {len(known)} files, {len(unknown)} of them analysed in {len(batches)} batches, "
+          f"{len(findings)} batches with findings")
     return 1 if findings else 0
 
 
