gateway: what an endpoint says of itself decides whether it gets requests

Change: readStatement() reads both from a response head, endpoint_table holds them for one run of an endpoint, and a request that waited for a connection is placed anew. If all endpoints pause, callers that cannot wait are refused at once with a Retry-After behind the first end.

--- a/src/balance/retry_delay.cpp
+++ b/src/balance/retry_delay.cpp
@@ -13,6 +13,14 @@
 // A queue of the maximum length takes about this share of the longest delay to drain.
 constexpr double minOverloadDelayShare = 0.6;
 constexpr std::chrono::milliseconds minRetryDelay {50};
+// Callers that wait for the same endpoints return within this time after these work again.
+constexpr double knownEndSpreadMs = 800;
+
+std::chrono::milliseconds delayBetween(double earliestMs, double latestMs, std::mt19937_64 &random)
+{
+    std::uniform_real_distribution<double> delays(earliestMs, std::max(earliestMs, latestMs));
+    return std::chrono::milliseconds(static_cast<std::int64_t>(delays(random)));
+}
 
 } // namespace
 
@@ -21,13 +29,16 @@
 {
     const double latestMs = std::chrono::duration<double, std::milli>(latest).count();
     const double expectedWaitMs = std::chrono::duration<double, std::milli>(expectedWait).count();
+    if (cause == refusal_cause::unavailable && expectedWaitMs > 0) {
+        const double earliest = std::min(expectedWaitMs, latestMs);
+        const double last = std::min(expectedWaitMs + knownEndSpreadMs, latestMs);
+        return std::max(minRetryDelay, delayBetween(earliest, last, random));
+    }
     const double desiredMs =
         cause == refusal_cause::unavailable ? latestMs : std::max(expectedWaitMs, minOverloadDelayShare * latestMs);
     const double jitterShare = cause == refusal_cause::unavailable ? outageJitterShare : overloadJitterShare;
     const double earliestMs = std::min(desiredMs, latestMs) * (1.0 - jitterShare);
-    const double delayMs =
-        std::uniform_real_distribution<double>(earliestMs, std::max(earliestMs, std::min(desiredMs, latestMs)))(random);
-    return std::max(minRetryDelay, std::chrono::milliseconds(static_cast<std::int64_t>(delayMs)));
+    return std::max(minRetryDelay, delayBetween(earliestMs, std::min(desiredMs, latestMs), random));
 }
 
 } // namespace bronzechute
--- a/src/balance/retry_delay.h
+++ b/src/balance/retry_delay.h
@@ -16,9 +16,10 @@
 /**
  * Computes the delay after which a refused caller should retry. The caller has one retry and its response will be late
  * in any case, so the delay is the one with the best chance of success: the expected wait during overload, and the
- * longest possible delay while no endpoint works. Jitter keeps the retries from arriving together.
+ * longest possible delay while no endpoint works and nothing is known about the end of that. Jitter keeps the retries
+ * from arriving together; it lies behind a known end, and before any other time.
  *
- * @param expectedWait expected wait in the queue; zero when unknown
+ * @param expectedWait expected wait in the queue, or until an endpoint works; zero when unknown
  * @param latest longest delay after which the caller still retries
  */
 std::chrono::milliseconds retryDelay(refusal_cause cause, boot_clock::duration expectedWait,
--- a/src/gateway/endpoint_connection.cpp
+++ b/src/gateway/endpoint_connection.cpp
@@ -102,6 +102,10 @@
             self->fail("connect", code);
             return;
         }
+        if (!self->m_observer->maySend()) {
+            self->fail("connect", asio::error::operation_aborted);
+            return;
+        }
         self->m_connected = true;
         self->configureSocket();
         self->send();
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds refusalTimeout {400};
 // A forward pass takes well under 200 ms. Without an event for longer than this, an engine of the group is missing.
 constexpr std::chrono::milliseconds progressTimeout {500};
+// Gateways return to an endpoint after its pause within this share of the pause, and at most within this time.
+constexpr int pauseSpreadDivisor = 4;
+constexpr std::chrono::milliseconds maxPauseSpread {400};
 // Fewer requests or failures than this are no evidence of a stalled group or a failing service.
 constexpr int minDetectionSamples = 3;
 
@@ -200,7 +203,28 @@
 
 bool endpoint_table::acceptsRequests(const gateway_endpoint &endpoint, time_point now) const
 {
-    if (!endpoint.listed || endpoint.record.leaving || m_dataCentresOutOfService.contains(endpoint.record.dataCentre)) {
+    return now >= endpoint.pausedUntil && isInService(endpoint, now);
+}
+
+bool endpoint_table::wantsRequests(const gateway_endpoint &endpoint, time_point now)
+{
+    return !endpoint.saysLeaving && now >= endpoint.pausedUntil;
+}
+
+std::optional<time_point> endpoint_table::firstPauseEnd(const std::string &service, time_point now) const
+{
+    std::optional<time_point> first;
+    for (const gateway_endpoint_ptr &endpoint : endpointsOf(service)) {
+        if (now < endpoint->pausedUntil && isInService(*endpoint, now)) {
+            first = std::min(first.value_or(endpoint->pausedUntil), endpoint->pausedUntil);
+        }
+    }
+    return first;
+}
+
+bool endpoint_table::isInService(const gateway_endpoint &endpoint, time_point now) const
+{
+    if (!endpoint.listed || endpoint.record.leaving || endpoint.saysLeaving || m_dataCentresOutOfService.contains(endpoint.record.dataCentre)) {
         return false;
     }
     if (endpoint.group == nullptr) {
@@ -233,6 +257,33 @@
     m_health[endpoint.record.service] = {0, now};
 }
 
+void endpoint_table::recordStatement(gateway_endpoint &endpoint, const endpoint_statement &statement, time_point now,
+                                     std::mt19937_64 &random)
+{
+    if (statement.leaving && !endpoint.saysLeaving) {
+        logLine(log_level::info, "gateway", "endpoint says that it is leaving",
+                {{"endpoint", endpoint.record.id}, {"service", endpoint.record.service}});
+        endpoint.saysLeaving = true;
+    }
+    if (statement.ignoredPause && !endpoint.hasInvalidPause) {
+        logLine(log_level::warn, "gateway", "endpoint asks for a pause that is not a number of seconds; ignored",
+                {{"endpoint", endpoint.record.id}, {"service", endpoint.record.service}});
+        endpoint.hasInvalidPause = true;
+    }
+    if (!statement.pause) {
+        return;
+    }
+    if (now >= endpoint.pausedUntil) {
+        logLine(log_level::info, "gateway", "endpoint asks for a pause",
+                {{"endpoint", endpoint.record.id},
+                 {"service", endpoint.record.service},
+                 {"pause_ms", statement.pause->count()}});
+    }
+    const std::chrono::milliseconds spread = std::min(*statement.pause / pauseSpreadDivisor, maxPauseSpread);
+    const std::chrono::milliseconds later(std::uniform_int_distribution<std::int64_t>(0, spread.count())(random));
+    endpoint.pausedUntil = std::max(endpoint.pausedUntil, now + *statement.pause + later);
+}
+
 void endpoint_table::recordFailure(const gateway_endpoint &endpoint)
 {
     ++m_health[endpoint.record.service].failures;
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -4,6 +4,7 @@
 #include "balance/endpoint_view.h"
 #include "balance/pass_latency_model.h"
 #include "balance/stream_demand.h"
+#include "gateway/endpoint_statement.h"
 #include "gateway/gateway_endpoint.h"
 #include "gateway/group_state.h"
 #include "gateway/service_health.h"
@@ -14,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <span>
 #include <string>
@@ -73,6 +75,19 @@
     /** Records that the endpoint responded to a request. */
     void recordAnswer(const gateway_endpoint &endpoint, time_point now);
 
+    /**
+     * Applies what a response says about its endpoint.
+     * @param random spreads the end of a pause, so that the gateways that were told the same do not all return at once
+     */
+    void recordStatement(gateway_endpoint &endpoint, const endpoint_statement &statement, time_point now,
+                         std::mt19937_64 &random);
+
+    /** @returns whether the endpoint has said nothing that forbids a request now. */
+    static bool wantsRequests(const gateway_endpoint &endpoint, time_point now);
+
+    /** @returns the end of the first pause of the endpoints that would otherwise accept requests; nothing if none. */
+    std::optional<time_point> firstPauseEnd(const std::string &service, time_point now) const;
+
     /** Records an attempt that ended without a response. */
     void recordFailure(const gateway_endpoint &endpoint);
 
@@ -116,6 +131,8 @@
     static void setAvoided(gateway_endpoint &endpoint, bool avoided, time_point now);
     void updateGroupLoads(const std::string &service, time_point now);
     bool acceptsRequests(const gateway_endpoint &endpoint, time_point now) const;
+    /** As acceptsRequests(), without regard to a pause. */
+    bool isInService(const gateway_endpoint &endpoint, time_point now) const;
 
     const std::string m_dataCentre;
     std::map<std::string, gateway_endpoint_ptr> m_endpoints;
--- a/src/gateway/gateway_endpoint.h
+++ b/src/gateway/gateway_endpoint.h
@@ -26,6 +26,9 @@
     int consecutiveFailures = 0; ///< Failed attempts since the last response.
     time_point suspectUntil {}; ///< Other endpoints are preferred until then.
     time_point avoidedUntil {}; ///< No requests until then, as the endpoint would slow its whole rank group down.
+    bool saysLeaving = false; ///< It has said so in a response; holds for this run of it, whatever the directory says.
+    time_point pausedUntil {}; ///< It has asked this gateway for no requests until then.
+    bool hasInvalidPause = false; ///< It has sent a pause that was ignored.
     double longestGapMs = 0; ///< Peak time between events of its recent streams; decays slowly.
     double gapMs = 0; ///< Moving average of the time between events; 0 before the first.
     token_bucket coldRate; ///< This gateway's share of the rate limit for a cold endpoint.
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -267,6 +267,7 @@
 {
     const wire_headers &names = m_context.headers;
     m_attemptStatus = head.status;
+    recordStatement(head);
     if (!isForThisRequest(head)) {
         retryOrFail(attempt_outcome::failed, "response to another request");
         return;
@@ -306,6 +307,23 @@
     }
 }
 
+void gateway_exchange::recordStatement(const response_head &head)
+{
+    if (head.status == statusMisdirected) {
+        return; // Sent by another run of the endpoint, or by another endpoint at its address.
+    }
+    endpoint_statement statement = readStatement(head, m_context.headers);
+    if (!isForThisRequest(head)) {
+        statement.pause.reset(); // It began when the earlier request was answered.
+    }
+    m_context.endpoints.recordStatement(*m_endpoint, statement, boot_clock::now(), m_context.dispatcher.random());
+}
+
+bool gateway_exchange::maySend() const
+{
+    return endpoint_table::wantsRequests(*m_endpoint, boot_clock::now());
+}
+
 bool gateway_exchange::isForThisRequest(const response_head &head) const
 {
     if (const auto id = findHeader(head.headers, m_context.headers.requestId)) {
--- a/src/gateway/gateway_exchange.h
+++ b/src/gateway/gateway_exchange.h
@@ -62,6 +62,7 @@
     void onComplete() override;
     void onFailure(const exchange_failure &failure) override;
     bool wantsMore() const override;
+    bool maySend() const override;
 
 private:
     /** Outcome of an attempt at an endpoint. */
@@ -83,6 +84,8 @@
     void endAttempt(attempt_outcome end, const std::string &cause);
     void retryOrFail(attempt_outcome end, const std::string &cause);
     bool canRetry(attempt_outcome end) const;
+    /** Applies what the head says about its endpoint. */
+    void recordStatement(const response_head &head);
     /** @returns whether the head belongs to the response to the current attempt. */
     bool isForThisRequest(const response_head &head) const;
     void relayEvents(std::string_view bytes);
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -45,6 +45,10 @@
         client->onRefused(refusal::cannot_complete, {});
         return std::nullopt;
     }
+    if (const auto pauseEnd = pauseEndIfAllPause(service, now); pauseEnd && *pauseEnd > request.expiresAt) {
+        client->onRefused(refusal::no_endpoint, *pauseEnd - now);
+        return std::nullopt;
+    }
     request.ticket = m_nextTicket++;
     const std::size_t ahead = queue.waiting.countAhead(request, now);
     if (ahead == 0) {
@@ -67,6 +71,11 @@
     return ticket;
 }
 
+std::optional<time_point> request_dispatcher::pauseEndIfAllPause(const std::string &service, time_point now) const
+{
+    return m_endpoints.anyUsable(service, now) ? std::nullopt : m_endpoints.firstPauseEnd(service, now);
+}
+
 std::size_t request_dispatcher::ownSlots(const std::string &service) const
 {
     std::size_t slots = 0;
@@ -184,12 +193,16 @@
 
 void request_dispatcher::expire(const std::string &service, service_queue &queue, time_point now)
 {
-    const refusal reason = m_endpoints.anyUsable(service, now) ? refusal::queue_timeout : refusal::no_endpoint;
+    const bool anyUsable = m_endpoints.anyUsable(service, now);
+    const refusal reason = anyUsable ? refusal::queue_timeout : refusal::no_endpoint;
+    const auto pauseEnd = pauseEndIfAllPause(service, now);
+    const boot_clock::duration untilPauseEnd = pauseEnd ? *pauseEnd - now : boot_clock::duration {};
+    const boot_clock::duration expectedWait = anyUsable ? queue.completions.interval(now) : untilPauseEnd;
     for (const waiting_request &request : queue.waiting.takeExpired(now)) {
         const auto found = queue.clients.find(request.ticket);
         const std::shared_ptr<placement_client> client = found->second;
         queue.clients.erase(found);
-        client->onRefused(reason, queue.completions.interval(now));
+        client->onRefused(reason, expectedWait);
     }
 }
 
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -81,6 +81,8 @@
     service_queue &queueOf(const std::string &service);
     retry_limits ownRetryLimits() const;
     std::size_t ownSlots(const std::string &service) const;
+    /** @returns when the first endpoint of a service ends its pause, if no endpoint can be used until then. */
+    std::optional<time_point> pauseEndIfAllPause(const std::string &service, time_point now) const;
     gateway_endpoint_ptr choose(const std::string &service, const placement_client &client);
     /** @returns whether the service works, but too slowly for the request. */
     bool isTooSlow(const std::string &service, const placement_client &client, time_point now) const;
--- a/src/gateway/response_observer.h
+++ b/src/gateway/response_observer.h
@@ -23,6 +23,12 @@
 
     /** @returns whether more of the body can be accepted; if not, endpoint_connection::resume() must follow later. */
     virtual bool wantsMore() const = 0;
+
+    /** @returns whether the request may still be sent; asked when a new connection is established. */
+    virtual bool maySend() const
+    {
+        return true;
+    }
 };
 
 } // namespace bronzechute
--- a/src/gateway/wire_headers.h
+++ b/src/gateway/wire_headers.h
@@ -13,6 +13,7 @@
     std::string account = "X-Account"; ///< Name of the client account, set by the gateway.
     std::string notRun = "X-Not-Run"; ///< In a refusal by an endpoint: the request has not run and will not run.
     std::string faultEndpoint = "X-Fault-Endpoint"; ///< In a refusal: id of the endpoint that caused it.
+    std::string leaving = "X-Leaving"; ///< "1" in each response of an endpoint that finishes its work and then ends.
     std::string signature = "X-Signature"; ///< In each response of an endpoint that ran the request.
     std::string tokenCounts = "X-Tokens"; ///< Prompt tokens and maximum answer tokens, comma-separated.
     std::string answerLength = "X-Answer-Tokens"; ///< The caller's estimate of the number of answer tokens.
