gateway: a switch whose first engine is gone is ended by any engine of its group

Cause: the gateway asked only the first rank whether the group has formed again or begun the step of the switch. Ruled out: dropping the switch with the lease; a group that is held would then wait for the next coordinator. Change: the check runs in each phase that may hold the group, and asks the next rank after one that does not answer.

--- a/src/gateway/endpoint_statement.cpp
+++ b/src/gateway/endpoint_statement.cpp
@@ -15,8 +15,7 @@
 std::optional<std::chrono::milliseconds> parsePause(std::string_view text)
 {
     double seconds = 0;
-    const auto parsed =
-        std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
     const bool whole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
     const bool tooLarge = parsed.ec == std::errc::result_out_of_range && !text.starts_with('-');
     if (tooLarge) {
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -224,7 +224,8 @@
 
 bool endpoint_table::isInService(const gateway_endpoint &endpoint, time_point now) const
 {
-    if (!endpoint.listed || endpoint.record.leaving || endpoint.saysLeaving || m_dataCentresOutOfService.contains(endpoint.record.dataCentre)) {
+    if (!endpoint.listed || endpoint.record.leaving || endpoint.saysLeaving
+        || m_dataCentresOutOfService.contains(endpoint.record.dataCentre)) {
         return false;
     }
     if (endpoint.group == nullptr) {
--- a/src/gateway/map_coordinator.cpp
+++ b/src/gateway/map_coordinator.cpp
@@ -351,7 +351,8 @@
         return; // The holding rank is still loading experts; a later report has the version.
     }
     group.map.reset();
-    group.mapSwitch = group_switch::resume(group.epoch, version, group.ranks.size(), *report.held, boot_clock::now());
+    group.mapSwitch = group_switch::resume(group.epoch, version, group.ranks.size(), *report.held, now);
+    group.checkedAt = now;
 }
 
 void map_coordinator::readDemand(const std::string &service, service_state &state, time_point now)
@@ -500,7 +501,7 @@
     if (group.mapSwitch->phase() == switch_phase::reading_step && !group.stepRequested) {
         readSwitchStep(group);
     }
-    if (group.mapSwitch->phase() == switch_phase::arming && now - group.mapSwitch->heldSince() > switchCheckInterval) {
+    if (group.mapSwitch->mayHold() && now - group.checkedAt > switchCheckInterval) {
         checkHeldSwitch(group, now);
     }
     if (group.mapSwitch->ended()) {
@@ -510,20 +511,23 @@
 
 void map_coordinator::checkHeldSwitch(rank_group &group, time_point now)
 {
-    if (now - group.checkedAt < switchCheckInterval) {
-        return;
-    }
     group.checkedAt = now;
     const std::string key = groupKey(group.service, group.name);
-    m_engines.readReport(group.ranks[group_switch::holdingRank],
+    m_engines.readReport(group.ranks[group.checkedRank],
                          [this, key, version = group.mapSwitch->version()](const result<rank_report> &report) {
                              rank_group *const checked = groupWithSwitch(key, version);
-                             if (!report || checked == nullptr) {
+                             if (checked == nullptr) {
+                                 return;
+                             }
+                             if (!report) {
+                                 // The engine may be gone for good, so the next check asks another one.
+                                 checked->checkedRank = (checked->checkedRank + 1) % checked->ranks.size();
                                  return;
                              }
+                             const bool armsRanks = checked->mapSwitch->phase() != switch_phase::holding;
                              if (report.value().epoch != checked->epoch) {
                                  checked->mapSwitch->onNewEpoch();
-                             } else if (report.value().step >= checked->mapSwitch->step()) {
+                             } else if (armsRanks && report.value().step >= checked->mapSwitch->step()) {
                                  checked->mapSwitch->onStepBegun();
                              }
                          });
@@ -548,6 +552,7 @@
                                  return;
                              }
                              located->mapSwitch->onStep(report.value().step, located->meanStepTime());
+                             located->checkedAt = boot_clock::now();
                              advanceSwitch(*located, boot_clock::now());
                          });
 }
--- a/src/gateway/rank_group.h
+++ b/src/gateway/rank_group.h
@@ -34,7 +34,8 @@
     rank_speed_tracker speeds;
     bool stepRequested = false;
     time_point changedAt {}; ///< When the last switch ended or was last planned.
-    time_point checkedAt {}; ///< When the engines were last asked why a switch makes no progress.
+    time_point checkedAt {}; ///< When an engine was last asked why a switch makes no progress, or the hold began.
+    std::size_t checkedRank = 0; ///< Rank that is asked.
     std::int64_t heldStep = 0; ///< Step of a hold that was reported while no switch was in progress.
     time_point heldSeenAt {};
 
--- a/tests/gateway/endpoint_statement_test.cpp
+++ b/tests/gateway/endpoint_statement_test.cpp
@@ -41,38 +41,32 @@
 
 INSTANTIATE_TEST_SUITE_P(
     rows, statement_of_a_response,
-    testing::Values(statement_row {"leaving_missed_in_a_success", 200, {{"X-Leaving", "1"}}, leaving},
-                    statement_row {"leaving_missed_in_a_refusal", 503, {{"x-leaving", "1"}}, leaving},
-                    statement_row {"other_value_taken_for_leaving", 200, {{"X-Leaving", "0"}}, nothing},
-                    statement_row {"whole_seconds_missed", 503, {{"Retry-After", "2"}}, pauseOf(2000ms)},
-                    statement_row {"fraction_cut_off", 503, {{"Retry-After", "0.25"}}, pauseOf(250ms)},
-                    statement_row {"pause_without_a_promise_missed", 503, {{"retry-after", "1.5"}}, pauseOf(1500ms)},
-                    statement_row {"pause_read_from_another_status", 429, {{"Retry-After", "2"}}, nothing},
-                    statement_row {"pause_read_from_a_success", 200, {{"Retry-After", "2"}}, nothing},
-                    statement_row {"zero_taken_for_a_pause", 503, {{"Retry-After", "0"}}, ignored},
-                    statement_row {"negative_pause_taken", 503, {{"Retry-After", "-3"}}, ignored},
-                    statement_row {"text_taken_for_a_pause", 503, {{"Retry-After", "soon"}}, ignored},
-                    statement_row {"number_with_a_unit_taken", 503, {{"Retry-After", "3s"}}, ignored},
-                    statement_row {"not_a_number_taken", 503, {{"Retry-After", "nan"}}, ignored},
-                    statement_row {"infinity_taken", 503, {{"Retry-After", "inf"}}, ignored},
-                    statement_row {"date_taken_for_seconds",
-                                   503,
-                                   {{"Retry-After", "Sun, 06 Dec 2026 07:00:00 GMT"}},
-                                   ignored},
-                    statement_row {"empty_pause_taken", 503, {{"Retry-After", ""}}, ignored},
-                    statement_row {"hour_is_not_bounded", 503, {{"Retry-After", "3600"}}, pauseOf(maxEndpointPause)},
-                    statement_row {"overflow_is_not_bounded",
-                                   503,
-                                   {{"Retry-After", std::string(400, '9')}},
-                                   pauseOf(maxEndpointPause)},
-                    statement_row {"shorter_of_two_pauses_taken",
-                                   503,
-                                   {{"Retry-After", "1"}, {"Retry-After", "4"}},
-                                   pauseOf(4000ms)},
-                    statement_row {"valid_pause_lost_beside_an_invalid_one",
-                                   503,
-                                   {{"Retry-After", "x"}, {"Retry-After", "4"}},
-                                   {false, 4000ms, true}}),
+    testing::Values(
+        statement_row {"leaving_missed_in_a_success", 200, {{"X-Leaving", "1"}}, leaving},
+        statement_row {"leaving_missed_in_a_refusal", 503, {{"x-leaving", "1"}}, leaving},
+        statement_row {"other_value_taken_for_leaving", 200, {{"X-Leaving", "0"}}, nothing},
+        statement_row {"whole_seconds_missed", 503, {{"Retry-After", "2"}}, pauseOf(2000ms)},
+        statement_row {"fraction_cut_off", 503, {{"Retry-After", "0.25"}}, pauseOf(250ms)},
+        statement_row {"pause_without_a_promise_missed", 503, {{"retry-after", "1.5"}}, pauseOf(1500ms)},
+        statement_row {"pause_read_from_another_status", 429, {{"Retry-After", "2"}}, nothing},
+        statement_row {"pause_read_from_a_success", 200, {{"Retry-After", "2"}}, nothing},
+        statement_row {"zero_taken_for_a_pause", 503, {{"Retry-After", "0"}}, ignored},
+        statement_row {"negative_pause_taken", 503, {{"Retry-After", "-3"}}, ignored},
+        statement_row {"text_taken_for_a_pause", 503, {{"Retry-After", "soon"}}, ignored},
+        statement_row {"number_with_a_unit_taken", 503, {{"Retry-After", "3s"}}, ignored},
+        statement_row {"not_a_number_taken", 503, {{"Retry-After", "nan"}}, ignored},
+        statement_row {"infinity_taken", 503, {{"Retry-After", "inf"}}, ignored},
+        statement_row {"date_taken_for_seconds", 503, {{"Retry-After", "Sun, 06 Dec 2026 07:00:00 GMT"}}, ignored},
+        statement_row {"empty_pause_taken", 503, {{"Retry-After", ""}}, ignored},
+        statement_row {"hour_is_not_bounded", 503, {{"Retry-After", "3600"}}, pauseOf(maxEndpointPause)},
+        statement_row {
+            "overflow_is_not_bounded", 503, {{"Retry-After", std::string(400, '9')}}, pauseOf(maxEndpointPause)},
+        statement_row {
+            "shorter_of_two_pauses_taken", 503, {{"Retry-After", "1"}, {"Retry-After", "4"}}, pauseOf(4000ms)},
+        statement_row {"valid_pause_lost_beside_an_invalid_one",
+                       503,
+                       {{"Retry-After", "x"}, {"Retry-After", "4"}},
+                       {false, 4000ms, true}}),
     [](const auto &row) { return std::string(row.param.name); });
 
 const time_point now {1h};
@@ -215,11 +209,12 @@
 TEST(paused_service, tellsCallersWhenToReturn)
 {
     std::atomic<int> requests {0};
-    standins::scripted_server only([&](const standins::scripted_request &request, standins::raw_connection &connection) {
-        ++requests;
-        return connection.send("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 60\r\nX-Request-Id: "
-                               + request.header("x-request-id") + "\r\nContent-Length: 0\r\n\r\n");
-    });
+    standins::scripted_server only(
+        [&](const standins::scripted_request &request, standins::raw_connection &connection) {
+            ++requests;
+            return connection.send("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 60\r\nX-Request-Id: "
+                                   + request.header("x-request-id") + "\r\nContent-Length: 0\r\n\r\n");
+        });
     gateway_harness gateway;
     routing_document document = gateway_harness::defaultDocument();
     document.routes.at(0).timeout = 600s;
