balance, gateway: cold rates and retry budgets hold over many gateways

Retry budgets were rounded down at each gateway, so that 44 gateways had nothing of 10 retries.

Ruled out: permits that rotate with time (clocks step), lending over the exchange (a round trip, and state at a lender), the age of connections as evidence of warmth (a pair of gateway and endpoint has a request every 14 s).

Change: only the first gateways by a rendezvous hash over the members may send to an endpoint that is not known to be warm (balance/cold_permits). It is known to be warm when its cold start is over, counted from its start, return, reopened group, named failure or first response after silence (balance/endpoint_warmth). Warm endpoints keep the divided rate. Requests for which the rates leave no room in time are refused with the time at which there will be room. Remainders of retry budgets add up to whole retries. The routing table is not applied again for each report of an endpoint.

--- a/src/balance/token_bucket.cpp
+++ b/src/balance/token_bucket.cpp
@@ -22,6 +22,15 @@
     return m_perSecond <= 0 || tokensAt(now) >= 1.0;
 }
 
+time_point token_bucket::availableAt(time_point now) const
+{
+    if (available(now)) {
+        return now;
+    }
+    const std::chrono::duration<double> wait((1.0 - tokensAt(now)) / m_perSecond);
+    return now + std::chrono::duration_cast<boot_clock::duration>(wait);
+}
+
 void token_bucket::take(time_point now)
 {
     m_tokens = std::max(0.0, tokensAt(now) - 1.0);
--- a/src/balance/token_bucket.h
+++ b/src/balance/token_bucket.h
@@ -19,6 +19,9 @@
     /** @returns whether a request may be sent now. */
     bool available(time_point now) const;
 
+    /** @returns the earliest time at which a request may be sent, as long as none is sent before. */
+    time_point availableAt(time_point now) const;
+
     /** Takes the token of a request that is sent. */
     void take(time_point now);
 
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -1,5 +1,6 @@
 #include "gateway/endpoint_table.h"
 
+#include "balance/cold_permits.h"
 #include "gateway/endpoint_connection.h"
 #include "observe/log.h"
 
@@ -9,9 +10,10 @@
 
 namespace {
 
-// Split of the cold rate limit per second into a burst and a refill rate, so that no second exceeds the limit.
-constexpr double coldBurstShare = 0.4;
-constexpr double coldRateShare = 0.6;
+// A cold start of which no length was reported is assumed to last this long. Known ones last 3 s.
+constexpr std::chrono::milliseconds assumedColdPeriod {4000};
+// Covers the age of a report when it arrives.
+constexpr std::chrono::milliseconds coldReportDelay {1000};
 // Exceeds the interval at which the coordinator repeats group states. Without a coordinator, engines are tried again.
 constexpr std::chrono::milliseconds closedStateTimeout {1500};
 // Exceeds the time without a coordinator during a usual outage of the store.
@@ -42,8 +44,10 @@
 {
 }
 
-std::vector<endpoint_run> endpoint_table::update(const endpoint_record &record)
+std::vector<endpoint_run> endpoint_table::update(const endpoint_record &record, time_point now)
 {
+    std::chrono::milliseconds &longestCold = m_longestCold[record.service];
+    longestCold = std::max(longestCold, record.coldRemaining);
     gateway_endpoint_ptr &known = m_endpoints[record.id];
     const bool sameStart = known != nullptr && known->record.startedAtMs == record.startedAtMs
         && known->record.address == record.address && known->record.service == record.service;
@@ -53,6 +57,9 @@
                     {{"endpoint", record.id}, {"service", record.service}});
         }
         known->record = record;
+        if (record.coldRemaining.count() > 0) {
+            known->warmth.presumeCold(now, record.coldRemaining + coldReportDelay);
+        }
         return {};
     }
     std::vector<endpoint_run> ended;
@@ -62,6 +69,12 @@
     }
     known = std::make_shared<gateway_endpoint>();
     known->record = record;
+    if (!m_initialListComplete && ended.empty() && record.coldRemaining.count() == 0) {
+        known->warmth.setWarm();
+    } else {
+        known->warmth.presumeCold(now, coldPeriodOf(record.service));
+    }
+    configureRates(*known);
     logLine(log_level::info, "gateway", "endpoint added",
             {{"endpoint", record.id},
              {"service", record.service},
@@ -113,7 +126,20 @@
     return gone;
 }
 
-void endpoint_table::setDataCentre(const std::string &name, bool inService)
+void endpoint_table::setInitialListComplete()
+{
+    m_initialListComplete = true;
+}
+
+boot_clock::duration endpoint_table::coldPeriodOf(const std::string &service) const
+{
+    const auto found = m_longestCold.find(service);
+    const std::chrono::milliseconds reported =
+        found == m_longestCold.end() ? std::chrono::milliseconds(0) : found->second;
+    return std::max(assumedColdPeriod, reported + coldReportDelay);
+}
+
+void endpoint_table::setDataCentre(const std::string &name, bool inService, time_point now)
 {
     const bool changed =
         inService ? m_dataCentresOutOfService.erase(name) > 0 : m_dataCentresOutOfService.insert(name).second;
@@ -121,6 +147,11 @@
         logLine(log_level::info, "gateway", inService ? "data centre in service" : "data centre out of service",
                 {{"data_centre", name}});
     }
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (changed && inService && endpoint->record.dataCentre == name) {
+            endpoint->warmth.presumeCold(now, coldPeriodOf(endpoint->record.service));
+        }
+    }
 }
 
 void endpoint_table::applyRouting(const routing_table &table, int gateways)
@@ -145,13 +176,86 @@
             m_paceModels.emplace(service.name, paceModelOf(*service.engine, table.gapTargetOf(service.name)));
         }
     }
+    m_gateways = gateways;
+    m_coldRates.clear();
+    for (const routed_service &service : table.document().services) {
+        m_coldRates.emplace(service.name, service.coldRequestsPerSecond);
+    }
+    for (const auto &[id, endpoint] : m_endpoints) {
+        configureRates(*endpoint);
+    }
+}
+
+void endpoint_table::setFleet(const gateway_fleet &fleet)
+{
+    m_fleet = fleet;
     for (const auto &[id, endpoint] : m_endpoints) {
-        const routed_service *service = table.findService(endpoint->record.service);
-        const double perSecond = service == nullptr ? 0.0 : service->coldRequestsPerSecond / gateways;
-        endpoint->coldRate.configure(coldRateShare * perSecond, std::max(1.0, coldBurstShare * perSecond));
+        configureRates(*endpoint);
+    }
+}
+
+void endpoint_table::configureRates(gateway_endpoint &endpoint) const
+{
+    const auto found = m_coldRates.find(endpoint.record.service);
+    const double perSecond = found == m_coldRates.end() ? 0.0 : found->second;
+    if (perSecond <= 0) {
+        endpoint.mayWarm = true;
+        endpoint.coldRate.configure(0, 0);
+        endpoint.warmRate.configure(0, 0);
+        return;
+    }
+    const rate_share warm = warmShare(m_gateways, perSecond);
+    endpoint.warmRate.configure(warm.perSecond, warm.burst);
+    const auto cold = coldPermit(m_fleet, endpoint.record.id, perSecond);
+    endpoint.mayWarm = cold.has_value();
+    if (cold) {
+        endpoint.coldRate.configure(cold->perSecond, cold->burst);
     }
 }
 
+bool endpoint_table::isWarm(const gateway_endpoint &endpoint, time_point now)
+{
+    // A group whose closed state has expired without a report may come back at any moment.
+    return endpoint.warmth.isWarm(now) && (endpoint.group == nullptr || endpoint.group->open);
+}
+
+bool endpoint_table::rateAllows(const gateway_endpoint &endpoint, time_point now)
+{
+    return isWarm(endpoint, now) ? endpoint.warmRate.available(now)
+                                 : endpoint.mayWarm && endpoint.coldRate.available(now);
+}
+
+void endpoint_table::recordSent(gateway_endpoint &endpoint, time_point now)
+{
+    // From both, so that an endpoint that turns cold now does not get the burst of a second bucket.
+    endpoint.coldRate.take(now);
+    endpoint.warmRate.take(now);
+}
+
+void endpoint_table::recordSilence(gateway_endpoint &endpoint, time_point now)
+{
+    endpoint.warmth.onSilence(now);
+}
+
+time_point endpoint_table::rateAllowsAt(const std::string &service, time_point now) const
+{
+    time_point earliest = time_point::max();
+    for (const gateway_endpoint_ptr &endpoint : endpointsOf(service)) {
+        if (!acceptsRequests(*endpoint, now) || now < endpoint->avoidedUntil) {
+            continue;
+        }
+        if (isWarm(*endpoint, now)) {
+            earliest = std::min(earliest, endpoint->warmRate.availableAt(now));
+            continue;
+        }
+        earliest = std::min(earliest, std::max(now, endpoint->warmth.warmAt()));
+        if (endpoint->mayWarm) {
+            earliest = std::min(earliest, endpoint->coldRate.availableAt(now));
+        }
+    }
+    return earliest;
+}
+
 void endpoint_table::setPeerLoads(const std::map<std::string, endpoint_load> &loads)
 {
     for (const auto &[id, endpoint] : m_endpoints) {
@@ -175,7 +279,7 @@
     endpoint_view view;
     view.slots = endpoint.record.slots;
     view.running = endpoint.ownRunning + endpoint.peersRunning;
-    view.usable = acceptsRequests(endpoint, now) && now >= endpoint.avoidedUntil && endpoint.coldRate.available(now)
+    view.usable = acceptsRequests(endpoint, now) && now >= endpoint.avoidedUntil && rateAllows(endpoint, now)
         && std::ranges::find(tried, endpoint.record.id) == tried.end();
     view.suspect = now < endpoint.suspectUntil;
     view.local = endpoint.record.dataCentre == m_dataCentre;
@@ -211,8 +315,7 @@
     return now >= group.closedUntil && now >= group.refusedUntil && !stalls;
 }
 
-void endpoint_table::recordEvent(const gateway_endpoint &endpoint, std::optional<boot_clock::duration> gap,
-                                 time_point now)
+void endpoint_table::recordEvent(gateway_endpoint &endpoint, std::optional<boot_clock::duration> gap, time_point now)
 {
     recordAnswer(endpoint, now);
     if (endpoint.group == nullptr) {
@@ -228,8 +331,9 @@
     }
 }
 
-void endpoint_table::recordAnswer(const gateway_endpoint &endpoint, time_point now)
+void endpoint_table::recordAnswer(gateway_endpoint &endpoint, time_point now)
 {
+    endpoint.warmth.onResponse(now, coldPeriodOf(endpoint.record.service));
     m_health[endpoint.record.service] = {0, now};
 }
 
@@ -258,6 +362,11 @@
     if (now >= endpoint.group->refusedUntil) {
         logLine(log_level::info, "gateway", "request refused because of a failed engine of the rank group",
                 {{"group", endpoint.group->name}, {"endpoint", endpoint.record.id}});
+        for (const auto &[id, each] : m_endpoints) {
+            if (each->group == endpoint.group) {
+                each->warmth.presumeCold(now + refusalTimeout, coldPeriodOf(each->record.service));
+            }
+        }
     }
     endpoint.group->refusedUntil = now + refusalTimeout;
 }
@@ -333,6 +442,11 @@
         }
         if (state.open && !group->open) {
             group->refusedUntil = {};
+            for (const auto &[id, endpoint] : m_endpoints) {
+                if (endpoint->group == group) {
+                    endpoint->warmth.onReturn(now, coldPeriodOf(endpoint->record.service));
+                }
+            }
         }
         group->open = state.open;
         group->closedUntil = state.open ? time_point {} : now + closedStateTimeout;
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -2,6 +2,7 @@
 
 #include "balance/endpoint_load.h"
 #include "balance/endpoint_view.h"
+#include "balance/gateway_fleet.h"
 #include "balance/pass_latency_model.h"
 #include "balance/stream_demand.h"
 #include "gateway/gateway_endpoint.h"
@@ -30,16 +31,21 @@
 
     /**
      * Adds an endpoint or updates its record. A restart under a known id replaces the earlier entry, and a new endpoint
-     * replaces those that started at its address before, once a routing configuration names its service.
+     * replaces those that started at its address before, once a routing configuration names its service. A new endpoint
+     * counts as cold, except in the initial list.
      * @returns the runs that the new one replaces
      */
-    std::vector<endpoint_run> update(const endpoint_record &record);
+    std::vector<endpoint_run> update(const endpoint_record &record, time_point now = boot_clock::now());
+
+    /** Ends the initial list: endpoints that are listed later have started since. */
+    void setInitialListComplete();
 
     /** Removes an endpoint. It gets no new requests; those in flight continue. */
     void remove(const std::string &id);
 
-    /** Sets whether a data centre is in service. Otherwise its endpoints get no new requests. */
-    void setDataCentre(const std::string &name, bool inService);
+    /** Sets whether a data centre is in service. Otherwise its endpoints get no new requests. They may come back cold.
+     */
+    void setDataCentre(const std::string &name, bool inService, time_point now = boot_clock::now());
 
     /**
      * Applies a routing configuration: the rate limits of cold endpoints and the step-time models of the engines.
@@ -47,6 +53,24 @@
      */
     void applyRouting(const routing_table &table, int gateways);
 
+    /** Sets which gateways share the rate limits of cold endpoints. */
+    void setFleet(const gateway_fleet &fleet);
+
+    /** @returns whether the endpoint is known to be warm. */
+    static bool isWarm(const gateway_endpoint &endpoint, time_point now);
+
+    /** Records a request that is sent to the endpoint. */
+    static void recordSent(gateway_endpoint &endpoint, time_point now);
+
+    /** Records that the endpoint did not respond to a request or a connection: it may be cold when it is back. */
+    static void recordSilence(gateway_endpoint &endpoint, time_point now);
+
+    /**
+     * @returns the earliest time at which the rate limits allow this gateway a request to an endpoint of the service
+     * that accepts requests; time_point::max() if none does
+     */
+    time_point rateAllowsAt(const std::string &service, time_point now) const;
+
     /** Sets the work of the other gateways in flight, by endpoint id. Missing endpoints have none. */
     void setPeerLoads(const std::map<std::string, endpoint_load> &loads);
 
@@ -65,13 +89,13 @@
     }
 
     /** Records an event of a stream. @param gap time since the previous event; absent for the first one */
-    void recordEvent(const gateway_endpoint &endpoint, std::optional<boot_clock::duration> gap, time_point now);
+    void recordEvent(gateway_endpoint &endpoint, std::optional<boot_clock::duration> gap, time_point now);
 
     /** Records that the endpoint refused a request and named another endpoint as the cause. */
     void recordGroupRefusal(const gateway_endpoint &endpoint, time_point now);
 
     /** Records that the endpoint responded to a request. */
-    void recordAnswer(const gateway_endpoint &endpoint, time_point now);
+    void recordAnswer(gateway_endpoint &endpoint, time_point now);
 
     /** Records an attempt that ended without a response. */
     void recordFailure(const gateway_endpoint &endpoint);
@@ -113,6 +137,9 @@
     /** Removes the endpoints that started at the address before, if the entry is one of a named service. */
     std::vector<endpoint_run> removePredecessors(const endpoint_record &record);
     void rebuild();
+    void configureRates(gateway_endpoint &endpoint) const;
+    boot_clock::duration coldPeriodOf(const std::string &service) const;
+    static bool rateAllows(const gateway_endpoint &endpoint, time_point now);
     static void setAvoided(gateway_endpoint &endpoint, bool avoided, time_point now);
     void updateGroupLoads(const std::string &service, time_point now);
     bool acceptsRequests(const gateway_endpoint &endpoint, time_point now) const;
@@ -125,6 +152,11 @@
     std::map<std::string, std::shared_ptr<endpoint_group>> m_groups; ///< By name.
     std::map<std::string, pass_latency_model> m_paceModels; ///< By service.
     std::map<std::string, service_health> m_health; ///< By service.
+    std::map<std::string, double> m_coldRates; ///< Requests per second that a cold endpoint tolerates, by service.
+    std::map<std::string, std::chrono::milliseconds> m_longestCold; ///< That was reported, by service.
+    gateway_fleet m_fleet;
+    int m_gateways = 1; ///< Number of gateways that share the rate limits of warm endpoints.
+    bool m_initialListComplete = false;
 };
 
 } // namespace bronzechute
--- a/src/gateway/gateway_endpoint.h
+++ b/src/gateway/gateway_endpoint.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balance/endpoint_warmth.h"
 #include "balance/token_bucket.h"
 #include "base/boot_clock.h"
 #include "gateway/endpoint_group.h"
@@ -28,7 +29,10 @@
     time_point avoidedUntil {}; ///< No requests until then, as the endpoint would slow its whole rank group down.
     double longestGapMs = 0; ///< Peak time between events of its recent streams; decays slowly.
     double gapMs = 0; ///< Moving average of the time between events; 0 before the first.
-    token_bucket coldRate; ///< This gateway's share of the rate limit for a cold endpoint.
+    endpoint_warmth warmth;
+    bool mayWarm = true; ///< Whether this gateway may send to the endpoint while it is not known to be warm.
+    token_bucket coldRate; ///< This gateway's share of the rate limit while the endpoint is not known to be warm.
+    token_bucket warmRate; ///< This gateway's share of the rate limit otherwise.
     std::vector<std::shared_ptr<endpoint_connection>> idleConnections;
 };
 
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -497,6 +497,10 @@
             now + suspectPeriod * (1 << std::min(endpoint->consecutiveFailures, maxSuspectDoublings));
         ++endpoint->consecutiveFailures;
         m_context.endpoints.recordFailure(*endpoint);
+        const bool responded = end == attempt_outcome::refused || m_attemptStatus >= statusInternalServerError;
+        if (!responded) {
+            endpoint_table::recordSilence(*endpoint, now);
+        }
         m_context.metrics.countFailedAttempt(nameOf(end), m_events.attemptEvents() > 0);
         logLine(log_level::info, "gateway", "attempt failed",
                 {{"request_id", m_id},
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -57,6 +57,7 @@
     if (!listening) {
         return listening.error();
     }
+    role->updateFleet(boot_clock::now());
     role->startQuarantineRecord();
     role->startCoordinator();
     role->monitorReachability();
@@ -107,6 +108,21 @@
 {
     m_registry.gauge("bronzechute_gateway_ready", "", "Whether the gateway takes callers.",
                      [this] { return m_draining ? 0.0 : 1.0; });
+    const auto countEndpoints = [this](auto condition) {
+        return [this, condition] {
+            const time_point now = boot_clock::now();
+            return static_cast<double>(std::ranges::count_if(
+                m_endpoints.all(), [&](const auto &entry) { return condition(*entry.second, now); }));
+        };
+    };
+    m_registry.gauge("bronzechute_gateway_unproven_endpoints", "",
+                     "Endpoints that are not known to be warm and get requests at their cold rate.",
+                     countEndpoints([](const gateway_endpoint &endpoint, time_point now) {
+                         return !endpoint_table::isWarm(endpoint, now);
+                     }));
+    m_registry.gauge("bronzechute_gateway_cold_permits", "",
+                     "Endpoints that this gateway may send requests to while they are cold.",
+                     countEndpoints([](const gateway_endpoint &endpoint, time_point) { return endpoint.mayWarm; }));
 }
 
 result<void> gateway_role::listen()
@@ -296,9 +312,6 @@
         for (const endpoint_run &ended : m_endpoints.update(record)) {
             m_guard.onRestart(ended);
         }
-        if (m_table != nullptr) {
-            m_endpoints.applyRouting(*m_table, m_loadExchange.gateways());
-        }
         m_dispatcher.serveQueues();
     });
 }
@@ -317,6 +330,7 @@
 {
     asio::post(m_loop, [this] {
         m_initialListComplete = true;
+        m_endpoints.setInitialListComplete();
         logLine(log_level::info, "gateway", "initial list of endpoints complete", {{"endpoints", m_endpoints.size()}});
     });
 }
@@ -378,6 +392,7 @@
             return;
         }
         const time_point now = boot_clock::now();
+        updateFleet(now);
         const bool isPartitioned = m_loadExchange.isPartitioned();
         const bool serviceFailing = isPartitioned && m_endpoints.anyServiceFailing(now);
         if (m_redirect.update(isPartitioned, serviceFailing, now)) {
@@ -413,6 +428,24 @@
     }
 }
 
+void gateway_role::updateFleet(time_point now)
+{
+    gateway_fleet fleet {m_loadExchange.self(), m_loadExchange.members(now), 0, m_loadExchange.isDiscovered(now)};
+    m_fleetSize.record(static_cast<int>(fleet.members.size()), now);
+    fleet.highestCount = m_fleetSize.value();
+    if (fleet == m_fleet) {
+        return;
+    }
+    logLine(log_level::info, "gateway", "gateways that share bounds changed",
+            {{"before", m_fleet.members.size()},
+             {"now", fleet.members.size()},
+             {"highest", fleet.highestCount},
+             {"discovered", fleet.discovered}});
+    m_fleet = std::move(fleet);
+    m_endpoints.setFleet(m_fleet);
+    m_dispatcher.setFleet(m_fleet);
+}
+
 caller_limits gateway_role::limits() const
 {
     return m_table == nullptr ? caller_limits {} : m_table->limits();
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balance/caller_redirect.h"
+#include "balance/recent_peak.h"
 #include "balance/retry_detector.h"
 #include "base/result.h"
 #include "gateway/coordinator_lease.h"
@@ -79,6 +80,7 @@
     bool ready() const;
     void applyRoutingTable(std::shared_ptr<const routing_table> table);
     void updateGatewayShares();
+    void updateFleet(time_point now);
     void publishGroupStates();
     void monitorReachability();
     void startCoordinator();
@@ -115,6 +117,8 @@
     std::shared_ptr<const routing_table> m_table;
     bool m_initialListComplete = false;
     int m_gatewayCount = 0;
+    gateway_fleet m_fleet;
+    recent_peak m_fleetSize;
     std::atomic<bool> m_draining {false};
     std::optional<time_point> m_drainAcceptUntil; ///< While draining: requests that arrive until then are all accepted.
     time_point m_drainStopAt {}; ///< While draining: responses must be complete by then.
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_dispatcher.h"
 
 #include "balance/admission.h"
+#include "balance/cold_permits.h"
 #include "balance/placement.h"
 
 #include <algorithm>
@@ -29,7 +30,7 @@
     if (found != m_queues.end()) {
         return found->second;
     }
-    service_queue queue {{}, {}, {}, {}, windowed_retry_budget(ownRetryLimits())};
+    service_queue queue {{}, {}, {}, {}, windowed_retry_budget(ownRetryLimits(service))};
     return m_queues.emplace(service, std::move(queue)).first->second;
 }
 
@@ -56,8 +57,10 @@
     const queue_state state {ahead, queue.completions.interval(now), queue.arrivals.interval(now),
                              m_endpoints.anyUsable(service, now), ownSlots(service)};
     const admission_decision decision = admit(state, request, now);
-    if (!decision.admitted) {
-        client->onRefused(state.anyUsable ? refusal::wait_too_long : refusal::no_endpoint, decision.expectedWait);
+    const boot_clock::duration rateWait = rateDelay(service, now);
+    if (!decision.admitted || now + rateWait > request.expiresAt) {
+        client->onRefused(state.anyUsable ? refusal::wait_too_long : refusal::no_endpoint,
+                          std::max(decision.expectedWait, rateWait));
         return std::nullopt;
     }
     const std::uint64_t ticket = request.ticket;
@@ -100,7 +103,7 @@
 {
     ++endpoint->ownRunning;
     endpoint->ownTokens += client->tokens();
-    endpoint->coldRate.take(boot_clock::now());
+    endpoint_table::recordSent(*endpoint, boot_clock::now());
     client->onPlaced(endpoint);
 }
 
@@ -135,24 +138,35 @@
 void request_dispatcher::setGateways(int count)
 {
     m_gatewayCount = count;
+}
+
+void request_dispatcher::setFleet(const gateway_fleet &fleet)
+{
+    m_fleet = fleet;
     for (auto &[service, queue] : m_queues) {
-        queue.budget.setLimits(ownRetryLimits());
+        queue.budget.setLimits(ownRetryLimits(service));
     }
 }
 
 void request_dispatcher::setRetryLimits(const retry_limits &limits)
 {
     m_limits = limits;
-    setGateways(m_gatewayCount);
+    setFleet(m_fleet);
 }
 
-retry_limits request_dispatcher::ownRetryLimits() const
+retry_limits request_dispatcher::ownRetryLimits(const std::string &service) const
 {
     retry_limits own = m_limits;
-    own.fixed /= m_gatewayCount;
+    own.fixed = wholePermitShare(m_fleet, service, m_limits.fixed);
     return own;
 }
 
+boot_clock::duration request_dispatcher::rateDelay(const std::string &service, time_point now) const
+{
+    const time_point allowedAt = m_endpoints.rateAllowsAt(service, now);
+    return allowedAt == time_point::max() ? boot_clock::duration(0) : allowedAt - now;
+}
+
 void request_dispatcher::serveQueues()
 {
     for (auto &[service, queue] : m_queues) {
@@ -189,7 +203,7 @@
         const auto found = queue.clients.find(request.ticket);
         const std::shared_ptr<placement_client> client = found->second;
         queue.clients.erase(found);
-        client->onRefused(reason, queue.completions.interval(now));
+        client->onRefused(reason, std::max(queue.completions.interval(now), rateDelay(service, now)));
     }
 }
 
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -53,9 +53,12 @@
     /** Takes a retry from the budget of the service. @returns whether one was left */
     bool tryConsumeRetry(const std::string &service);
 
-    /** @param count number of gateways that share the retry budgets */
+    /** @param count number of gateways that share the slots */
     void setGateways(int count);
 
+    /** Sets which gateways share the retry budgets. */
+    void setFleet(const gateway_fleet &fleet);
+
     void setRetryLimits(const retry_limits &limits);
 
     /** Serves the queues of all services; called when endpoints have become usable or free. */
@@ -79,7 +82,7 @@
     };
 
     service_queue &queueOf(const std::string &service);
-    retry_limits ownRetryLimits() const;
+    retry_limits ownRetryLimits(const std::string &service) const;
     std::size_t ownSlots(const std::string &service) const;
     gateway_endpoint_ptr choose(const std::string &service, const placement_client &client);
     /** @returns whether the service works, but too slowly for the request. */
@@ -87,6 +90,8 @@
     void place(const gateway_endpoint_ptr &endpoint, const std::shared_ptr<placement_client> &client);
     void serveQueue(const std::string &service, service_queue &queue);
     void expire(const std::string &service, service_queue &queue, time_point now);
+    /** @returns the time until the rate limits of cold endpoints allow a request; zero if none accepts requests. */
+    boot_clock::duration rateDelay(const std::string &service, time_point now) const;
     void scheduleCheck();
 
     boost::asio::steady_timer m_timer;
@@ -95,6 +100,7 @@
     std::map<std::string, service_queue> m_queues;
     std::uint64_t m_nextTicket = 1;
     int m_gatewayCount = 1;
+    gateway_fleet m_fleet;
     bool m_checkScheduled = false;
     std::mt19937_64 m_random;
 };
--- a/tests/gateway/endpoint_table_test.cpp
+++ b/tests/gateway/endpoint_table_test.cpp
@@ -1,3 +1,4 @@
+#include "balance/placement.h"
 #include "gateway/endpoint_table.h"
 #include "gateway/load_report.h"
 #include "gateway/peer_loads.h"
@@ -5,6 +6,14 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <random>
+#include <utility>
+#include <vector>
 
 namespace bronzechute {
 
@@ -146,7 +155,7 @@
 TEST_F(grouped_endpoints, takeOnlyStreamsThatCompleteAtTheirPace)
 {
     m_table.setGroups({{"g", true, {"a", "b", "alone"}, {}}}, start);
-    const gateway_endpoint &measured = *m_table.all().at("a");
+    gateway_endpoint &measured = *m_table.all().at("a");
     for (const auto at : {-1500ms, -1000ms, -500ms, 0ms}) {
         m_table.recordEvent(measured, 500ms, start + at);
     }
@@ -213,7 +222,7 @@
     record.id = "a";
     record.service = "models";
     table.update(record);
-    const gateway_endpoint &endpoint = *table.all().at("a");
+    gateway_endpoint &endpoint = *table.all().at("a");
     for (int count = 0; count < 5; ++count) {
         table.recordFailure(endpoint);
     }
@@ -224,6 +233,208 @@
     EXPECT_FALSE(table.isFailing("unknown", start));
 }
 
+constexpr double coldRate = 14;
+
+routing_table coldServiceTable()
+{
+    routing_document document;
+    routed_service service;
+    service.name = "models";
+    service.coldRequestsPerSecond = coldRate;
+    document.services.push_back(service);
+    return routing_table(document);
+}
+
+gateway_fleet fleetOf(int count, int self)
+{
+    gateway_fleet fleet {"", {}, count, true};
+    for (int index = 0; index < count; ++index) {
+        fleet.members.push_back("10.0.0." + std::to_string(index + 1));
+    }
+    fleet.self = fleet.members.at(static_cast<std::size_t>(self));
+    return fleet;
+}
+
+endpoint_record modelRecord(const std::string &id)
+{
+    endpoint_record record;
+    record.id = id;
+    record.service = "models";
+    record.dataCentre = "there";
+    record.slots = 10;
+    record.startedAtMs = 1000;
+    return record;
+}
+
+struct cold_row
+{
+    const char *name; ///< Failure that the row guards against.
+    std::function<void(endpoint_table &, const std::string &)> happen; ///< To an endpoint, at the start.
+    std::chrono::milliseconds lastCold; ///< Time after the start at which only the holders of a permit may send.
+    std::chrono::milliseconds firstWarm; ///< Time after the start from which all gateways may.
+};
+
+class cold_endpoint : public testing::TestWithParam<cold_row>
+{
+};
+
+// With the rate divided by the number of gateways, each of the 44 gateways may send in every row, at any time.
+TEST_P(cold_endpoint, getsRequestsOfFewGatewaysOnly)
+{
+    constexpr int gateways = 44;
+    int mayBefore = 0;
+    int mayWhileCold = 0;
+    int mayAfterwards = 0;
+    for (int self = 0; self < gateways; ++self) {
+        endpoint_table table("here");
+        table.setFleet(fleetOf(gateways, self));
+        table.applyRouting(coldServiceTable(), gateways);
+        table.update(modelRecord("i-1"), start - 1min);
+        table.setInitialListComplete();
+        const auto may = [&](time_point now) {
+            return table.viewOf(*table.all().at("i-1"), {}, now).usable ? 1 : 0;
+        };
+        mayBefore += may(start);
+        GetParam().happen(table, "i-1");
+        mayWhileCold += may(start + GetParam().lastCold);
+        mayAfterwards += may(start + GetParam().firstWarm);
+    }
+    EXPECT_EQ(mayBefore, gateways);
+    EXPECT_EQ(mayWhileCold, 4);
+    EXPECT_EQ(mayAfterwards, gateways);
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, cold_endpoint,
+                         testing::Values(cold_row {"a_restarted_endpoint_counts_as_warm",
+                                                   [](endpoint_table &table, const std::string &id) {
+                                                       endpoint_record record = modelRecord(id);
+                                                       record.startedAtMs = 2000;
+                                                       table.update(record, start);
+                                                   },
+                                                   3999ms, 4s},
+                                         cold_row {"a_reported_cold_start_is_ignored",
+                                                   [](endpoint_table &table, const std::string &id) {
+                                                       endpoint_record record = modelRecord(id);
+                                                       record.coldRemaining = 6s;
+                                                       table.update(record, start);
+                                                   },
+                                                   6999ms, 7s},
+                                         cold_row {"a_data_centre_that_is_back_counts_as_warm",
+                                                   [](endpoint_table &table, const std::string &) {
+                                                       table.setDataCentre("there", false, start - 10s);
+                                                       table.setDataCentre("there", true, start);
+                                                   },
+                                                   3999ms, 4s},
+                                         cold_row {"a_group_that_is_back_counts_as_warm",
+                                                   [](endpoint_table &table, const std::string &id) {
+                                                       table.setGroups({{"g", false, {id}, {}}}, start - 1s);
+                                                       table.setGroups({{"g", true, {id}, {}}}, start);
+                                                   },
+                                                   3999ms, 4s},
+                                         cold_row {"a_closed_group_that_is_not_reported_any_more_counts_as_warm",
+                                                   [](endpoint_table &table, const std::string &id) {
+                                                       table.setGroups({{"g", false, {id}, {}}}, start - 2s);
+                                                       EXPECT_FALSE(
+                                                           endpoint_table::isWarm(*table.all().at(id), start + 1min));
+                                                       table.setGroups({{"g", true, {id}, {}}}, start);
+                                                   },
+                                                   3999ms, 4s},
+                                         cold_row {"an_engine_named_as_missing_is_back_unnoticed",
+                                                   [](endpoint_table &table, const std::string &id) {
+                                                       table.setGroups({{"g", true, {id}, {}}}, start - 1min);
+                                                       table.recordGroupRefusal(*table.all().at(id), start);
+                                                   },
+                                                   4399ms, 4400ms},
+                                         cold_row {"an_endpoint_that_was_dark_counts_as_warm",
+                                                   [](endpoint_table &table, const std::string &id) {
+                                                       endpoint_table::recordSilence(*table.all().at(id), start - 2s);
+                                                       table.recordAnswer(*table.all().at(id), start);
+                                                   },
+                                                   3999ms, 4s}),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+TEST(undiscovered_gateway, sendsNothingToAColdEndpoint)
+{
+    endpoint_table table("here");
+    table.setInitialListComplete();
+    table.applyRouting(coldServiceTable(), 4);
+    gateway_fleet fleet = fleetOf(1, 0);
+    fleet.discovered = false;
+    table.setFleet(fleet);
+    table.update(modelRecord("i-1"), start);
+    EXPECT_FALSE(table.viewOf(*table.all().at("i-1"), {}, start).usable);
+    EXPECT_EQ(table.rateAllowsAt("models", start), start + 4s);
+    fleet.discovered = true;
+    table.setFleet(fleet);
+    EXPECT_TRUE(table.viewOf(*table.all().at("i-1"), {}, start).usable);
+}
+
+/** Gateways with more requests than a rank group can take when it comes back, which know nothing of each other's. */
+struct returning_group
+{
+    returning_group(int gateways, int ranks)
+    {
+        for (int self = 0; self < gateways; ++self) {
+            endpoint_table &table = *m_tables.emplace_back(std::make_unique<endpoint_table>("here"));
+            table.applyRouting(coldServiceTable(), gateways);
+            table.setFleet(fleetOf(gateways, self));
+            group_state state {"g", false, {}, {}};
+            for (int rank = 0; rank < ranks; ++rank) {
+                state.endpoints.push_back("i-" + std::to_string(rank));
+                endpoint_record record = modelRecord(state.endpoints.back());
+                record.slots = 100;
+                table.update(record, start - 1min);
+            }
+            table.setInitialListComplete();
+            table.setGroups({state}, start - 1s);
+            state.open = true;
+            table.setGroups({state}, start);
+        }
+    }
+
+    /** Sends for a time. @returns the most requests that any rank got in a second, and all requests */
+    std::pair<int, int> run(std::chrono::milliseconds time)
+    {
+        std::mt19937_64 random(1);
+        std::map<std::string, std::deque<std::chrono::milliseconds>> sent;
+        int most = 0;
+        int all = 0;
+        for (std::chrono::milliseconds now {0}; now < time; now += 20ms) {
+            for (const auto &table : m_tables) {
+                const auto &endpoints = table->endpointsOf("models");
+                table->recordEvent(*endpoints.front(), std::nullopt, start + now); // Its streams make progress.
+                while (const auto index = placeRequest(table->viewsOf("models", {}, start + now), 0, random)) {
+                    gateway_endpoint &endpoint = *endpoints[*index];
+                    ++endpoint.ownRunning;
+                    endpoint_table::recordSent(endpoint, start + now);
+                    auto &times = sent[endpoint.record.id];
+                    times.push_back(now);
+                    while (now - times.front() >= 1s) {
+                        times.pop_front();
+                    }
+                    most = std::max(most, static_cast<int>(times.size()));
+                    ++all;
+                }
+            }
+        }
+        return {most, all};
+    }
+
+private:
+    std::vector<std::unique_ptr<endpoint_table>> m_tables;
+};
+
+// A rank that gets more requests than it tolerates while it is cold crashes, and closes the whole group again.
+TEST(returning_group, isWarmedAsOne)
+{
+    constexpr int ranks = 72;
+    const auto [most, all] = returning_group(44, ranks).run(3900ms);
+    std::cout << "44 gateways, 72 ranks: at most " << most << " requests in a second at a rank, " << all
+              << " in all in 3.9 s\n";
+    EXPECT_LE(most, coldRate);
+    EXPECT_GE(all, static_cast<int>(2.0 / 3 * coldRate * ranks * 3.9));
+}
+
 class peer_reachability : public testing::Test
 {
 protected:
--- a/tests/gateway/request_dispatcher_test.cpp
+++ b/tests/gateway/request_dispatcher_test.cpp
@@ -24,9 +24,10 @@
         endpoint = placed;
     }
 
-    void onRefused(refusal reason, boot_clock::duration) override
+    void onRefused(refusal reason, boot_clock::duration expectedWait) override
     {
         refused = reason;
+        wait = expectedWait;
     }
 
     std::span<const std::string> tried() const override
@@ -41,6 +42,7 @@
 
     gateway_endpoint_ptr endpoint;
     std::optional<refusal> refused;
+    boot_clock::duration wait {0};
 
 private:
     const std::optional<stream_demand> m_demand;
@@ -126,6 +128,39 @@
     EXPECT_NE(second->endpoint, nullptr);
 }
 
+// A caller that is told nothing comes back at once, while the endpoints are still cold.
+TEST(cold_group, tellsCallersWhenThereWillBeRoom)
+{
+    boost::asio::io_context loop;
+    endpoint_table endpoints("here");
+    request_dispatcher dispatcher(loop, endpoints, {}, 1);
+    routing_document document;
+    document.services.emplace_back().name = "models";
+    document.services.back().coldRequestsPerSecond = 14;
+    endpoints.applyRouting(routing_table(document), 44);
+    // This gateway does not know the others yet, so that it must not send to a cold endpoint.
+    endpoints.setFleet({"10.0.0.1", {"10.0.0.1"}, 1, false});
+    endpoints.setInitialListComplete();
+    endpoint_record record;
+    record.id = "a";
+    record.service = "models";
+    endpoints.update(record);
+    const time_point now = boot_clock::now();
+    const auto submit = [&](std::chrono::milliseconds patience) {
+        auto client = std::make_shared<recorded_client>(std::nullopt);
+        waiting_request request;
+        request.arrivedAt = now;
+        request.expiresAt = now + patience;
+        dispatcher.submit("models", request, client);
+        return client;
+    };
+    const auto refused = submit(1600ms);
+    EXPECT_EQ(refused->refused, refusal::wait_too_long);
+    EXPECT_GT(refused->wait, 3500ms);
+    EXPECT_LE(refused->wait, 4s);
+    EXPECT_FALSE(submit(8s)->refused) << "it waits, as there will be room in time";
+}
+
 } // namespace
 
 } // namespace bronzechute
