--- /dev/null
+++ b/src/gateway/exchange_node.cpp
@@ -0,0 +1,982 @@
+#include "gateway/exchange_node.h"
+
+#include "gateway/endpoint_key.h"
+#include "gateway/message_codec.h"
+
+#include <algorithm>
+
+namespace bronzechute {
+
+namespace {
+
+// Mesh mode. Between two reports, peers place requests by an outdated view; requests run for some 100 ms.
+constexpr std::chrono::milliseconds meshInterval {40};
+// A heartbeat is sent after this time without a change.
+constexpr std::chrono::milliseconds heartbeatInterval {250};
+// Well below the time after which endpoint_table lets the closed state of a group expire.
+constexpr std::chrono::milliseconds groupsInterval {500};
+// Evidence is repeated at once in case a datagram is lost, and later for gateways that could not be reached.
+constexpr int meshEvidenceRepetitions = 3;
+constexpr std::chrono::seconds evidenceInterval {5};
+
+// Hub mode.
+constexpr std::chrono::milliseconds hubTickInterval {20};
+constexpr std::chrono::milliseconds memberReportInterval {55};
+constexpr std::chrono::milliseconds queuesInterval {500};
+// States of groups that accept requests everywhere do not expire; gateways that start need them.
+constexpr std::chrono::seconds openGroupsInterval {2};
+constexpr int evidenceRepetitions = 1;
+constexpr std::chrono::milliseconds evidenceSpacing {100};
+// Another gateway knows that there are enough for hub mode.
+constexpr std::chrono::seconds hubModeDuration {10};
+constexpr std::chrono::milliseconds tableTimeout {3000};
+constexpr std::chrono::milliseconds silentHubInterval {250};
+constexpr std::size_t silentHubCandidates = 3;
+constexpr std::chrono::milliseconds probeInterval {100};
+constexpr std::chrono::seconds greetingInterval {1};
+constexpr std::size_t greetingsAtOnce = 4;
+constexpr std::size_t probesAtOnce = 6;
+constexpr std::chrono::milliseconds replyInterval {200};
+constexpr std::size_t maxReportedPeers = 64;
+constexpr std::size_t maxSentReports = 80; ///< Those of some 4 s, longer than a hub keeps a report.
+constexpr std::size_t maxNewsOrigins = 64;
+constexpr std::size_t maxDataCentres = 64;
+// Sustained control traffic of a gateway for itself, and of a hub for each gateway that it sends to.
+constexpr double bytesPerSecondPerGateway = 11000;
+// A tenth of the slowest link among the platform's gateways (40 Mbit/s).
+constexpr double maxBytesPerSecond = 500000;
+
+std::chrono::milliseconds millisecondsOf(boot_clock::duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+int ageMs(time_point at, time_point now)
+{
+    return static_cast<int>(std::clamp<std::int64_t>(millisecondsOf(now - at).count(), 0, 60000));
+}
+
+void subtract(queue_summary &sum, const queue_summary &part)
+{
+    sum.waiting = std::max(0, sum.waiting - part.waiting);
+    sum.waitingTokens = std::max<std::int64_t>(0, sum.waitingTokens - part.waitingTokens);
+    sum.startsPerSecond = std::max(0.0, sum.startsPerSecond - part.startsPerSecond);
+    sum.refusalsPerSecond = std::max(0.0, sum.refusalsPerSecond - part.refusalsPerSecond);
+    sum.promisedReturns = std::max(0, sum.promisedReturns - part.promisedReturns);
+    for (const auto &[account, tokens] : part.tokensByAccount) {
+        if (const auto found = sum.tokensByAccount.find(account); found != sum.tokensByAccount.end()) {
+            found->second = std::max<std::int64_t>(0, found->second - tokens);
+        }
+    }
+}
+
+} // namespace
+
+exchange_node::exchange_node(std::string self, std::string node, std::string dataCentre, std::uint64_t incarnation,
+                             exchange_source &source)
+    : m_self(std::move(self))
+    , m_node(std::move(node))
+    , m_dataCentre(std::move(dataCentre))
+    , m_incarnation(incarnation)
+    , m_source(source)
+    , m_peers(m_self)
+    , m_sequence(incarnation
+                 & 0xfffff) // So that a sum with a report of an earlier process is not taken for a later one.
+    , m_rule(m_self)
+{
+    m_budget.setRate(bytesPerSecondPerGateway);
+}
+
+void exchange_node::addCandidates(const std::vector<std::string> &hosts, time_point now)
+{
+    m_peers.addCandidates(hosts, now);
+}
+
+void exchange_node::setCoordinator(bool isCoordinator, std::vector<group_state> groups)
+{
+    m_isCoordinator = isCoordinator;
+    if (groups != m_groups) {
+        m_groups = std::move(groups);
+        m_groupsChanged = true;
+    }
+}
+
+std::vector<outgoing_datagram> exchange_node::takeOutgoing()
+{
+    return std::exchange(m_outgoing, {});
+}
+
+std::chrono::milliseconds exchange_node::tickInterval() const
+{
+    return m_hubMode ? hubTickInterval : meshInterval;
+}
+
+int exchange_node::knownGateways(time_point now) const
+{
+    return static_cast<int>(m_peers.members(now).size()) + 1;
+}
+
+std::map<std::uint32_t, endpoint_load> exchange_node::ownLoadsByKey() const
+{
+    std::map<std::uint32_t, endpoint_load> loads;
+    for (const auto &[id, load] : m_source.ownLoads()) {
+        endpoint_load &sum = loads[endpointKey(id)];
+        sum.requests += load.requests;
+        sum.tokens += load.tokens;
+    }
+    return loads;
+}
+
+void exchange_node::updateMode(time_point now)
+{
+    const bool wasHubMode = m_hubMode;
+    m_hubMode = knownGateways(now) > maxMeshGateways || now < m_hubModeUntil;
+    if (m_hubMode && !wasHubMode) {
+        m_rule = hub_rule(m_self);
+    }
+}
+
+void exchange_node::tick(time_point now)
+{
+    updateMode(now);
+    if (!m_hubMode) {
+        tickMesh(now);
+        return;
+    }
+    updateRule(now);
+    sendMemberReport(now);
+    if (m_rule.acting()) {
+        sendTables(now);
+    }
+    sendNews(now);
+    sendGreetings(now);
+    reportToEarlierVersions(now);
+}
+
+// Mesh mode
+
+bool exchange_node::groupsDue(time_point now) const
+{
+    if (!m_isCoordinator || m_groups.empty()) {
+        return false;
+    }
+    const bool expires = !m_hubMode || std::ranges::any_of(m_groups, [](const group_state &group) {
+        return !group.open || !group.avoided.empty();
+    });
+    return m_groupsChanged || now - m_groupsSentAt >= (expires ? groupsInterval : openGroupsInterval);
+}
+
+bool exchange_node::evidenceDue(time_point now) const
+{
+    return m_meshEvidence.repetitions > 0 || now - m_meshEvidence.sentAt >= evidenceInterval;
+}
+
+void exchange_node::remember(std::map<std::uint32_t, endpoint_load> loads, time_point now)
+{
+    m_sentReports.push_back({m_sequence, now, std::move(loads), m_reportedQueues});
+    if (m_sentReports.size() > maxSentReports) {
+        m_sentReports.pop_front();
+    }
+}
+
+load_report exchange_node::makeReport(time_point now)
+{
+    load_report report;
+    report.node = m_node;
+    report.incarnation = m_incarnation;
+    report.sequence = ++m_sequence;
+    report.dataCentre = m_dataCentre;
+    report.isCoordinator = m_isCoordinator;
+    report.gateways = knownGateways(now);
+    report.hubs = m_hubs;
+    if (m_hubMode && m_rule.acting()) {
+        report.hubs[m_dataCentre] = m_self;
+    }
+    for (const auto &[id, load] : m_source.ownLoads()) {
+        report.running[id] = load.requests;
+        if (load.tokens > 0) {
+            report.tokens[id] = load.tokens;
+        }
+    }
+    m_reportedQueues = m_source.ownQueues();
+    report.queues = m_reportedQueues;
+    report.peers = m_peers.heardPeers(now);
+    if (m_hubMode && report.peers.size() > maxReportedPeers) {
+        report.peers.resize(maxReportedPeers);
+    }
+    remember(ownLoadsByKey(), now);
+    return report;
+}
+
+void exchange_node::tickMesh(time_point now)
+{
+    if (m_source.evidenceVersion() != m_meshEvidence.version) {
+        m_meshEvidence.version = m_source.evidenceVersion();
+        m_meshEvidence.repetitions = meshEvidenceRepetitions;
+    }
+    const int alive = m_peers.alive(now);
+    if (alive != m_lastAlivePeers) {
+        m_lastAlivePeers = alive;
+        m_meshEvidence.repetitions = meshEvidenceRepetitions; // For gateways that have just come into reach.
+    }
+    std::map<std::string, int> running;
+    for (const auto &[id, load] : m_source.ownLoads()) {
+        running.emplace(id, load.requests);
+    }
+    const bool withGroups = groupsDue(now);
+    crash_evidence evidence;
+    if (evidenceDue(now)) {
+        evidence = m_source.evidence();
+        m_meshEvidence.repetitions = std::max(0, m_meshEvidence.repetitions - 1);
+        m_meshEvidence.sentAt = now;
+    }
+    if (running == m_meshRunning && now - m_meshSentAt < heartbeatInterval && !withGroups && evidence.empty()) {
+        return;
+    }
+    m_meshSentAt = now;
+    m_meshRunning = std::move(running);
+    load_report report = makeReport(now);
+    report.wantsReply = true; // Gateways in hub mode send no reports without being asked.
+    report.evidence = std::move(evidence);
+    if (withGroups) {
+        report.groups = m_groups;
+        m_groupsChanged = false;
+        m_groupsSentAt = now;
+    }
+    const std::string datagram = encodeLoadReport(report, now);
+    for (const std::string &host : m_peers.targets(now)) {
+        m_outgoing.push_back({host, datagram});
+    }
+}
+
+// Receiving
+
+incoming_news exchange_node::receive(const std::string &host, std::string_view datagram, time_point now)
+{
+    incoming_news result;
+    if (host == m_self) {
+        result.isValid = true;
+        return result;
+    }
+    if (isHubMessage(datagram)) {
+        auto message = decodeHubMessage(datagram, now);
+        if (!message) {
+            return result;
+        }
+        result.isValid = true;
+        if (const auto *report = std::get_if<member_report>(&*message)) {
+            applyReport(host, *report, now);
+        } else if (auto *table = std::get_if<load_table>(&*message)) {
+            applyTable(host, std::move(*table), now);
+        } else {
+            applyNews(host, std::get<exchange_news>(*message), now, result);
+        }
+        return result;
+    }
+    auto report = decodeLoadReport(datagram, now);
+    if (!report) {
+        return result;
+    }
+    result.isValid = true;
+    if (m_peers.record(host, *report, now)) {
+        m_meshEvidence.repetitions = meshEvidenceRepetitions; // A gateway that has just started knows nothing.
+        m_allWriter.repeatList();
+    }
+    if (report->gateways > maxMeshGateways) {
+        m_hubModeUntil = now + hubModeDuration;
+    }
+    for (const auto &[dataCentre, hub] : report->hubs) {
+        if (dataCentre == m_dataCentre) {
+            m_rule.setHint(hub, now);
+        }
+        if (m_hubs.size() >= maxDataCentres && !m_hubs.contains(dataCentre)) {
+            continue;
+        }
+        const auto known = m_peers.all().find(m_hubs[dataCentre]);
+        if (known == m_peers.all().end() || now - known->second.heardAt > hub_rule::hubTimeout) {
+            m_hubs[dataCentre] = hub;
+        }
+    }
+    if (report->wantsReply && m_hubMode) {
+        reply(host, now);
+    }
+    result.groups = std::move(report->groups);
+    result.evidence = std::move(report->evidence);
+    return result;
+}
+
+void exchange_node::applyReport(const std::string &host, const member_report &report, time_point now)
+{
+    if (m_peers.record(host, report, now)) {
+        m_allWriter.repeatList();
+    }
+    if (report.gateways > maxMeshGateways) {
+        m_hubModeUntil = now + hubModeDuration;
+    }
+}
+
+void exchange_node::applyTable(const std::string &host, load_table table, time_point now)
+{
+    if (table.ofAll != (table.dataCentre == m_dataCentre)) {
+        return;
+    }
+    if (table.gateways > maxMeshGateways) {
+        m_hubModeUntil = now + hubModeDuration;
+    }
+    kept_table &kept = (table.ofAll ? m_allTables : m_dataCentreTables)[host];
+    const bool sameProcess = table.incarnation == kept.table.incarnation;
+    if (sameProcess ? table.sequence <= kept.table.sequence : table.incarnation == kept.formerIncarnation) {
+        return; // Late, or doubled.
+    }
+    if (!sameProcess) {
+        const std::uint64_t former = kept.table.incarnation;
+        kept = {};
+        kept.formerIncarnation = former;
+        kept.table.incarnation = table.incarnation;
+    }
+    m_peers.hearOf(host, table.dataCentre, true, now);
+    if (table.ofAll) {
+        const sent_report *included = sentReport(table.included);
+        m_rule.hear(host, table.freshMembers, included == nullptr ? std::nullopt : std::optional(included->at), now);
+    } else if (m_hubMode && !m_rule.acting()) {
+        reply(host, now); // It takes this gateway for the hub.
+    }
+    const bool hasList = table.list.has_value();
+    if (!hasList && (table.listNumber != kept.table.listNumber || kept.receivedAt == time_point {})) {
+        return; // The list of these values was lost; it is repeated.
+    }
+    if (hasList) {
+        kept.list = std::move(*table.list);
+        table.list.reset();
+    }
+    if (table.queues) {
+        kept.queues = std::move(*table.queues);
+        table.queues.reset();
+    }
+    kept.receivedAt = now;
+    kept.table = std::move(table);
+    if (hasList) {
+        for (const table_member &member : kept.list.members) {
+            m_peers.hearOf(member.host, kept.list.dataCentres[member.dataCentre], member.knowsHubs,
+                           now - std::chrono::milliseconds(member.ageMs));
+        }
+    }
+    const std::size_t dataCentres = std::min(kept.list.dataCentres.size(), kept.table.ageMs.size());
+    for (std::size_t index = 0; index < dataCentres; ++index) {
+        const std::string &dataCentre = kept.list.dataCentres[index];
+        const std::string &hub = kept.list.hubs[index];
+        if (!hub.empty() && dataCentre != m_dataCentre) {
+            m_peers.hearOf(hub, dataCentre, true, now - std::chrono::milliseconds(kept.table.ageMs[index]));
+            m_hubs[dataCentre] = hub;
+        }
+    }
+    const time_point coordinatorAt = now - std::chrono::milliseconds(kept.table.coordinatorAgeMs);
+    if (!kept.table.ofAll) {
+        m_hubs[kept.table.dataCentre] = host;
+        m_peers.hearOfCoordinator(kept.table.coordinator, kept.table.dataCentre, coordinatorAt);
+    } else if (!m_rule.acting() && (m_rule.followed().empty() || m_rule.followed() == host)) {
+        m_peers.hearOfCoordinator(kept.table.coordinator, {}, coordinatorAt);
+    }
+}
+
+void exchange_node::applyNews(const std::string &host, const exchange_news &news, time_point now, incoming_news &result)
+{
+    result.evidence = news.evidence;
+    if (news.groups.empty() || news.origin == m_incarnation) {
+        return;
+    }
+    if (m_newsSeen.size() >= maxNewsOrigins && !m_newsSeen.contains(news.origin)) {
+        m_newsSeen.clear();
+    }
+    std::uint64_t &seen = m_newsSeen[news.origin];
+    if (news.sequence <= seen) {
+        return;
+    }
+    seen = news.sequence;
+    result.groups = news.groups;
+    if (!isHub()) {
+        return;
+    }
+    const auto sender = m_peers.all().find(host);
+    const bool fromOwn = sender != m_peers.all().end() && sender->second.dataCentre == m_dataCentre;
+    std::vector<std::string> targets = ownReporters(now);
+    if (fromOwn) {
+        const auto [heard, silent] = otherHubs(now);
+        targets.insert(targets.end(), heard.begin(), heard.end());
+        targets.insert(targets.end(), silent.begin(), silent.end());
+    }
+    const std::string forwarded = encodeNews({news.origin, news.sequence, news.groups, {}}, now);
+    for (const std::string &target : targets) {
+        if (target != host) {
+            send(target, forwarded, control_kind::news, now);
+        }
+    }
+}
+
+void exchange_node::onMerged(const std::string &host, std::uint64_t before)
+{
+    const std::uint64_t after = m_source.evidenceVersion();
+    const auto sender = m_peers.all().find(host);
+    const bool fromOwn = sender != m_peers.all().end() && sender->second.dataCentre == m_dataCentre;
+    for (auto &[target, progress] : m_evidence) {
+        const auto known = m_peers.all().find(target);
+        const bool targetIsOwn = known != m_peers.all().end() && known->second.dataCentre == m_dataCentre;
+        // The hub passes it on to its members, and what comes from them also to the other hubs.
+        const bool isPassedOn = isHub() && target != host && (targetIsOwn || fromOwn);
+        if (!isPassedOn && progress.version == before) {
+            progress.version = after;
+        }
+    }
+}
+
+// Hub mode
+
+bool exchange_node::send(const std::string &host, std::string bytes, control_kind kind, time_point now)
+{
+    if (!m_budget.allows(kind, bytes.size(), now)) {
+        ++m_shed;
+        return false;
+    }
+    m_budget.spend(bytes.size());
+    m_outgoing.push_back({host, std::move(bytes)});
+    return true;
+}
+
+void exchange_node::reply(const std::string &host, time_point now)
+{
+    if (now - m_repliedAt[host] < replyInterval) {
+        return;
+    }
+    m_repliedAt[host] = now;
+    send(host, encodeLoadReport(makeReport(now), now), control_kind::membership, now);
+}
+
+std::vector<std::string> exchange_node::ownReporters(time_point now) const
+{
+    std::vector<std::string> hosts;
+    for (const auto &[host, known] : m_peers.all()) {
+        if (known.dataCentre == m_dataCentre && known.knowsHubs && peer_loads::reports(known, now)) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
+void exchange_node::updateRule(time_point now)
+{
+    std::vector<std::string> hosts;
+    int fresh = 1;
+    for (const auto &[host, known] : m_peers.all()) {
+        if (known.dataCentre == m_dataCentre && known.knowsHubs && peer_loads::isAlive(known, now)) {
+            hosts.push_back(host);
+            fresh += now - known.directAt <= hub_rule::hubTimeout ? 1 : 0;
+        }
+    }
+    m_rule.update(hosts, fresh, now);
+    const std::size_t served = m_rule.acting() ? hosts.size() : 0;
+    m_budget.setRate(std::min(maxBytesPerSecond, bytesPerSecondPerGateway * static_cast<double>(served + 1)));
+    if (m_rule.acting()) {
+        m_hubs[m_dataCentre] = m_self;
+    } else if (!m_rule.followed().empty()) {
+        m_hubs[m_dataCentre] = m_rule.followed();
+    }
+}
+
+const exchange_node::sent_report *exchange_node::sentReport(std::uint64_t sequence) const
+{
+    const auto found = std::ranges::find(m_sentReports, sequence, &sent_report::sequence);
+    return found == m_sentReports.end() ? nullptr : &*found;
+}
+
+void exchange_node::sendMemberReport(time_point now)
+{
+    if (now - m_reportSentAt < memberReportInterval) {
+        return;
+    }
+    const std::vector<std::string> targets = m_rule.reportTo(now);
+    if (targets.empty()) {
+        return;
+    }
+    auto loads = ownLoadsByKey();
+    const bool withQueues = now - m_queuesSentAt >= queuesInterval && m_budget.allows(control_kind::queues, 0, now);
+    if (loads == m_reportedLoads && now - m_reportSentAt < heartbeatInterval) {
+        return;
+    }
+    m_reportSentAt = now;
+    m_reportedLoads = loads;
+    member_report report {m_incarnation, ++m_sequence, m_dataCentre, m_isCoordinator, knownGateways(now), loads, {}};
+    if (withQueues) {
+        m_queuesSentAt = now;
+        m_reportedQueues = m_source.ownQueues();
+        report.queues = m_reportedQueues;
+    }
+    remember(std::move(loads), now);
+    const std::string datagram = encodeMemberReport(report);
+    for (const std::string &host : targets) {
+        send(host, datagram, control_kind::membership, now);
+    }
+}
+
+std::vector<const exchange_node::kept_table *> exchange_node::tablesOfOthers(time_point now) const
+{
+    std::map<std::string, std::map<std::string, int>> fresh; // By data centre and host.
+    std::map<std::string, const kept_table *> newest;
+    for (const auto &[host, kept] : m_dataCentreTables) {
+        if (kept.receivedAt == time_point {} || now - kept.receivedAt > tableTimeout) {
+            continue;
+        }
+        const std::string &dataCentre = kept.table.dataCentre;
+        if (now - kept.receivedAt <= hub_rule::hubTimeout) {
+            fresh[dataCentre].emplace(host, kept.table.freshMembers);
+        }
+        const kept_table *&last = newest[dataCentre];
+        if (last == nullptr || last->receivedAt < kept.receivedAt) {
+            last = &kept;
+        }
+    }
+    std::vector<const kept_table *> tables;
+    for (const auto &[dataCentre, last] : newest) {
+        const auto heard = fresh.find(dataCentre);
+        tables.push_back(heard == fresh.end() ? last : &m_dataCentreTables.at(hub_rule::choose(heard->second)));
+    }
+    return tables;
+}
+
+std::vector<const exchange_node::kept_table *> exchange_node::usedTables(time_point now) const
+{
+    if (!m_hubMode) {
+        return {};
+    }
+    const kept_table *widest = nullptr;
+    const kept_table *followed = nullptr;
+    for (const auto &[host, kept] : m_allTables) {
+        if (kept.receivedAt == time_point {} || now - kept.receivedAt > tableTimeout) {
+            continue;
+        }
+        if (widest == nullptr || kept.list.members.size() > widest->list.members.size()) {
+            widest = &kept;
+        }
+        if (host == m_rule.followed()) {
+            followed = &kept;
+        }
+    }
+    // A hub that is new knows little for a moment; the last table of its predecessor is better then.
+    const auto isWideEnough = [widest](std::size_t members) {
+        return widest == nullptr || members * 2 >= widest->list.members.size();
+    };
+    if (m_rule.acting() || widest == nullptr) {
+        std::vector<const kept_table *> others = tablesOfOthers(now);
+        if (isWideEnough(coveredBy(others).size() + ownReporters(now).size() + 1)) {
+            return others;
+        }
+    }
+    if (followed != nullptr && isWideEnough(followed->list.members.size())) {
+        return {followed};
+    }
+    return {widest};
+}
+
+std::set<std::string> exchange_node::coveredBy(const std::vector<const kept_table *> &tables)
+{
+    std::set<std::string> hosts;
+    for (const kept_table *kept : tables) {
+        for (const table_member &member : kept->list.members) {
+            hosts.insert(member.host);
+        }
+    }
+    return hosts;
+}
+
+std::map<std::uint32_t, endpoint_load> exchange_node::sumOf(const std::vector<const kept_table *> &tables,
+                                                            time_point now) const
+{
+    auto total = m_peers.loads(coveredBy(tables), now);
+    for (const kept_table *kept : tables) {
+        const std::size_t count = std::min(kept->list.endpoints.size(), kept->table.loads.size());
+        for (std::size_t index = 0; index < count; ++index) {
+            endpoint_load &sum = total[kept->list.endpoints[index]];
+            sum.requests += kept->table.loads[index].requests;
+            sum.tokens += kept->table.loads[index].tokens;
+        }
+        const sent_report *own = kept->table.ofAll ? sentReport(kept->table.included) : nullptr;
+        if (own == nullptr) {
+            continue;
+        }
+        for (const auto &[key, load] : own->loads) {
+            endpoint_load &sum = total[key];
+            sum.requests = std::max(0, sum.requests - load.requests);
+            sum.tokens = std::max<std::int64_t>(0, sum.tokens - load.tokens);
+        }
+    }
+    std::erase_if(total, [](const auto &entry) { return entry.second == endpoint_load {}; });
+    return total;
+}
+
+std::map<std::string, queue_summary> exchange_node::queuesOf(const std::vector<const kept_table *> &tables,
+                                                             time_point now) const
+{
+    auto total = m_peers.queues(coveredBy(tables), now);
+    for (const kept_table *kept : tables) {
+        const sent_report *own = kept->table.ofAll ? sentReport(kept->table.included) : nullptr;
+        for (const auto &[service, queue] : kept->queues) {
+            queue_summary others = queue;
+            if (own != nullptr) {
+                if (const auto found = own->queues.find(service); found != own->queues.end()) {
+                    subtract(others, found->second);
+                }
+            }
+            total[service] += others;
+        }
+    }
+    return total;
+}
+
+std::map<std::uint32_t, endpoint_load> exchange_node::othersLoads(time_point now) const
+{
+    return sumOf(usedTables(now), now);
+}
+
+std::map<std::string, queue_summary> exchange_node::othersQueues(time_point now) const
+{
+    return queuesOf(usedTables(now), now);
+}
+
+load_table exchange_node::emptyTable(bool ofAll, time_point now) const
+{
+    load_table table;
+    table.incarnation = m_incarnation;
+    table.ofAll = ofAll;
+    table.dataCentre = m_dataCentre;
+    table.gateways = knownGateways(now);
+    table.freshMembers = 1;
+    for (const auto &[host, known] : m_peers.all()) {
+        if (known.dataCentre == m_dataCentre && known.knowsHubs && now - known.directAt <= hub_rule::hubTimeout) {
+            ++table.freshMembers;
+        }
+    }
+    if (m_isCoordinator) {
+        table.coordinator = m_self;
+        return table;
+    }
+    const std::string coordinator = m_peers.coordinator(now);
+    if (const auto found = m_peers.all().find(coordinator); found != m_peers.all().end()) {
+        if (ofAll || found->second.dataCentre == m_dataCentre) {
+            table.coordinator = coordinator;
+            table.coordinatorAgeMs = ageMs(found->second.heardAt, now);
+        }
+    }
+    return table;
+}
+
+std::pair<std::vector<std::string>, std::vector<std::string>> exchange_node::otherHubs(time_point now) const
+{
+    std::vector<std::string> heard;
+    std::set<std::string> heardDataCentres;
+    for (const auto &[host, kept] : m_dataCentreTables) {
+        if (kept.receivedAt != time_point {} && now - kept.receivedAt <= hub_rule::hubTimeout) {
+            heard.push_back(host);
+            heardDataCentres.insert(kept.table.dataCentre);
+        }
+    }
+    std::map<std::string, std::set<std::string>> silent; // By data centre.
+    for (const auto &[dataCentre, hub] : m_hubs) {
+        if (dataCentre != m_dataCentre && !hub.empty() && !heardDataCentres.contains(dataCentre)) {
+            silent[dataCentre].insert(hub);
+        }
+    }
+    for (const std::string &host : m_peers.members(now)) {
+        const peer_loads::peer &known = m_peers.all().at(host);
+        if (known.dataCentre.empty() || known.dataCentre == m_dataCentre || !known.knowsHubs
+            || heardDataCentres.contains(known.dataCentre)) {
+            continue;
+        }
+        if (silent[known.dataCentre].size() < silentHubCandidates) {
+            silent[known.dataCentre].insert(host);
+        }
+    }
+    std::vector<std::string> candidates;
+    for (const auto &[dataCentre, hosts] : silent) {
+        candidates.insert(candidates.end(), hosts.begin(), hosts.end());
+    }
+    return {heard, candidates};
+}
+
+void exchange_node::sendTableTo(const std::vector<std::string> &hosts, const std::vector<std::string> &silentHosts,
+                                const load_table &table, const table_list &list, time_point now)
+{
+    std::string datagram = encodeLoadTable(table);
+    const control_kind kind = table.list ? control_kind::membership : control_kind::table;
+    for (const std::string &host : hosts) {
+        if (table.ofAll) {
+            const auto known = m_peers.all().find(host);
+            setIncluded(datagram, known == m_peers.all().end() ? 0 : known->second.sequence);
+        }
+        send(host, datagram, kind, now);
+    }
+    std::string withList;
+    for (const std::string &host : silentHosts) {
+        time_point &sentAt = m_tableSentAt[host];
+        if (now - sentAt < silentHubInterval) {
+            continue;
+        }
+        sentAt = now;
+        if (withList.empty()) {
+            load_table whole = table;
+            whole.list = list;
+            withList = encodeLoadTable(whole);
+        }
+        send(host, withList, control_kind::membership, now);
+    }
+}
+
+void exchange_node::sendTables(time_point now)
+{
+    if (m_allWriter.mayBeDue(now)) {
+        sendAllTable(now);
+    }
+    if (m_ownWriter.mayBeDue(now)) {
+        sendOwnTable(now);
+    }
+}
+
+void exchange_node::sendAllTable(time_point now)
+{
+    const std::vector<const kept_table *> others = tablesOfOthers(now);
+    load_table table = emptyTable(true, now);
+    table_list list;
+    std::map<std::string, std::size_t> dataCentres;
+    const auto indexOf = [&](const std::string &dataCentre) {
+        const auto [entry, added] = dataCentres.try_emplace(dataCentre, list.dataCentres.size());
+        if (added) {
+            list.dataCentres.push_back(dataCentre);
+            const auto hub = m_hubs.find(dataCentre);
+            list.hubs.push_back(hub == m_hubs.end() ? std::string() : hub->second);
+        }
+        return entry->second;
+    };
+    std::map<std::string, table_member> members;
+    members.emplace(m_self, table_member {m_self, indexOf(m_dataCentre), 0, true});
+    for (const kept_table *kept : others) {
+        const int receivedMs = ageMs(kept->receivedAt, now);
+        for (const table_member &member : kept->list.members) {
+            members.emplace(member.host,
+                            table_member {member.host, indexOf(kept->table.dataCentre), member.ageMs + receivedMs,
+                                          member.knowsHubs});
+        }
+    }
+    for (const auto &[host, known] : m_peers.all()) {
+        if (peer_loads::reports(known, now)) {
+            members.emplace(
+                host, table_member {host, indexOf(known.dataCentre), ageMs(known.directAt, now), known.knowsHubs});
+        }
+    }
+    for (const auto &[host, member] : members) {
+        list.members.push_back(member);
+    }
+    for (std::size_t index = 0; index < list.dataCentres.size(); ++index) {
+        const auto hub = m_peers.all().find(list.hubs[index]);
+        table.ageMs.push_back(hub == m_peers.all().end() ? 0 : ageMs(hub->second.heardAt, now));
+    }
+    auto loads = sumOf(others, now);
+    for (const auto &[key, load] : ownLoadsByKey()) {
+        loads[key].requests += load.requests;
+        loads[key].tokens += load.tokens;
+    }
+    auto next = m_allWriter.next(std::move(table), std::move(list), loads, now);
+    if (!next) {
+        return;
+    }
+    if (now - m_allQueuesSentAt >= queuesInterval && m_budget.allows(control_kind::queues, 0, now)) {
+        m_allQueuesSentAt = now;
+        next->queues = queuesOf(others, now);
+        for (const auto &[service, queue] : m_source.ownQueues()) {
+            (*next->queues)[service] += queue;
+        }
+    }
+    const std::vector<std::string> reporters = ownReporters(now);
+    std::vector<std::string> silent;
+    for (const std::string &host : m_peers.members(now)) {
+        const peer_loads::peer &known = m_peers.all().at(host);
+        if (known.dataCentre == m_dataCentre && known.knowsHubs && !peer_loads::reports(known, now)) {
+            silent.push_back(host);
+        }
+    }
+    sendTableTo(reporters, silent, *next, m_allWriter.list(), now);
+}
+
+void exchange_node::sendOwnTable(time_point now)
+{
+    load_table table = emptyTable(false, now);
+    table.ageMs = {0};
+    table_list list;
+    list.dataCentres = {m_dataCentre};
+    list.hubs = {m_self};
+    list.members.push_back({m_self, 0, 0, true});
+    std::set<std::string> elsewhere;
+    for (const auto &[host, known] : m_peers.all()) {
+        if (known.dataCentre != m_dataCentre) {
+            elsewhere.insert(host);
+        } else if (peer_loads::reports(known, now)) {
+            list.members.push_back({host, 0, ageMs(known.directAt, now), known.knowsHubs});
+        }
+    }
+    auto loads = m_peers.loads(elsewhere, now);
+    for (const auto &[key, load] : ownLoadsByKey()) {
+        loads[key].requests += load.requests;
+        loads[key].tokens += load.tokens;
+    }
+    auto next = m_ownWriter.next(std::move(table), std::move(list), loads, now);
+    if (!next) {
+        return;
+    }
+    if (now - m_ownQueuesSentAt >= queuesInterval && m_budget.allows(control_kind::queues, 0, now)) {
+        m_ownQueuesSentAt = now;
+        next->queues = m_peers.queues(elsewhere, now);
+        for (const auto &[service, queue] : m_source.ownQueues()) {
+            (*next->queues)[service] += queue;
+        }
+    }
+    const auto [heard, silent] = otherHubs(now);
+    sendTableTo(heard, silent, *next, m_ownWriter.list(), now);
+}
+
+std::vector<std::string> exchange_node::newsTargets(time_point now) const
+{
+    if (!m_rule.acting()) {
+        return m_rule.reportTo(now);
+    }
+    std::vector<std::string> targets = ownReporters(now);
+    const auto [heard, silent] = otherHubs(now);
+    targets.insert(targets.end(), heard.begin(), heard.end());
+    return targets;
+}
+
+void exchange_node::sendNews(time_point now)
+{
+    const std::vector<std::string> targets = newsTargets(now);
+    if (groupsDue(now) && !targets.empty()) {
+        m_groupsChanged = false;
+        m_groupsSentAt = now;
+        const std::string datagram = encodeNews({m_incarnation, ++m_newsSequence, m_groups, {}}, now);
+        for (const std::string &host : targets) {
+            send(host, datagram, control_kind::news, now);
+        }
+    }
+    const std::uint64_t version = m_source.evidenceVersion();
+    std::string datagram;
+    for (const std::string &host : targets) {
+        evidence_progress &progress = m_evidence[host];
+        const boot_clock::duration since = now - progress.sentAt;
+        const bool isNews = progress.version != version;
+        if ((!isNews && progress.repetitions == 0 && since < evidenceInterval) || since < evidenceSpacing) {
+            continue;
+        }
+        if (datagram.empty()) {
+            const crash_evidence evidence = m_source.evidence();
+            if (evidence.empty()) {
+                return;
+            }
+            datagram = encodeNews({m_incarnation, 0, {}, evidence}, now);
+        }
+        if (send(host, datagram, control_kind::news, now)) {
+            progress.repetitions = isNews ? evidenceRepetitions : std::max(0, progress.repetitions - 1);
+            progress.version = version;
+            progress.sentAt = now;
+        }
+    }
+    std::erase_if(m_evidence, [now](const auto &entry) { return now - entry.second.sentAt > 2 * evidenceInterval; });
+}
+
+void exchange_node::greet(const std::string &host, const load_report &report, time_point now)
+{
+    m_greetedAt[host] = now;
+    send(host, encodeLoadReport(report, now), control_kind::membership, now);
+}
+
+void exchange_node::sendGreetings(time_point now)
+{
+    if (now - m_probedAt < probeInterval) {
+        return;
+    }
+    m_probedAt = now;
+    std::vector<std::string> hosts;
+    for (const std::string &host : m_peers.targets(now)) {
+        const bool neverHeard = m_peers.all().at(host).heardAt == time_point {};
+        if (neverHeard && hosts.size() < greetingsAtOnce && now - m_greetedAt[host] >= greetingInterval) {
+            hosts.push_back(host);
+        }
+    }
+    if (m_rule.isQuestioned(now)) {
+        // Tells a silent hub from a cut: the gateways of other data centres answer if they can be reached.
+        std::set<std::string> probes;
+        for (const auto &[dataCentre, hub] : m_hubs) {
+            if (!hub.empty() && hub != m_self) {
+                probes.insert(hub);
+            }
+        }
+        for (const std::string &host : m_peers.heardPeers(now)) {
+            if (probes.size() >= probesAtOnce) {
+                break;
+            }
+            probes.insert(host);
+        }
+        hosts.insert(hosts.end(), probes.begin(), probes.end());
+    }
+    if (hosts.empty()) {
+        return;
+    }
+    load_report report = makeReport(now);
+    report.peers.clear();
+    report.wantsReply = true;
+    for (const std::string &host : hosts) {
+        greet(host, report, now);
+    }
+}
+
+void exchange_node::reportToEarlierVersions(time_point now)
+{
+    if (now - m_earlierVersionsAt < heartbeatInterval) {
+        return;
+    }
+    std::vector<std::string> hosts;
+    for (const auto &[host, known] : m_peers.all()) {
+        if (!known.knowsHubs && peer_loads::isAlive(known, now)) {
+            hosts.push_back(host);
+        }
+    }
+    if (hosts.empty()) {
+        return;
+    }
+    m_earlierVersionsAt = now;
+    load_report report = makeReport(now);
+    if (groupsDue(now) || m_isCoordinator) {
+        report.groups = m_groups;
+    }
+    const std::uint64_t version = m_source.evidenceVersion();
+    if (version != m_meshEvidence.version || now - m_meshEvidence.sentAt >= evidenceInterval) {
+        m_meshEvidence.version = version;
+        m_meshEvidence.sentAt = now;
+        report.evidence = m_source.evidence();
+    }
+    const std::string datagram = encodeLoadReport(report, now);
+    for (const std::string &host : hosts) {
+        send(host, datagram, control_kind::membership, now);
+    }
+}
+
+std::chrono::milliseconds exchange_node::oldestDataCentreAge(time_point now) const
+{
+    std::map<std::string, time_point> heard;
+    for (const auto &[host, known] : m_peers.all()) {
+        if (known.heardAt != time_point {} && !known.dataCentre.empty() && known.dataCentre != m_dataCentre) {
+            heard[known.dataCentre] = std::max(heard[known.dataCentre], known.heardAt);
+        }
+    }
+    std::chrono::milliseconds oldest {0};
+    for (const auto &[dataCentre, at] : heard) {
+        oldest = std::max(oldest, millisecondsOf(now - at));
+    }
+    return oldest;
+}
+
+} // namespace bronzechute
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -107,6 +107,7 @@
 {
     m_registry.gauge("bronzechute_gateway_ready", "", "Whether the gateway takes callers.",
                      [this] { return m_draining ? 0.0 : 1.0; });
+    m_loadExchange.registerMetrics(m_registry);
 }
 
 result<void> gateway_role::listen()
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/load_exchange.h"
 
 #include "base/scope_guard.h"
+#include "gateway/endpoint_key.h"
 #include "observe/log.h"
 
 #include <algorithm>
@@ -13,19 +14,16 @@
 
 namespace {
 
-// Between two reports, peers place requests by an outdated view; requests run for some 100 ms.
-constexpr std::chrono::milliseconds reportInterval {40};
-// A heartbeat is sent after this time without a change.
-constexpr std::chrono::milliseconds heartbeatInterval {250};
-// Well below the time after which endpoint_table lets the closed state of a group expire.
-constexpr std::chrono::milliseconds groupsInterval {500};
-// Evidence is repeated at once in case a datagram is lost, and later for gateways that could not be reached.
-constexpr int evidenceRepetitions = 3;
-constexpr std::chrono::seconds evidenceInterval {5};
 // Until peers were discovered, assumes this many gateways to share global limits.
 constexpr int assumedGatewayCount = 4;
 constexpr std::chrono::seconds peerDiscoveryTime {3};
 
+std::uint64_t randomIncarnation()
+{
+    std::random_device entropy;
+    return (static_cast<std::uint64_t>(entropy()) << 32) | entropy();
+}
+
 } // namespace
 
 load_exchange::load_exchange(asio::io_context &loop, std::string host, std::uint16_t port, std::string node,
@@ -35,16 +33,13 @@
     , m_timer(loop)
     , m_host(std::move(host))
     , m_port(port)
+    , m_dataCentre(std::move(dataCentre))
     , m_seeds(std::move(seeds))
     , m_endpoints(endpoints)
     , m_guard(guard)
     , m_onReport(std::move(onReport))
-    , m_peers(m_host)
+    , m_exchange(m_host, std::move(node), m_dataCentre, randomIncarnation(), *this)
 {
-    std::random_device entropy;
-    m_report.node = std::move(node);
-    m_report.dataCentre = std::move(dataCentre);
-    m_report.incarnation = (static_cast<std::uint64_t>(entropy()) << 32) | entropy();
 }
 
 boost::system::error_code load_exchange::start()
@@ -59,7 +54,7 @@
     }
     if (!code) {
         m_startedAt = boot_clock::now();
-        m_peers.addCandidates(m_seeds, m_startedAt);
+        m_exchange.addCandidates(m_seeds, m_startedAt);
         receive();
         scheduleReport();
     }
@@ -69,13 +64,13 @@
 void load_exchange::setSeeds(std::vector<std::string> seeds)
 {
     m_seeds = std::move(seeds);
-    m_peers.addCandidates(m_seeds, boot_clock::now());
+    m_exchange.addCandidates(m_seeds, boot_clock::now());
 }
 
 int load_exchange::gateways() const
 {
     const time_point now = boot_clock::now();
-    const int known = m_peers.alive(now) + 1;
+    const int known = m_exchange.peers().alive(now) + 1;
     return isDiscovered(now) ? std::max(known, m_maxGateways) : std::max(known, assumedGatewayCount);
 }
 
@@ -86,7 +81,7 @@
 
 std::vector<std::string> load_exchange::members(time_point now) const
 {
-    std::vector<std::string> hosts = m_peers.members(now);
+    std::vector<std::string> hosts = m_exchange.peers().members(now);
     hosts.insert(std::ranges::lower_bound(hosts, m_host), m_host);
     return hosts;
 }
@@ -98,7 +93,9 @@
 
 queue_summary load_exchange::othersQueues(const std::string &service, time_point now) const
 {
-    return m_peers.queues(service, now);
+    const auto queues = m_exchange.othersQueues(now);
+    const auto found = queues.find(service);
+    return found == queues.end() ? queue_summary {} : found->second;
 }
 
 void load_exchange::setQueueSource(std::function<std::map<std::string, queue_summary>()> source)
@@ -108,38 +105,48 @@
 
 bool load_exchange::peerIsCoordinator() const
 {
-    return m_peers.anyPeerIsCoordinator(boot_clock::now());
+    return !m_exchange.peers().coordinator(boot_clock::now()).empty();
 }
 
 bool load_exchange::isPartitioned() const
 {
-    return m_peers.isPartitioned(m_report.dataCentre, boot_clock::now());
+    return m_exchange.peers().isPartitioned(m_dataCentre, boot_clock::now());
 }
 
 std::size_t load_exchange::campaignOrder() const
 {
-    const auto hosts = m_peers.heardPeers(boot_clock::now());
+    const auto hosts = m_exchange.peers().heardPeers(boot_clock::now());
     return static_cast<std::size_t>(
         std::ranges::count_if(hosts, [this](const std::string &host) { return host < m_host; }));
 }
 
 void load_exchange::setIsCoordinator(bool isCoordinator)
 {
-    m_report.isCoordinator = isCoordinator;
+    m_isCoordinator = isCoordinator;
+    m_exchange.setCoordinator(m_isCoordinator, m_groups);
 }
 
 void load_exchange::setGroups(std::vector<group_state> groups)
 {
-    if (groups != m_groups) {
-        m_groups = std::move(groups);
-        m_groupsChanged = true;
-    }
+    m_groups = std::move(groups);
+    m_exchange.setCoordinator(m_isCoordinator, m_groups);
     m_endpoints.setGroups(m_groups, boot_clock::now());
 }
 
-bool load_exchange::groupsDue(time_point now) const
+void load_exchange::registerMetrics(metrics_registry &registry)
 {
-    return m_report.isCoordinator && !m_groups.empty() && (m_groupsChanged || now - m_groupsSentAt >= groupsInterval);
+    m_sentBytes = &registry.counter("bronzechute_gateway_exchange_bytes_total", "",
+                                    "Bytes of the datagrams sent to other gateways, without their headers.");
+    m_sentDatagrams =
+        &registry.counter("bronzechute_gateway_exchange_datagrams_total", "", "Datagrams sent to other gateways.");
+    registry.gauge("bronzechute_gateway_exchange_hub", "", "Whether the gateway is the hub of its data centre.",
+                   [this] { return m_isHub.load(); });
+    registry.gauge("bronzechute_gateway_exchange_age_seconds", "",
+                   "Time since the other data centre that is heard least was heard of.",
+                   [this] { return m_dataCentreAgeSeconds.load(); });
+    registry.gauge("bronzechute_gateway_exchange_shed_datagrams", "",
+                   "Datagrams that were left out to keep to the limit of control traffic.",
+                   [this] { return m_shedDatagrams.load(); });
 }
 
 void load_exchange::receive()
@@ -158,29 +165,54 @@
 
 void load_exchange::onDatagram(std::size_t size)
 {
-    const auto report = decodeLoadReport({m_datagram.data(), size}, boot_clock::now());
-    if (!report) {
-        logLine(log_level::warn, "gateway", "invalid load report datagram",
-                {{"peer", m_sender.address().to_string()}, {"bytes", size}});
-        return;
-    }
     const time_point now = boot_clock::now();
-    if (m_peers.record(m_sender.address().to_string(), *report, now)) {
-        m_evidenceRepetitions = evidenceRepetitions; // A gateway that has just started knows nothing.
+    const std::string host = m_sender.address().to_string();
+    const incoming_news news = m_exchange.receive(host, {m_datagram.data(), size}, now);
+    if (!news.isValid) {
+        logLine(log_level::warn, "gateway", "invalid load report datagram", {{"peer", host}, {"bytes", size}});
+        return;
     }
-    m_endpoints.setPeerLoads(m_peers.loads(now));
-    if (!report->evidence.empty()) {
-        m_guard.merge(report->evidence);
+    applyLoads(now);
+    if (!news.evidence.empty()) {
+        const std::uint64_t before = m_guard.version();
+        m_guard.merge(news.evidence);
+        m_exchange.onMerged(host, before);
     }
-    if (!report->groups.empty()) {
-        m_endpoints.setGroups(report->groups, now);
+    if (!news.groups.empty()) {
+        m_endpoints.setGroups(news.groups, now);
     }
+    sendOutgoing();
     m_onReport();
 }
 
+void load_exchange::applyLoads(time_point now)
+{
+    const auto loads = m_exchange.othersLoads(now);
+    std::map<std::string, endpoint_load> byId;
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        if (const auto found = loads.find(endpointKey(id)); found != loads.end()) {
+            byId.emplace(id, found->second);
+        }
+    }
+    m_endpoints.setPeerLoads(byId);
+}
+
+void load_exchange::sendOutgoing()
+{
+    for (const outgoing_datagram &datagram : m_exchange.takeOutgoing()) {
+        boost::system::error_code ignored; // A later datagram makes up for one that was not sent.
+        const auto address = asio::ip::make_address_v4(datagram.host, ignored);
+        m_socket.send_to(asio::buffer(datagram.bytes), {address, m_port}, 0, ignored);
+        if (m_sentBytes != nullptr) {
+            m_sentBytes->add(datagram.bytes.size());
+            m_sentDatagrams->add();
+        }
+    }
+}
+
 void load_exchange::scheduleReport()
 {
-    m_timer.expires_after(reportInterval);
+    m_timer.expires_after(m_exchange.tickInterval());
     m_timer.async_wait([this](const boost::system::error_code &code) {
         if (code) {
             return;
@@ -190,82 +222,54 @@
     });
 }
 
-std::map<std::string, int> load_exchange::ownRunning() const
+std::map<std::string, endpoint_load> load_exchange::ownLoads() const
 {
-    std::map<std::string, int> running;
+    std::map<std::string, endpoint_load> loads;
     for (const auto &[id, endpoint] : m_endpoints.all()) {
         if (endpoint->ownRunning > 0) {
-            running.emplace(id, endpoint->ownRunning);
+            loads.emplace(id, endpoint_load {endpoint->ownRunning, endpoint->ownTokens});
         }
     }
-    return running;
+    return loads;
 }
 
-std::map<std::string, std::int64_t> load_exchange::ownTokens() const
+std::map<std::string, queue_summary> load_exchange::ownQueues() const
 {
-    std::map<std::string, std::int64_t> tokens;
-    for (const auto &[id, endpoint] : m_endpoints.all()) {
-        if (endpoint->ownTokens > 0) {
-            tokens.emplace(id, endpoint->ownTokens);
-        }
-    }
-    return tokens;
+    return m_queueSource ? m_queueSource() : std::map<std::string, queue_summary> {};
+}
+
+std::uint64_t load_exchange::evidenceVersion() const
+{
+    return m_guard.version();
 }
 
-bool load_exchange::evidenceDue(time_point now) const
+crash_evidence load_exchange::evidence()
 {
-    return m_evidenceRepetitions > 0 || now - m_evidenceSentAt >= evidenceInterval;
+    return m_guard.evidence();
 }
 
 void load_exchange::sendReport()
 {
     const time_point now = boot_clock::now();
     m_guard.update();
-    if (m_guard.version() != m_evidenceVersion) {
-        m_evidenceVersion = m_guard.version();
-        m_evidenceRepetitions = evidenceRepetitions;
-    }
-    const int alive = m_peers.alive(now);
+    const int alive = m_exchange.peers().alive(now);
     if (alive != m_lastAlivePeers) {
         logLine(log_level::info, "gateway", "other gateways in reach changed",
                 {{"before", m_lastAlivePeers}, {"now", alive}});
         m_lastAlivePeers = alive;
         m_maxGateways = std::max(m_maxGateways, alive + 1);
-        m_endpoints.setPeerLoads(m_peers.loads(now));
-        m_evidenceRepetitions = evidenceRepetitions; // For gateways that have just come into reach.
-    }
-    auto running = ownRunning();
-    const bool withGroups = groupsDue(now);
-    m_report.evidence = {};
-    if (evidenceDue(now)) {
-        m_report.evidence = m_guard.evidence();
-        m_evidenceRepetitions = std::max(0, m_evidenceRepetitions - 1);
-        m_evidenceSentAt = now;
-    }
-    const bool withEvidence = !m_report.evidence.empty();
-    if (running == m_report.running && now - m_sentAt < heartbeatInterval && !withGroups && !withEvidence) {
-        return;
-    }
-    m_sentAt = now;
-    m_report.groups.clear();
-    if (withGroups) {
-        m_report.groups = m_groups;
-        m_groupsChanged = false;
-        m_groupsSentAt = now;
-    }
-    m_report.running = std::move(running);
-    m_report.tokens = ownTokens();
-    if (m_queueSource) {
-        m_report.queues = m_queueSource();
+        applyLoads(now);
     }
-    m_report.peers = m_peers.heardPeers(now);
-    ++m_report.sequence;
-    const std::string datagram = encodeLoadReport(m_report, now);
-    for (const std::string &host : m_peers.targets(now)) {
-        boost::system::error_code ignored; // The next report makes up for a datagram that was not sent.
-        const auto address = asio::ip::make_address_v4(host, ignored);
-        m_socket.send_to(asio::buffer(datagram), {address, m_port}, 0, ignored);
+    m_exchange.tick(now);
+    const std::string hub = m_exchange.isHub() ? m_host : m_exchange.hub();
+    if (hub != m_lastHub) {
+        logLine(log_level::info, "gateway", "hub of the data centre changed", {{"before", m_lastHub}, {"now", hub}});
+        m_lastHub = hub;
     }
+    m_isHub = m_exchange.isHub() ? 1.0 : 0.0;
+    m_dataCentreAgeSeconds = std::chrono::duration<double>(m_exchange.oldestDataCentreAge(now)).count();
+    m_shedDatagrams = static_cast<double>(m_exchange.shedDatagrams());
+    sendOutgoing();
 }
 
 } // namespace bronzechute
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -2,27 +2,29 @@
 
 #include "gateway/crash_guard.h"
 #include "gateway/endpoint_table.h"
+#include "gateway/exchange_node.h"
+#include "gateway/exchange_source.h"
 #include "gateway/fleet_view.h"
-#include "gateway/peer_loads.h"
-
-#include <utility>
+#include "observe/metrics.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <atomic>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
 namespace bronzechute {
 
 /**
- * Exchanges load reports with the other gateways: how many requests each of them has in flight at each endpoint.
- * Each report is a UDP datagram with the complete load of its sender, so a later one makes up for a lost one. Used from
- * the thread of the event loop.
+ * Tells the other gateways how much work this one has in flight at each endpoint, and what else they need to know, and
+ * learns the same of them. Sends and receives the UDP datagrams of exchange_node, which decides on all of them. Used
+ * from the thread of the event loop.
  */
-class load_exchange : public fleet_view
+class load_exchange : public fleet_view, private exchange_source
 {
 public:
     /**
@@ -64,9 +66,12 @@
     /** Applies the states of the rank groups; a coordinator also reports them to the others. */
     void setGroups(std::vector<group_state> groups);
 
-    /** Sends a report at once, for news that the other gateways need soon. */
+    /** Sends what is due, for news that the other gateways need soon. */
     void sendReport();
 
+    /** Registers the metrics of the exchange. Their values are read from any thread. */
+    void registerMetrics(metrics_registry &registry);
+
     /** Replaces the seeds. */
     void setSeeds(std::vector<std::string> seeds);
 
@@ -74,34 +79,37 @@
     void receive();
     void onDatagram(std::size_t size);
     void scheduleReport();
-    std::map<std::string, int> ownRunning() const;
-    std::map<std::string, std::int64_t> ownTokens() const;
-    bool groupsDue(time_point now) const;
-    bool evidenceDue(time_point now) const;
+    void applyLoads(time_point now);
+    void sendOutgoing();
+    std::map<std::string, endpoint_load> ownLoads() const override;
+    std::map<std::string, queue_summary> ownQueues() const override;
+    std::uint64_t evidenceVersion() const override;
+    crash_evidence evidence() override;
 
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
     const std::string m_host;
     const std::uint16_t m_port;
+    const std::string m_dataCentre;
     std::vector<std::string> m_seeds;
     endpoint_table &m_endpoints;
     crash_guard &m_guard;
     const std::function<void()> m_onReport;
     std::function<std::map<std::string, queue_summary>()> m_queueSource;
-    peer_loads m_peers;
-    load_report m_report;
+    exchange_node m_exchange;
     time_point m_startedAt {};
-    time_point m_sentAt {};
     std::vector<group_state> m_groups;
-    bool m_groupsChanged = false;
-    time_point m_groupsSentAt {};
-    std::uint64_t m_evidenceVersion = 0; ///< Version of the evidence that was sent last.
-    int m_evidenceRepetitions = 0; ///< How often this version is still to be sent soon.
-    time_point m_evidenceSentAt {};
+    bool m_isCoordinator = false;
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 65536> m_datagram {};
     int m_lastAlivePeers = 0;
     int m_maxGateways = 0;
+    std::string m_lastHub;
+    metric_counter *m_sentBytes = nullptr;
+    metric_counter *m_sentDatagrams = nullptr;
+    std::atomic<double> m_isHub {0};
+    std::atomic<double> m_dataCentreAgeSeconds {0};
+    std::atomic<double> m_shedDatagrams {0};
 };
 
 } // namespace bronzechute
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -30,6 +30,10 @@
 
     crash_evidence evidence; ///< On crashes and quarantined prompt parts; only sent when it changed, and at intervals.
 
+    int gateways = 0; ///< That the sender knows, itself included; 0 if its version does not know hubs.
+    bool wantsReply = false; ///< Whether the receiver should answer with a report of its own.
+    std::map<std::string, std::string> hubs; ///< Hosts of the hubs that the sender knows, by data centre.
+
     friend bool operator==(const load_report &, const load_report &) = default;
 };
 
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -1,5 +1,7 @@
 #include "gateway/peer_loads.h"
 
+#include "gateway/endpoint_key.h"
+
 #include <algorithm>
 
 namespace bronzechute {
@@ -14,6 +16,8 @@
 constexpr std::chrono::milliseconds coordinatorTimeout {800};
 // Each peer sends several reports within this time.
 constexpr std::chrono::milliseconds partitionTimeout {700};
+// Bounds the memory that reports with invented hosts can take.
+constexpr std::size_t maxHosts = 4096;
 
 } // namespace
 
@@ -21,25 +25,99 @@
 {
 }
 
+bool peer_loads::accept(peer &known, std::uint64_t incarnation, std::uint64_t sequence, time_point now, bool &isNew)
+{
+    isNew = known.directAt == time_point {} || known.incarnation != incarnation;
+    // A late datagram of the process before a restart is no news.
+    if ((!isNew && sequence <= known.sequence)
+        || (isNew && incarnation != 0 && incarnation == known.formerIncarnation)) {
+        return false;
+    }
+    if (isNew) {
+        known.formerIncarnation = known.incarnation;
+        known.queues.clear();
+    }
+    known.incarnation = incarnation;
+    known.sequence = sequence;
+    known.heardAt = now;
+    known.directAt = now;
+    known.namedAt = now;
+    return true;
+}
+
 bool peer_loads::record(const std::string &host, const load_report &report, time_point now)
 {
     if (host == m_self) {
         return false;
     }
     peer &known = m_peers[host];
-    const bool sameProcess = known.report.incarnation == report.incarnation;
-    if (sameProcess && report.sequence <= known.report.sequence) {
+    bool isNew = false;
+    if (!accept(known, report.incarnation, report.sequence, now, isNew)) {
         return false;
     }
-    known.heardAt = now;
-    known.namedAt = now;
-    known.report = report;
+    known.dataCentre = report.dataCentre;
+    known.isCoordinator = report.isCoordinator;
+    known.knowsHubs = report.gateways > 0;
+    known.queues = report.queues;
+    known.loads.clear();
+    for (const auto &[endpoint, count] : report.running) {
+        known.loads[endpointKey(endpoint)].requests += count;
+    }
+    for (const auto &[endpoint, tokens] : report.tokens) {
+        known.loads[endpointKey(endpoint)].tokens += tokens;
+    }
     for (const std::string &other : report.peers) {
-        if (other != m_self && !m_peers.contains(other)) {
+        if (other != m_self && !m_peers.contains(other) && m_peers.size() < maxHosts) {
             m_peers[other].namedAt = now;
         }
     }
-    return !sameProcess;
+    return isNew;
+}
+
+bool peer_loads::record(const std::string &host, const member_report &report, time_point now)
+{
+    if (host == m_self) {
+        return false;
+    }
+    peer &known = m_peers[host];
+    bool isNew = false;
+    if (!accept(known, report.incarnation, report.sequence, now, isNew)) {
+        return false;
+    }
+    known.dataCentre = report.dataCentre;
+    known.isCoordinator = report.isCoordinator;
+    known.knowsHubs = true;
+    known.loads = report.loads;
+    if (report.queues) {
+        known.queues = *report.queues;
+    }
+    return isNew;
+}
+
+void peer_loads::hearOf(const std::string &host, const std::string &dataCentre, bool knowsHubs, time_point at)
+{
+    if (host == m_self || (!m_peers.contains(host) && m_peers.size() >= maxHosts)) {
+        return;
+    }
+    peer &known = m_peers[host];
+    known.heardAt = std::max(known.heardAt, at);
+    known.namedAt = std::max(known.namedAt, at);
+    known.dataCentre = dataCentre;
+    if (!reports(known, at)) {
+        known.knowsHubs = knowsHubs;
+    }
+}
+
+void peer_loads::hearOfCoordinator(const std::string &host, const std::string &dataCentre, time_point at)
+{
+    for (auto &[other, known] : m_peers) {
+        if (other == host) {
+            known.heardAt = std::max(known.heardAt, at);
+            known.isCoordinator = true;
+        } else if (known.directAt < at && (dataCentre.empty() || known.dataCentre == dataCentre)) {
+            known.isCoordinator = false;
+        }
+    }
 }
 
 void peer_loads::addCandidates(const std::vector<std::string> &hosts, time_point now)
@@ -51,35 +129,40 @@
     }
 }
 
-bool peer_loads::recent(const peer &known, time_point now)
+bool peer_loads::isAlive(const peer &known, time_point now)
 {
     return known.heardAt != time_point {} && now - known.heardAt <= peerTimeout;
 }
 
-std::map<std::string, endpoint_load> peer_loads::loads(time_point now) const
+bool peer_loads::reports(const peer &known, time_point now)
+{
+    return known.directAt != time_point {} && now - known.directAt <= peerTimeout;
+}
+
+std::map<std::uint32_t, endpoint_load> peer_loads::loads(const std::set<std::string> &excluded, time_point now) const
 {
-    std::map<std::string, endpoint_load> total;
+    std::map<std::uint32_t, endpoint_load> total;
     for (const auto &[host, known] : m_peers) {
-        if (!recent(known, now)) {
+        if (!reports(known, now) || excluded.contains(host)) {
             continue;
         }
-        for (const auto &[endpoint, count] : known.report.running) {
-            total[endpoint].requests += count;
-        }
-        for (const auto &[endpoint, tokens] : known.report.tokens) {
-            total[endpoint].tokens += tokens;
+        for (const auto &[key, load] : known.loads) {
+            total[key].requests += load.requests;
+            total[key].tokens += load.tokens;
         }
     }
     return total;
 }
 
-queue_summary peer_loads::queues(const std::string &service, time_point now) const
+std::map<std::string, queue_summary> peer_loads::queues(const std::set<std::string> &excluded, time_point now) const
 {
-    queue_summary total;
+    std::map<std::string, queue_summary> total;
     for (const auto &[host, known] : m_peers) {
-        const auto queue = known.report.queues.find(service);
-        if (recent(known, now) && queue != known.report.queues.end()) {
-            total += queue->second;
+        if (!reports(known, now) || excluded.contains(host)) {
+            continue;
+        }
+        for (const auto &[service, queue] : known.queues) {
+            total[service] += queue;
         }
     }
     return total;
@@ -98,25 +181,23 @@
 
 int peer_loads::alive(time_point now) const
 {
-    int count = 0;
-    for (const auto &[host, known] : m_peers) {
-        count += recent(known, now) ? 1 : 0;
-    }
-    return count;
+    return static_cast<int>(
+        std::ranges::count_if(m_peers, [now](const auto &entry) { return isAlive(entry.second, now); }));
 }
 
-bool peer_loads::anyPeerIsCoordinator(time_point now) const
+std::string peer_loads::coordinator(time_point now) const
 {
-    return std::ranges::any_of(m_peers, [now](const auto &entry) {
-        return entry.second.report.isCoordinator && now - entry.second.heardAt <= coordinatorTimeout;
+    const auto found = std::ranges::find_if(m_peers, [now](const auto &entry) {
+        return entry.second.isCoordinator && now - entry.second.heardAt <= coordinatorTimeout;
     });
+    return found == m_peers.end() ? std::string() : found->first;
 }
 
 bool peer_loads::isPartitioned(const std::string &dataCentre, time_point now) const
 {
     bool known = false;
     for (const auto &[host, other] : m_peers) {
-        const bool elsewhere = !other.report.dataCentre.empty() && other.report.dataCentre != dataCentre;
+        const bool elsewhere = !other.dataCentre.empty() && other.dataCentre != dataCentre;
         if (!elsewhere || now - other.heardAt > candidateTimeout) {
             continue;
         }
@@ -143,7 +224,7 @@
 {
     std::vector<std::string> hosts;
     for (const auto &[host, known] : m_peers) {
-        if (recent(known, now)) {
+        if (isAlive(known, now)) {
             hosts.push_back(host);
         }
     }
--- /dev/null
+++ b/src/gateway/table_writer.cpp
@@ -0,0 +1,76 @@
+#include "gateway/table_writer.h"
+
+#include <algorithm>
+
+namespace bronzechute {
+
+namespace {
+
+// With the interval of member reports, keeps the age of what is known of another data centre below 250 ms.
+constexpr std::chrono::milliseconds tableInterval {75};
+constexpr std::chrono::milliseconds heartbeatInterval {240};
+constexpr std::chrono::seconds listInterval {1};
+constexpr int newListRepetitions = 2;
+
+} // namespace
+
+bool table_writer::mayBeDue(time_point now) const
+{
+    return now - m_sentAt >= tableInterval;
+}
+
+bool table_writer::sameMembers(const table_list &left, const table_list &right)
+{
+    return left.dataCentres == right.dataCentres && left.hubs == right.hubs
+        && std::ranges::equal(left.members, right.members, [](const table_member &a, const table_member &b) {
+               return a.host == b.host && a.dataCentre == b.dataCentre && a.knowsHubs == b.knowsHubs;
+           });
+}
+
+std::optional<load_table> table_writer::next(load_table table, table_list list,
+                                             const std::map<std::uint32_t, endpoint_load> &loads, time_point now)
+{
+    const bool known = std::ranges::all_of(
+        loads, [this](const auto &entry) { return std::ranges::binary_search(m_list.endpoints, entry.first); });
+    const bool listDue = now - m_listSentAt >= listInterval;
+    bool isNew = m_listNumber == 0 || !known || !sameMembers(list, m_list);
+    if (isNew || listDue) {
+        // Idle endpoints stay in the list until it is due again, so that it changes seldom.
+        std::vector<std::uint32_t> endpoints;
+        for (const auto &[key, load] : loads) {
+            endpoints.push_back(key);
+        }
+        if (!listDue) {
+            std::vector<std::uint32_t> joined;
+            std::ranges::set_union(endpoints, m_list.endpoints, std::back_inserter(joined));
+            endpoints = std::move(joined);
+        }
+        isNew = isNew || endpoints != m_list.endpoints;
+        list.endpoints = std::move(endpoints);
+        m_list = std::move(list);
+    }
+    if (isNew) {
+        ++m_listNumber;
+        m_listRepetitions = newListRepetitions;
+    }
+    for (const std::uint32_t key : m_list.endpoints) {
+        const auto found = loads.find(key);
+        table.loads.push_back(found == loads.end() ? endpoint_load {} : found->second);
+    }
+    const bool withList = listDue || m_listRepetitions > 0;
+    if (!withList && table.loads == m_loads && now - m_sentAt < heartbeatInterval) {
+        return std::nullopt;
+    }
+    if (withList) {
+        table.list = m_list;
+        m_listSentAt = now;
+        m_listRepetitions = std::max(0, m_listRepetitions - 1);
+    }
+    m_loads = table.loads;
+    m_sentAt = now;
+    table.listNumber = m_listNumber;
+    table.sequence = ++m_sequence;
+    return table;
+}
+
+} // namespace bronzechute
