--- a/src/gateway/control_budget.cpp
+++ b/src/gateway/control_budget.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr double burstSeconds = 2;
-constexpr double minBurstBytes = 65536;
+constexpr double minBurstBytes = 131072;
 
 /** @returns the share of the burst that is kept for the kinds that are given up later. */
 double reserveOf(control_kind kind)
--- a/src/gateway/exchange_node.cpp
+++ b/src/gateway/exchange_node.cpp
@@ -27,24 +27,28 @@
 constexpr std::chrono::seconds openGroupsInterval {2};
 constexpr int evidenceRepetitions = 1;
 constexpr std::chrono::milliseconds evidenceSpacing {100};
+constexpr std::size_t evidenceBytesPerSecond = 22000; ///< To each receiver.
 // Another gateway knows that there are enough for hub mode.
 constexpr std::chrono::seconds hubModeDuration {10};
 constexpr std::chrono::milliseconds tableTimeout {3000};
 constexpr std::chrono::milliseconds silentHubInterval {250};
 constexpr std::size_t silentHubCandidates = 3;
+constexpr std::size_t announcementsAtOnce = 8;
 constexpr std::chrono::milliseconds probeInterval {100};
 constexpr std::chrono::seconds greetingInterval {1};
 constexpr std::size_t greetingsAtOnce = 4;
-constexpr std::size_t probesAtOnce = 6;
+constexpr std::size_t probesAtOnce = 3;
+// Below the time after which the gateway takes itself for cut off.
+constexpr std::chrono::milliseconds probeAfter {400};
 constexpr std::chrono::milliseconds replyInterval {200};
-constexpr std::size_t maxReportedPeers = 64;
+constexpr std::size_t maxReportedPeers = 16;
 constexpr std::size_t maxSentReports = 80; ///< Those of some 4 s, longer than a hub keeps a report.
 constexpr std::size_t maxNewsOrigins = 64;
 constexpr std::size_t maxDataCentres = 64;
 // Sustained control traffic of a gateway for itself, and of a hub for each gateway that it sends to.
 constexpr double bytesPerSecondPerGateway = 11000;
-// A tenth of the slowest link among the platform's gateways (40 Mbit/s).
-constexpr double maxBytesPerSecond = 500000;
+// A fifth of the slowest link among the platform's gateways (40 Mbit/s). Reached by the hub of 90 gateways.
+constexpr double maxBytesPerSecond = 1000000;
 
 std::chrono::milliseconds millisecondsOf(boot_clock::duration duration)
 {
@@ -56,6 +60,19 @@
     return static_cast<int>(std::clamp<std::int64_t>(millisecondsOf(now - at).count(), 0, 60000));
 }
 
+/** @returns the time since anything was heard of another data centre. */
+std::optional<boot_clock::duration> newestDataCentreAge(const peer_loads &peers, const std::string &own, time_point now)
+{
+    std::optional<boot_clock::duration> newest;
+    for (const auto &[host, known] : peers.all()) {
+        if (known.heardAt != time_point {} && !known.dataCentre.empty() && known.dataCentre != own
+            && (!newest || now - known.heardAt < *newest)) {
+            newest = now - known.heardAt;
+        }
+    }
+    return newest;
+}
+
 void subtract(queue_summary &sum, const queue_summary &part)
 {
     sum.waiting = std::max(0, sum.waiting - part.waiting);
@@ -200,9 +217,8 @@
     }
     m_reportedQueues = m_source.ownQueues();
     report.queues = m_reportedQueues;
-    report.peers = m_peers.heardPeers(now);
-    if (m_hubMode && report.peers.size() > maxReportedPeers) {
-        report.peers.resize(maxReportedPeers);
+    if (!m_hubMode) {
+        report.peers = m_peers.heardPeers(now);
     }
     remember(ownLoadsByKey(), now);
     return report;
@@ -298,7 +314,7 @@
         }
     }
     if (report->wantsReply && m_hubMode) {
-        reply(host, now);
+        reply(host, report->dataCentre, now);
     }
     result.groups = std::move(report->groups);
     result.evidence = std::move(report->evidence);
@@ -339,7 +355,7 @@
         const sent_report *included = sentReport(table.included);
         m_rule.hear(host, table.freshMembers, included == nullptr ? std::nullopt : std::optional(included->at), now);
     } else if (m_hubMode && !m_rule.acting()) {
-        reply(host, now); // It takes this gateway for the hub.
+        reply(host, table.dataCentre, now); // It takes this gateway for the hub.
     }
     const bool hasList = table.list.has_value();
     if (!hasList && (table.listNumber != kept.table.listNumber || kept.receivedAt == time_point {})) {
@@ -411,6 +427,10 @@
             send(target, forwarded, control_kind::news, now);
         }
     }
+    m_lastNews = fromOwn ? forwarded : std::string();
+    m_lastNewsAt = now;
+    const std::vector<std::string> hubs = otherHubs(now).first;
+    m_newsHubs = {hubs.begin(), hubs.end()};
 }
 
 void exchange_node::onMerged(const std::string &host, std::uint64_t before)
@@ -442,13 +462,23 @@
     return true;
 }
 
-void exchange_node::reply(const std::string &host, time_point now)
+void exchange_node::reply(const std::string &host, const std::string &dataCentre, time_point now)
 {
     if (now - m_repliedAt[host] < replyInterval) {
         return;
     }
     m_repliedAt[host] = now;
-    send(host, encodeLoadReport(makeReport(now), now), control_kind::membership, now);
+    load_report report = makeReport(now);
+    // A gateway that has just started needs its hub, or those among which it will be.
+    for (const bool own : {true, false}) {
+        for (const auto &[other, known] : m_peers.all()) {
+            if (report.peers.size() < maxReportedPeers && (known.dataCentre == dataCentre) == own
+                && peer_loads::isAlive(known, now)) {
+                report.peers.push_back(other);
+            }
+        }
+    }
+    send(host, encodeLoadReport(report, now), control_kind::membership, now);
 }
 
 std::vector<std::string> exchange_node::ownReporters(time_point now) const
@@ -473,8 +503,14 @@
         }
     }
     m_rule.update(hosts, fresh, now);
+    const std::string hub = m_rule.acting() ? m_self : m_rule.followed();
+    if (hub != m_reportedHub) {
+        m_reportedHub = hub;
+        m_groupsChanged = true; // What the former hub was told last may not have been passed on.
+    }
     const std::size_t served = m_rule.acting() ? hosts.size() : 0;
     m_budget.setRate(std::min(maxBytesPerSecond, bytesPerSecondPerGateway * static_cast<double>(served + 1)));
+    m_allWriter.setPace(served, maxBytesPerSecond);
     if (m_rule.acting()) {
         m_hubs[m_dataCentre] = m_self;
     } else if (!m_rule.followed().empty()) {
@@ -702,9 +738,10 @@
 }
 
 void exchange_node::sendTableTo(const std::vector<std::string> &hosts, const std::vector<std::string> &silentHosts,
-                                const load_table &table, const table_list &list, time_point now)
+                                const load_table &table, time_point now)
 {
     std::string datagram = encodeLoadTable(table);
+    (table.ofAll ? m_allWriter : m_ownWriter).noteSize(datagram.size(), table.list.has_value());
     const control_kind kind = table.list ? control_kind::membership : control_kind::table;
     for (const std::string &host : hosts) {
         if (table.ofAll) {
@@ -713,19 +750,23 @@
         }
         send(host, datagram, kind, now);
     }
-    std::string withList;
+    // It shows silent hosts that this is the hub; they report, or answer, and are sent the list then.
+    load_table announcement = table;
+    announcement.list.reset();
+    announcement.queues.reset();
+    std::string announced;
+    std::size_t count = 0;
     for (const std::string &host : silentHosts) {
         time_point &sentAt = m_tableSentAt[host];
-        if (now - sentAt < silentHubInterval) {
+        if (now - sentAt < silentHubInterval || count == announcementsAtOnce) {
             continue;
         }
         sentAt = now;
-        if (withList.empty()) {
-            load_table whole = table;
-            whole.list = list;
-            withList = encodeLoadTable(whole);
+        ++count;
+        if (announced.empty()) {
+            announced = encodeLoadTable(announcement);
         }
-        send(host, withList, control_kind::membership, now);
+        send(host, announced, control_kind::table, now);
     }
 }
 
@@ -801,11 +842,17 @@
             silent.push_back(host);
         }
     }
-    sendTableTo(reporters, silent, *next, m_allWriter.list(), now);
+    sendTableTo(reporters, silent, *next, now);
 }
 
 void exchange_node::sendOwnTable(time_point now)
 {
+    const auto [heard, silent] = otherHubs(now);
+    std::set<std::string> heardHubs(heard.begin(), heard.end());
+    if (!std::ranges::includes(m_heardHubs, heardHubs)) {
+        m_ownWriter.repeatList();
+    }
+    m_heardHubs = std::move(heardHubs);
     load_table table = emptyTable(false, now);
     table.ageMs = {0};
     table_list list;
@@ -836,8 +883,7 @@
             (*next->queues)[service] += queue;
         }
     }
-    const auto [heard, silent] = otherHubs(now);
-    sendTableTo(heard, silent, *next, m_ownWriter.list(), now);
+    sendTableTo(heard, silent, *next, now);
 }
 
 std::vector<std::string> exchange_node::newsTargets(time_point now) const
@@ -862,13 +908,20 @@
             send(host, datagram, control_kind::news, now);
         }
     }
+    if (m_rule.acting() && !m_lastNews.empty() && now - m_lastNewsAt <= groupsInterval) {
+        for (const std::string &host : otherHubs(now).first) {
+            if (m_newsHubs.insert(host).second) {
+                send(host, m_lastNews, control_kind::news, now); // It has become the hub since.
+            }
+        }
+    }
     const std::uint64_t version = m_source.evidenceVersion();
     std::string datagram;
     for (const std::string &host : targets) {
         evidence_progress &progress = m_evidence[host];
         const boot_clock::duration since = now - progress.sentAt;
         const bool isNews = progress.version != version;
-        if ((!isNews && progress.repetitions == 0 && since < evidenceInterval) || since < evidenceSpacing) {
+        if ((!isNews && progress.repetitions == 0 && since < evidenceInterval) || since < progress.pause) {
             continue;
         }
         if (datagram.empty()) {
@@ -882,6 +935,8 @@
             progress.repetitions = isNews ? evidenceRepetitions : std::max(0, progress.repetitions - 1);
             progress.version = version;
             progress.sentAt = now;
+            progress.pause = std::max<boot_clock::duration>(
+                evidenceSpacing, std::chrono::milliseconds(datagram.size() * 1000 / evidenceBytesPerSecond));
         }
     }
     std::erase_if(m_evidence, [now](const auto &entry) { return now - entry.second.sentAt > 2 * evidenceInterval; });
@@ -906,11 +961,12 @@
             hosts.push_back(host);
         }
     }
-    if (m_rule.isQuestioned(now)) {
-        // Tells a silent hub from a cut: the gateways of other data centres answer if they can be reached.
+    const auto age = newestDataCentreAge(m_peers, m_dataCentre, now);
+    if (m_rule.isQuestioned(now) || (age && *age > probeAfter && *age < tableTimeout)) {
+        // Tells a silent or deaf hub from a cut: the gateways of other data centres answer if they can be reached.
         std::set<std::string> probes;
         for (const auto &[dataCentre, hub] : m_hubs) {
-            if (!hub.empty() && hub != m_self) {
+            if (!hub.empty() && hub != m_self && probes.size() < probesAtOnce) {
                 probes.insert(hub);
             }
         }
@@ -926,7 +982,6 @@
         return;
     }
     load_report report = makeReport(now);
-    report.peers.clear();
     report.wantsReply = true;
     for (const std::string &host : hosts) {
         greet(host, report, now);
--- a/src/gateway/exchange_node.h
+++ b/src/gateway/exchange_node.h
@@ -123,6 +123,7 @@
         std::uint64_t version = 0; ///< Of the evidence that was sent last.
         int repetitions = 0;
         time_point sentAt {};
+        boot_clock::duration pause {}; ///< Until the next may follow; longer after more bytes.
     };
 
     // Mesh mode.
@@ -146,7 +147,7 @@
     void applyReport(const std::string &host, const member_report &report, time_point now);
     void applyTable(const std::string &host, load_table table, time_point now);
     void applyNews(const std::string &host, const exchange_news &news, time_point now, incoming_news &result);
-    void reply(const std::string &host, time_point now);
+    void reply(const std::string &host, const std::string &dataCentre, time_point now);
     bool send(const std::string &host, std::string bytes, control_kind kind, time_point now);
 
     int knownGateways(time_point now) const;
@@ -165,7 +166,7 @@
     std::vector<std::string> newsTargets(time_point now) const;
     load_table emptyTable(bool ofAll, time_point now) const;
     void sendTableTo(const std::vector<std::string> &hosts, const std::vector<std::string> &silentHosts,
-                     const load_table &table, const table_list &list, time_point now);
+                     const load_table &table, time_point now);
 
     const std::string m_self;
     const std::string m_node;
@@ -201,10 +202,15 @@
     table_writer m_ownWriter;
     time_point m_allQueuesSentAt {};
     time_point m_ownQueuesSentAt {};
+    std::string m_reportedHub; ///< To which the group states were sent last.
     std::map<std::string, std::string> m_hubs; ///< Last known host, by data centre.
     std::map<std::string, time_point> m_tableSentAt; ///< To hosts that are silent, by host.
     std::map<std::string, evidence_progress> m_evidence; ///< By receiver.
     std::uint64_t m_newsSequence = 0;
+    std::string m_lastNews; ///< The newest group states that were passed on.
+    time_point m_lastNewsAt {};
+    std::set<std::string> m_heardHubs; ///< Of other data centres, when the last table was sent.
+    std::set<std::string> m_newsHubs; ///< Hubs of other data centres that had been heard by then.
     std::map<std::uint64_t, std::uint64_t> m_newsSeen; ///< Newest sequence of group states, by origin.
     std::map<std::string, time_point> m_greetedAt; ///< By host.
     std::map<std::string, time_point> m_repliedAt; ///< By host.
--- a/src/gateway/table_writer.cpp
+++ b/src/gateway/table_writer.cpp
@@ -9,14 +9,37 @@
 // With the interval of member reports, keeps the age of what is known of another data centre below 250 ms.
 constexpr std::chrono::milliseconds tableInterval {75};
 constexpr std::chrono::milliseconds heartbeatInterval {240};
-constexpr std::chrono::seconds listInterval {1};
+constexpr std::chrono::milliseconds listInterval {1000};
+// Gateways that are not named for 3 s are taken for stopped.
+constexpr std::chrono::milliseconds maxListInterval {2000};
 constexpr int newListRepetitions = 2;
+// Shares of the rate.
+constexpr double tableShare = 0.5;
+constexpr double listShare = 0.3;
+
+boot_clock::duration timeOf(std::size_t bytes, double bytesPerSecond)
+{
+    return std::chrono::duration_cast<boot_clock::duration>(
+        std::chrono::duration<double>(static_cast<double>(bytes) / bytesPerSecond));
+}
 
 } // namespace
 
+table_writer::table_writer() : m_tableInterval(tableInterval), m_listInterval(listInterval)
+{
+}
+
+void table_writer::setPace(std::size_t receivers, double maxBytesPerSecond)
+{
+    m_tableInterval =
+        std::max<boot_clock::duration>(tableInterval, timeOf(receivers * m_tableBytes, tableShare * maxBytesPerSecond));
+    m_listInterval = std::clamp<boot_clock::duration>(timeOf(receivers * m_listBytes, listShare * maxBytesPerSecond),
+                                                      listInterval, maxListInterval);
+}
+
 bool table_writer::mayBeDue(time_point now) const
 {
-    return now - m_sentAt >= tableInterval;
+    return now - m_sentAt >= m_tableInterval;
 }
 
 bool table_writer::sameMembers(const table_list &left, const table_list &right)
@@ -32,7 +55,7 @@
 {
     const bool known = std::ranges::all_of(
         loads, [this](const auto &entry) { return std::ranges::binary_search(m_list.endpoints, entry.first); });
-    const bool listDue = now - m_listSentAt >= listInterval;
+    const bool listDue = now - m_listSentAt >= m_listInterval;
     bool isNew = m_listNumber == 0 || !known || !sameMembers(list, m_list);
     if (isNew || listDue) {
         // Idle endpoints stay in the list until it is due again, so that it changes seldom.
