--- a/src/gateway/exchange_node.cpp
+++ b/src/gateway/exchange_node.cpp
@@ -750,9 +750,13 @@
         }
         send(host, datagram, kind, now);
     }
-    // It shows silent hosts that this is the hub; they report, or answer, and are sent the list then.
+    // It shows silent hosts that this is the hub. Those of its own data centre report then, and are sent the list; the
+    // hubs of the others need the list at once, as a table without it is not one of a hub that is heard.
     load_table announcement = table;
     announcement.list.reset();
+    if (!table.ofAll) {
+        announcement.list = m_ownWriter.list();
+    }
     announcement.queues.reset();
     std::string announced;
     std::size_t count = 0;
