--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -123,6 +123,7 @@
     m_registry.gauge("bronzechute_gateway_cold_permits", "",
                      "Endpoints that this gateway may send requests to while they are cold.",
                      countEndpoints([](const gateway_endpoint &endpoint, time_point) { return endpoint.mayWarm; }));
+    m_loadExchange.registerMetrics(m_registry);
 }
 
 result<void> gateway_role::listen()
