--- a/src/balance/endpoint_view.h
+++ b/src/balance/endpoint_view.h
@@ -11,6 +11,12 @@
     bool suspect = false; ///< Failed or refused a request recently.
     bool local = false; ///< In the gateway's own data centre.
     double gapMs = 0; ///< Recent time between two events of its streams; 0 when unknown.
+    /**
+     * Work beyond that of `running` average requests, in such requests: larger ones, and those that the other gateways
+     * are expected to have placed since their reports, less those that are expected to have ended. May be negative.
+     */
+    double extraWork = 0;
+    double memoryUse = 0; ///< Share of the memory that the running requests need; 0 when unknown.
 
     friend bool operator==(const endpoint_view &, const endpoint_view &) = default;
 };
--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -14,6 +14,9 @@
 // Cost added per multiple of the shortest gap between stream events, because streams of a slow endpoint miss their
 // target.
 constexpr double slowStreamWeight = 0.5;
+// An engine whose memory is full preempts the newest request, so others are preferred shortly before.
+constexpr double highMemoryUse = 0.9;
+constexpr double memoryPenalty = 2.0;
 
 double shortestGapMs(std::span<const endpoint_view> endpoints)
 {
@@ -28,37 +31,115 @@
 
 double placementCost(const endpoint_view &endpoint, double shortestMs)
 {
-    double cost = static_cast<double>(endpoint.running + 1) / endpoint.slots;
+    double cost = (static_cast<double>(endpoint.running + 1) + endpoint.extraWork) / endpoint.slots;
     if (endpoint.gapMs > 0) {
         cost += slowStreamWeight * (endpoint.gapMs / shortestMs - 1.0);
     }
+    if (endpoint.memoryUse > highMemoryUse) {
+        cost += memoryPenalty;
+    }
     return cost + (endpoint.suspect ? suspectPenalty : 0.0) + (endpoint.local ? 0.0 : remotePenalty);
 }
 
-} // namespace
+struct candidate
+{
+    std::size_t index = 0;
+    double cost = 0;
+    double slots = 0;
+};
 
-std::optional<std::size_t> placeRequest(std::span<const endpoint_view> endpoints, int overcommit,
-                                        std::mt19937_64 &random)
+std::vector<candidate> candidatesOf(std::span<const endpoint_view> endpoints, int overcommit)
 {
     const double shortestMs = shortestGapMs(endpoints);
-    std::optional<std::size_t> best;
-    double bestCost = std::numeric_limits<double>::infinity();
-    std::size_t ties = 0;
+    std::vector<candidate> candidates;
+    candidates.reserve(endpoints.size());
     for (std::size_t index = 0; index < endpoints.size(); ++index) {
         const endpoint_view &endpoint = endpoints[index];
-        if (!endpoint.usable || endpoint.running >= endpoint.slots + overcommit) {
-            continue;
+        if (endpoint.usable && endpoint.running < endpoint.slots + overcommit) {
+            candidates.push_back(
+                {index, placementCost(endpoint, shortestMs), static_cast<double>(std::max(1, endpoint.slots))});
         }
-        const double cost = placementCost(endpoint, shortestMs);
-        if (cost < bestCost) {
-            best = index;
-            bestCost = cost;
+    }
+    return candidates;
+}
+
+std::optional<std::size_t> cheapest(std::span<const candidate> candidates, std::mt19937_64 &random)
+{
+    std::optional<std::size_t> best;
+    double bestCost = std::numeric_limits<double>::infinity();
+    std::size_t ties = 0;
+    for (const candidate &each : candidates) {
+        if (each.cost < bestCost) {
+            best = each.index;
+            bestCost = each.cost;
             ties = 1;
-        } else if (cost == bestCost && random() % ++ties == 0) {
-            best = index; // Reservoir sampling: each of the ties is selected with the same probability.
+        } else if (each.cost == bestCost && random() % ++ties == 0) {
+            best = each.index; // Reservoir sampling: each of the ties is selected with the same probability.
         }
     }
     return best;
 }
 
+/** @returns the cost up to which this many requests raise the candidates, which are sorted by cost and not empty. */
+double fillLevel(std::span<const candidate> candidates, double requests)
+{
+    double slots = 0;
+    double weighted = 0;
+    for (std::size_t count = 0; count < candidates.size(); ++count) {
+        slots += candidates[count].slots;
+        weighted += candidates[count].slots * candidates[count].cost;
+        const double level = (requests + weighted) / slots;
+        if (count + 1 == candidates.size() || level <= candidates[count + 1].cost) {
+            return level;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+std::vector<double> placementShares(std::span<const endpoint_view> endpoints, int overcommit, double requests)
+{
+    std::vector<double> shares(endpoints.size(), 0.0);
+    std::vector<candidate> candidates = candidatesOf(endpoints, overcommit);
+    if (candidates.empty() || requests <= 0) {
+        return shares;
+    }
+    std::ranges::sort(candidates, {}, &candidate::cost);
+    const double level = fillLevel(candidates, requests);
+    for (const candidate &each : candidates) {
+        shares[each.index] = std::max(0.0, each.slots * (level - each.cost));
+    }
+    return shares;
+}
+
+std::optional<std::size_t> placeRequest(std::span<const endpoint_view> endpoints, int overcommit,
+                                        std::mt19937_64 &random, double concurrent)
+{
+    if (concurrent <= 0) {
+        return cheapest(candidatesOf(endpoints, overcommit), random);
+    }
+    const std::vector<double> shares = placementShares(endpoints, overcommit, concurrent);
+    double total = 0;
+    for (const double share : shares) {
+        total += share;
+    }
+    if (total <= 0) {
+        return cheapest(candidatesOf(endpoints, overcommit), random); // Too little to raise a cost measurably.
+    }
+    double drawn = std::uniform_real_distribution<double>(0, total)(random);
+    std::optional<std::size_t> last;
+    for (std::size_t index = 0; index < shares.size(); ++index) {
+        if (shares[index] <= 0) {
+            continue;
+        }
+        last = index;
+        drawn -= shares[index];
+        if (drawn < 0) {
+            break;
+        }
+    }
+    return last;
+}
+
 } // namespace bronzechute
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -36,6 +36,13 @@
     return {engine.stepMs, perRequest, static_cast<double>(engine.slots), gapTarget};
 }
 
+/** @returns the share of an average request's part in a step that grows with its tokens. */
+double tokenWeightOf(const engine_profile &engine)
+{
+    const double perRequest = paceModelOf(engine, {}).stepMsPerRequest;
+    return perRequest > 0 ? 1 - engine.stepMsPerRequest / perRequest : 0.0;
+}
+
 } // namespace
 
 endpoint_table::endpoint_table(std::string dataCentre) : m_dataCentre(std::move(dataCentre))
@@ -143,6 +150,7 @@
     for (const routed_service &service : table.document().services) {
         if (service.engine) {
             m_paceModels.emplace(service.name, paceModelOf(*service.engine, table.gapTargetOf(service.name)));
+            m_forecasts[service.name].configure(tokenWeightOf(*service.engine), service.engine->memoryTokens);
         }
     }
     for (const auto &[id, endpoint] : m_endpoints) {
@@ -152,7 +160,7 @@
     }
 }
 
-void endpoint_table::setPeerLoads(const std::map<std::string, endpoint_load> &loads)
+void endpoint_table::setPeerLoads(const std::map<std::string, endpoint_load> &loads, std::chrono::milliseconds age)
 {
     for (const auto &[id, endpoint] : m_endpoints) {
         const auto found = loads.find(id);
@@ -160,6 +168,56 @@
         endpoint->peersRunning = load.requests;
         endpoint->peersTokens = load.tokens;
     }
+    const time_point now = boot_clock::now();
+    for (const auto &[service, endpoints] : m_byService) {
+        m_forecasts[service].setAge(age);
+        advanceForecast(service, now);
+    }
+}
+
+void endpoint_table::recordPlaced(const gateway_endpoint &endpoint, std::int64_t tokens, time_point now)
+{
+    m_forecasts[endpoint.record.service].recordPlaced(tokens, now);
+}
+
+void endpoint_table::recordReleased(const gateway_endpoint &endpoint, time_point now)
+{
+    m_forecasts[endpoint.record.service].recordReleased(now);
+}
+
+std::vector<endpoint_work> endpoint_table::workOf(const std::string &service) const
+{
+    std::vector<endpoint_work> work;
+    for (const gateway_endpoint_ptr &endpoint : endpointsOf(service)) {
+        work.push_back({{endpoint->ownRunning, endpoint->ownTokens},
+                        {endpoint->peersRunning, endpoint->peersTokens},
+                        endpoint->foreseen});
+    }
+    return work;
+}
+
+void endpoint_table::advanceForecast(const std::string &service, time_point now)
+{
+    load_forecast &forecast = m_forecasts[service];
+    if (!forecast.due(now)) {
+        return;
+    }
+    const auto &endpoints = endpointsOf(service);
+    std::vector<endpoint_view> views;
+    views.reserve(endpoints.size());
+    for (const gateway_endpoint_ptr &endpoint : endpoints) {
+        views.push_back(viewOf(*endpoint, {}, now));
+    }
+    std::vector<endpoint_work> work = workOf(service);
+    forecast.advance(views, work, now);
+    for (std::size_t index = 0; index < endpoints.size(); ++index) {
+        endpoints[index]->foreseen = work[index].foreseen;
+    }
+}
+
+double endpoint_table::concurrentPlacements(const std::string &service, time_point now)
+{
+    return m_forecasts[service].concurrent(workOf(service), now);
 }
 
 const std::vector<gateway_endpoint_ptr> &endpoint_table::endpointsOf(const std::string &service) const
@@ -307,6 +365,8 @@
         view.usable = view.usable && (endpoint->group == nullptr || !endpoint->group->atLimit);
         views.push_back(view);
     }
+    advanceForecast(service, now);
+    m_forecasts[service].apply(views, workOf(service), now);
     return views;
 }
 
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -2,6 +2,7 @@
 
 #include "balance/endpoint_load.h"
 #include "balance/endpoint_view.h"
+#include "balance/load_forecast.h"
 #include "balance/pass_latency_model.h"
 #include "balance/stream_demand.h"
 #include "gateway/gateway_endpoint.h"
@@ -47,8 +48,21 @@
      */
     void applyRouting(const routing_table &table, int gateways);
 
-    /** Sets the work of the other gateways in flight, by endpoint id. Missing endpoints have none. */
-    void setPeerLoads(const std::map<std::string, endpoint_load> &loads);
+    /**
+     * Sets the work of the other gateways in flight, by endpoint id. Missing endpoints have none.
+     * @param age mean age of the loads until the next ones; by default that of a full mesh of reports
+     */
+    void setPeerLoads(const std::map<std::string, endpoint_load> &loads,
+                      std::chrono::milliseconds age = std::chrono::milliseconds {40});
+
+    /** Records that a request of this gateway was placed. @param tokens that it asks for; 0 if they are not known */
+    void recordPlaced(const gateway_endpoint &endpoint, std::int64_t tokens, time_point now);
+
+    /** Records that a request of this gateway has ended. */
+    void recordReleased(const gateway_endpoint &endpoint, time_point now);
+
+    /** @returns the requests among which the choice for one is drawn, see placeRequest(). */
+    double concurrentPlacements(const std::string &service, time_point now);
 
     /**
      * Applies group states from the coordinator. The endpoints of a closed group get no requests until it is reported
@@ -114,6 +128,9 @@
     std::vector<endpoint_run> removePredecessors(const endpoint_record &record);
     void rebuild();
     static void setAvoided(gateway_endpoint &endpoint, bool avoided, time_point now);
+    std::vector<endpoint_work> workOf(const std::string &service) const;
+    /** Advances what is foreseen of the other gateways' placements, if it is due. */
+    void advanceForecast(const std::string &service, time_point now);
     void updateGroupLoads(const std::string &service, time_point now);
     bool acceptsRequests(const gateway_endpoint &endpoint, time_point now) const;
 
@@ -124,6 +141,7 @@
     std::optional<std::set<std::string>> m_services; ///< That the routing configuration names.
     std::map<std::string, std::shared_ptr<endpoint_group>> m_groups; ///< By name.
     std::map<std::string, pass_latency_model> m_paceModels; ///< By service.
+    std::map<std::string, load_forecast> m_forecasts; ///< By service.
     std::map<std::string, service_health> m_health; ///< By service.
 };
 
--- a/src/gateway/gateway_endpoint.h
+++ b/src/gateway/gateway_endpoint.h
@@ -23,6 +23,7 @@
     int peersRunning = 0; ///< Requests of the other gateways in flight, as last reported.
     std::int64_t ownTokens = 0; ///< Work of the requests of this gateway in flight, see placement_client::tokens().
     std::int64_t peersTokens = 0; ///< Work of those of the other gateways, as last reported.
+    double foreseen = 0; ///< Requests that the other gateways probably placed since their reports, see load_forecast.
     int consecutiveFailures = 0; ///< Failed attempts since the last response.
     time_point suspectUntil {}; ///< Other endpoints are preferred until then.
     time_point avoidedUntil {}; ///< No requests until then, as the endpoint would slow its whole rank group down.
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -86,7 +86,7 @@
             views[index].usable = views[index].usable && m_endpoints.completes(*endpoints[index], *demand, now);
         }
     }
-    const auto index = placeRequest(views, overcommit, m_random);
+    const auto index = placeRequest(views, overcommit, m_random, m_endpoints.concurrentPlacements(service, now));
     return index ? endpoints[*index] : nullptr;
 }
 
@@ -100,7 +100,9 @@
 {
     ++endpoint->ownRunning;
     endpoint->ownTokens += client->tokens();
-    endpoint->coldRate.take(boot_clock::now());
+    const time_point now = boot_clock::now();
+    m_endpoints.recordPlaced(*endpoint, client->tokens(), now);
+    endpoint->coldRate.take(now);
     client->onPlaced(endpoint);
 }
 
@@ -115,8 +117,10 @@
 {
     --endpoint->ownRunning;
     endpoint->ownTokens -= tokens;
+    const time_point now = boot_clock::now();
+    m_endpoints.recordReleased(*endpoint, now);
     service_queue &queue = queueOf(endpoint->record.service);
-    queue.completions.record(boot_clock::now());
+    queue.completions.record(now);
     if (!queue.waiting.empty()) {
         serveQueue(endpoint->record.service, queue);
     }
