--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_role.h"
 
+#include "balance/load_evenness.h"
 #include "balance/response_bounds.h"
 #include "base/request_id.h"
 #include "gateway/event_loop.h"
@@ -12,6 +13,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <string_view>
 
@@ -28,6 +30,23 @@
 // Requests that arrive later are accepted only if they end before the process does; others are left to another gateway.
 constexpr std::chrono::milliseconds drainAcceptPeriod {2800};
 constexpr std::chrono::milliseconds drainPollInterval {20};
+
+/** @returns the highest of busiestOverMean() of all services. */
+double leastEvenService(const endpoint_table &endpoints)
+{
+    std::map<std::string, std::vector<endpoint_view>> services;
+    for (const auto &[id, endpoint] : endpoints.all()) {
+        endpoint_view view;
+        view.slots = endpoint->record.slots;
+        view.running = endpoint->ownRunning + endpoint->peersRunning;
+        services[endpoint->record.service].push_back(view);
+    }
+    double highest = 0;
+    for (const auto &[service, views] : services) {
+        highest = std::max(highest, busiestOverMean(views));
+    }
+    return highest;
+}
 const std::string coordinatorKey = "bronzechute/expert-maps/coordinator";
 const std::string quarantineKey = "bronzechute/quarantine/prompt-parts";
 constexpr std::chrono::milliseconds coordinatorPollInterval {200};
@@ -107,6 +126,9 @@
 {
     m_registry.gauge("bronzechute_gateway_ready", "", "Whether the gateway takes callers.",
                      [this] { return m_draining ? 0.0 : 1.0; });
+    m_registry.gauge("bronzechute_gateway_busiest_over_mean", "",
+                     "Highest slot utilization of an endpoint over the mean, of the least even service; 0 if idle.",
+                     [this] { return leastEvenService(m_endpoints); });
 }
 
 result<void> gateway_role::listen()
--- a/tests/gateway/request_dispatcher_test.cpp
+++ b/tests/gateway/request_dispatcher_test.cpp
@@ -126,6 +126,48 @@
     EXPECT_NE(second->endpoint, nullptr);
 }
 
+/** @returns how many of 60 gateways take the less loaded of two endpoints, by what they know of the others. */
+int takeTheLessLoaded(const std::map<std::string, endpoint_load> &peers, int ownAtBusier)
+{
+    int taken = 0;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        boost::asio::io_context loop;
+        endpoint_table endpoints("here");
+        for (const char *id : {"busier", "less_loaded"}) {
+            endpoint_record record;
+            record.id = id;
+            record.service = "models";
+            record.slots = 10;
+            record.dataCentre = "here";
+            endpoints.update(record);
+        }
+        endpoints.setPeerLoads(peers);
+        endpoints.all().at("busier")->ownRunning = ownAtBusier;
+        request_dispatcher dispatcher(loop, endpoints, {}, seed);
+        const time_point now = boot_clock::now();
+        auto client = std::make_shared<recorded_client>(std::nullopt);
+        waiting_request request;
+        request.arrivedAt = now;
+        request.expiresAt = now + 1600ms;
+        dispatcher.submit("models", request, client);
+        taken += client->endpoint->record.id == "less_loaded" ? 1 : 0;
+    }
+    return taken;
+}
+
+// Guards against an endpoint that is overrun by all gateways at once.
+TEST(dispatched_together, gatewaysOnTheSameKnowledgeDoNotAllTakeTheSame)
+{
+    const int taken = takeTheLessLoaded({{"busier", {5, 0}}, {"less_loaded", {4, 0}}}, 0);
+    EXPECT_GT(taken, 30);
+    EXPECT_LT(taken, 60);
+}
+
+TEST(dispatched_together, aGatewayWithoutOthersTakesTheLessLoaded)
+{
+    EXPECT_EQ(takeTheLessLoaded({}, 1), 60);
+}
+
 } // namespace
 
 } // namespace bronzechute
