tests: reserves in the simulated fleets

Cause: findings of the linter (performance-inefficient-vector-operation) in cold_permits_test. Nothing else changed; the linter has no findings in the changed sources and tests.

--- a/tests/balance/cold_permits_test.cpp
+++ b/tests/balance/cold_permits_test.cpp
@@ -120,6 +120,7 @@
 std::vector<simulated_gateway> allKnowAll(int count, std::mt19937_64 &)
 {
     std::vector<simulated_gateway> fleet;
+    fleet.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         fleet.push_back(knowing(index, hosts(0, count), count));
     }
@@ -130,6 +131,7 @@
 std::vector<simulated_gateway> disjointSets(int count, int sets)
 {
     std::vector<simulated_gateway> fleet;
+    fleet.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         const int set = index * sets / count;
         fleet.push_back(
@@ -152,6 +154,7 @@
 std::vector<simulated_gateway> randomViews(int count, std::mt19937_64 &random)
 {
     std::vector<simulated_gateway> fleet;
+    fleet.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         std::vector<std::string> known;
         for (int other = 0; other < count; ++other) {
@@ -170,6 +173,7 @@
 {
     const int more = (count + 2) / 3;
     std::vector<simulated_gateway> fleet;
+    fleet.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count + more; ++index) {
         std::vector<std::pair<std::chrono::milliseconds, std::string>> learns;
         for (int other = count; other < count + more; ++other) {
@@ -198,6 +202,7 @@
 std::vector<simulated_gateway> undiscovered(int count, std::mt19937_64 &)
 {
     std::vector<simulated_gateway> fleet;
+    fleet.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         simulated_gateway gateway = knowing(index, hosts(index, index + 1), 1);
         gateway.view = [index](auto) {
@@ -213,8 +218,10 @@
 {
     const int gone = count / 3;
     std::vector<simulated_gateway> fleet;
+    fleet.reserve(static_cast<std::size_t>(count));
     for (int index = 0; index < count; ++index) {
         std::vector<std::chrono::milliseconds> forgets;
+        forgets.reserve(static_cast<std::size_t>(gone));
         for (int other = 0; other < gone; ++other) {
             forgets.push_back(4000ms + std::chrono::milliseconds(random() % 4000));
         }
