gateway: a reported cold start slows its service down for 30 s at most

Cause: the longest reported cold start (up to 24 h by the decoder) was applied to all endpoints of a service, and kept for services of foreign entries.

--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -14,6 +14,8 @@
 constexpr std::chrono::milliseconds assumedColdPeriod {4000};
 // Covers the age of a report when it arrives.
 constexpr std::chrono::milliseconds coldReportDelay {1000};
+// One endpoint that reports a longer cold start must not slow all endpoints of its service down.
+constexpr std::chrono::milliseconds maxColdPeriod {30000};
 // Exceeds the interval at which the coordinator repeats group states. Without a coordinator, engines are tried again.
 constexpr std::chrono::milliseconds closedStateTimeout {1500};
 // Exceeds the time without a coordinator during a usual outage of the store.
@@ -136,7 +138,7 @@
     const auto found = m_longestCold.find(service);
     const std::chrono::milliseconds reported =
         found == m_longestCold.end() ? std::chrono::milliseconds(0) : found->second;
-    return std::max(assumedColdPeriod, reported + coldReportDelay);
+    return std::clamp(reported + coldReportDelay, assumedColdPeriod, maxColdPeriod);
 }
 
 void endpoint_table::setDataCentre(const std::string &name, bool inService, time_point now)
@@ -176,6 +178,7 @@
             m_paceModels.emplace(service.name, paceModelOf(*service.engine, table.gapTargetOf(service.name)));
         }
     }
+    std::erase_if(m_longestCold, [this](const auto &entry) { return !m_services->contains(entry.first); });
     m_gateways = gateways;
     m_coldRates.clear();
     for (const routed_service &service : table.document().services) {
