--- a/src/gateway/exchange_node.cpp
+++ b/src/gateway/exchange_node.cpp
@@ -27,6 +27,7 @@
 constexpr std::chrono::seconds openGroupsInterval {2};
 constexpr int evidenceRepetitions = 1;
 constexpr std::chrono::milliseconds evidenceSpacing {100};
+constexpr std::size_t urgentEvidenceBytes = 4096;
 constexpr std::size_t evidenceBytesPerSecond = 22000; ///< To each receiver.
 // Another gateway knows that there are enough for hub mode.
 constexpr std::chrono::seconds hubModeDuration {10};
@@ -408,13 +409,15 @@
     if (news.sequence <= seen) {
         return;
     }
-    seen = news.sequence;
     result.groups = news.groups;
+    const auto sender = m_peers.all().find(host);
+    const bool fromOwn = sender != m_peers.all().end() && sender->second.dataCentre == m_dataCentre;
+    if (isHub() || fromOwn) {
+        seen = news.sequence; // A hub elsewhere repeats it once this gateway has become the hub, to be passed on.
+    }
     if (!isHub()) {
         return;
     }
-    const auto sender = m_peers.all().find(host);
-    const bool fromOwn = sender != m_peers.all().end() && sender->second.dataCentre == m_dataCentre;
     std::vector<std::string> targets = ownReporters(now);
     if (fromOwn) {
         const auto [heard, silent] = otherHubs(now);
@@ -935,7 +938,9 @@
             }
             datagram = encodeNews({m_incarnation, 0, {}, evidence}, now);
         }
-        if (send(host, datagram, control_kind::news, now)) {
+        // Much evidence must not take the place of the tables, without which the hub would be taken for silent.
+        const control_kind kind = datagram.size() > urgentEvidenceBytes ? control_kind::queues : control_kind::news;
+        if (send(host, datagram, kind, now)) {
             progress.repetitions = isNews ? evidenceRepetitions : std::max(0, progress.repetitions - 1);
             progress.version = version;
             progress.sentAt = now;
--- a/src/gateway/table_writer.cpp
+++ b/src/gateway/table_writer.cpp
@@ -8,7 +8,8 @@
 
 // With the interval of member reports, keeps the age of what is known of another data centre below 250 ms.
 constexpr std::chrono::milliseconds tableInterval {75};
-constexpr std::chrono::milliseconds heartbeatInterval {240};
+// With that of members, spans less than the time after which the coordinator is taken for absent, also with one loss.
+constexpr std::chrono::milliseconds heartbeatInterval {120};
 constexpr std::chrono::milliseconds listInterval {1000};
 // Gateways that are not named for 3 s are taken for stopped.
 constexpr std::chrono::milliseconds maxListInterval {2000};
