--- a/tests/gateway/exchange_node_test.cpp
+++ b/tests/gateway/exchange_node_test.cpp
@@ -111,9 +111,13 @@
     }
 }
 
-TEST_P(exchange_of, knowsOtherDataCentresWithin250Milliseconds)
+class exchange_age : public exchange_of
 {
-    simulated_fleet fleet(std::min(GetParam().gateways, 60), GetParam().dataCentres);
+};
+
+TEST_P(exchange_age, knowsOtherDataCentresWithin250Milliseconds)
+{
+    simulated_fleet fleet(GetParam().gateways, GetParam().dataCentres);
     const time_point began = fleet.now();
     fleet.beforeTick = [&](simulated_gateway &gateway) {
         const int requests =
@@ -151,6 +155,13 @@
                                          fleet_size {"three_hundred_eighty_in_three", 380, 3, true}),
                          [](const auto &row) { return std::string(row.param.name); });
 
+INSTANTIATE_TEST_SUITE_P(sizes, exchange_age,
+                         testing::Values(fleet_size {"four_as_before", 4, 2, false},
+                                         fleet_size {"twelve_in_three", 12, 3, true},
+                                         fleet_size {"twenty_in_three", 20, 3, true},
+                                         fleet_size {"sixty_in_three", 60, 3, true}),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 struct fault_row
 {
     const char *name; ///< Failure that the row guards against.
@@ -306,6 +317,52 @@
     }
 }
 
+// Sums of queues in which this gateway's own part is left, or that are not passed on.
+TEST(exchange_fleet, sumsUpTheQueuesOfTheOthers)
+{
+    for (const int size : {4, 20}) {
+        simulated_fleet fleet(size, 2);
+        int number = 0;
+        for (const auto &gateway : fleet.gateways) {
+            queue_summary &queue = gateway->queues["models"];
+            queue.waiting = ++number;
+            queue.tokensByAccount["account"] = 10;
+        }
+        fleet.run(5s);
+        const int total = size * (size + 1) / 2;
+        for (const auto &gateway : fleet.gateways) {
+            const auto others = gateway->node->othersQueues(fleet.now());
+            ASSERT_TRUE(others.contains("models")) << size << gateway->host;
+            EXPECT_EQ(others.at("models").waiting, total - gateway->queues["models"].waiting) << size << gateway->host;
+            EXPECT_EQ(others.at("models").tokensByAccount.at("account"), 10 * (size - 1)) << size << gateway->host;
+        }
+    }
+}
+
+// Datagrams from any sender that end or mislead the process.
+TEST(hub_message, isNotReadFromOtherBytes)
+{
+    load_table table;
+    table.list = table_list {{1, 2}, {"here"}, {"10.0.0.1"}, {{"10.0.0.1", 0, 200, false}}};
+    table.loads = {{1, 100}, {2, 0}};
+    table.ageMs = {40};
+    table.included = 0x123456789abcdef0ULL;
+    table.coordinator = "10.0.0.7";
+    const std::string whole = encodeLoadTable(table);
+    ASSERT_TRUE(decodeHubMessage(whole, {}).has_value());
+    EXPECT_EQ(std::get<load_table>(*decodeHubMessage(whole, {})), table);
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        EXPECT_EQ(decodeHubMessage(whole.substr(0, size), {}), std::nullopt) << size;
+    }
+    for (const char kind : {'R', 'T', 'N'}) {
+        const std::string head = std::string("\xc1") + kind + std::string(kind == 'T' ? 8 : 0, '\0');
+        EXPECT_EQ(decodeHubMessage(head + std::string(60000, '\x91') + "\x01", {}), std::nullopt);
+        EXPECT_EQ(decodeHubMessage(head + "\x90", {}), std::nullopt);
+        EXPECT_EQ(decodeHubMessage(head + "\xdd\xff\xff\xff\xff\x01", {}), std::nullopt);
+    }
+    EXPECT_EQ(decodeLoadReport(whole, {}), std::nullopt); // As an earlier version reads it.
+}
+
 // A process of the earlier version counts the loads of all, and is counted.
 TEST(exchange_fleet, hasRoomForAnEarlierVersion)
 {
