--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -82,6 +82,8 @@
     endpoint_settings endpoint;
     gateway_settings gateway;
     std::size_t bodyLimit = std::size_t {1024} * 1024; ///< Maximum size of a request body in bytes.
+    std::size_t memoryLimit = 0; ///< Bytes that the whole process may use; 0: memory of the machine.
+    std::size_t maxDescriptors = 0; ///< That the process may have open; 0: limit of the operating system.
     std::chrono::milliseconds drainTimeout {60000};
     std::string logLevel = "info"; ///< trace, debug, info, warn or error.
     std::string logFile; ///< Empty for standard output.
--- a/src/settings/settings_reader.cpp
+++ b/src/settings/settings_reader.cpp
@@ -16,6 +16,13 @@
 
 // A request is sent in one frame of at most 4 MiB, of which 64 KiB are reserved for headers and other fields.
 constexpr std::int64_t maxBodyBytes = 4LL * 1024 * 1024 - 64LL * 1024;
+// A process of any role needs about 10 MB before its first request.
+constexpr std::int64_t minMemoryMb = 24;
+constexpr std::int64_t maxMemoryMb = 1024LL * 1024;
+constexpr std::size_t bytesPerMegabyte = 1000UL * 1000;
+// 200 are left to files, the store and the other processes.
+constexpr std::int64_t minDescriptors = 256;
+constexpr std::int64_t maxDescriptors = 1024LL * 1024;
 
 /** @param schemes accepted schemes with "://"
  * @returns whether the text has the form SCHEME://HOST:PORT */
@@ -106,6 +113,10 @@
     document_mapping limits = document.mapping("limits");
     m_settings.bodyLimit = static_cast<std::size_t>(
         limits.integer("body_bytes", 1, maxBodyBytes, static_cast<std::int64_t>(m_settings.bodyLimit)));
+    m_settings.memoryLimit =
+        static_cast<std::size_t>(limits.integer("memory_mb", minMemoryMb, maxMemoryMb, 0)) * bytesPerMegabyte;
+    m_settings.maxDescriptors =
+        static_cast<std::size_t>(limits.integer("max_descriptors", minDescriptors, maxDescriptors, 0));
     limits.rejectUnknownKeys();
     m_settings.drainTimeout = std::chrono::milliseconds(
         document.integer("drain_timeout_ms", 0, maxTimeoutMs, m_settings.drainTimeout.count()));
--- a/tests/settings/daemon_settings_test.cpp
+++ b/tests/settings/daemon_settings_test.cpp
@@ -18,7 +18,7 @@
 entry:
   endpoints: [{name: e1, address: 127.0.0.1:9001}]
   peers: [{name: pest-entry-1, address: 127.0.0.1:9002}]
-limits: {body_bytes: 2048}
+limits: {body_bytes: 2048, memory_mb: 160, max_descriptors: 4100}
 drain_timeout_ms: 5000
 log: {level: debug, file: /tmp/log}
 )";
@@ -61,6 +61,8 @@
     expected.endpoints = {{"e1", {"127.0.0.1", 9001}}};
     expected.peers = {{"pest-entry-1", {"127.0.0.1", 9002}}};
     expected.bodyLimit = 2048;
+    expected.memoryLimit = 160UL * 1000 * 1000;
+    expected.maxDescriptors = 4100;
     expected.drainTimeout = std::chrono::milliseconds(5000);
     expected.logLevel = "debug";
     expected.logFile = "/tmp/log";
@@ -211,6 +213,16 @@
                       "2048",
                       "4194304",
                       {"s:14: limits.body_bytes: found \"4194304\", expected an integer from 1 to 4128768"}},
+        settings_row {"memory_limit_below_what_a_process_needs",
+                      entrySettings,
+                      "memory_mb: 160",
+                      "memory_mb: 23",
+                      {"s:14: limits.memory_mb: found \"23\", expected an integer from 24 to 1048576"}},
+        settings_row {"descriptor_limit_below_what_a_process_needs",
+                      entrySettings,
+                      "max_descriptors: 4100",
+                      "max_descriptors: 255",
+                      {"s:14: limits.max_descriptors: found \"255\", expected an integer from 256 to 1048576"}},
         settings_row {"endpoint_section_ignored_at_entry",
                       entrySettings,
                       "limits:",
--- a/tests/standins/gateway_site.cpp
+++ b/tests/standins/gateway_site.cpp
@@ -153,6 +153,11 @@
     return *m_processes.at(name);
 }
 
+std::string gateway_site::peersAddress(const std::string &gateway) const
+{
+    return m_hosts.at(gateway) + ":" + std::to_string(m_peers.number());
+}
+
 std::string gateway_site::url(const std::string &name)
 {
     return process(name).url();
--- a/tests/standins/gateway_site.h
+++ b/tests/standins/gateway_site.h
@@ -58,6 +58,9 @@
     /** @returns a process by name. */
     child_process &process(const std::string &name);
 
+    /** @returns the address at which a gateway hears other gateways, by datagrams. */
+    std::string peersAddress(const std::string &gateway) const;
+
     /** @returns the base URL of a gateway for callers, or of a stand-in. */
     std::string url(const std::string &name);
 
--- a/tests/standins/local_system.cpp
+++ b/tests/standins/local_system.cpp
@@ -135,7 +135,7 @@
         peers[peer] = process(peer).ready("peers");
     }
     addList("peers", peers);
-    m_settings[name] = writeSettings(name, text);
+    m_settings[name] = writeSettings(name, text + links.settings);
     restartEntry(name);
 }
 
