gateway, http: one account of all bytes that are held for callers and endpoints

Cause: limits held for each connection, so that many callers together ended a process by memory or descriptors.

memory_budget counts connections, headers with their fields, bodies, answers and incomplete events. When it is short, idle connections are closed and requests that are still received get a truthful 503, the largest and slowest first. The number of connections follows from the descriptors; a new one displaces an idle or the slowest one. Large freed blocks return to the system at once. An entry bounds its connections and the bodies that it handles.

Ruled out: refusing the newcomer (callers that stop keep all the memory); ending work that may have begun.

--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -279,6 +279,7 @@
 # Settings and bounds of the users' smallest site (diszbor).
 LIMITS = {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
 BOUNDS = {"budget_window_s": 10, "retry_budget_ratio": 0.2, "budget_slack": 90, "grace_s": 8}
+MACHINE = {"memory_mb": 390, "max_fds": 6300}  # As in the example of DEPLOY.md.
 API_KEY = "n2ctnfzs989anu6wsjnb"
 HOST = "ficu95.example"
 
@@ -309,7 +310,7 @@
                   "listen": {"front": f"{host}:{self.port}", "ready": f"{host}:{self.status_port}"},
                   "internal_port_range": [peers_port, peers_port + 15],
                   "platform": {"address": store.address}, "seeds": [f"{seed}:{peers_port}" for seed in seeds],
-                  "bounds": BOUNDS}
+                  "bounds": BOUNDS, "limits": MACHINE}
         settings = os.path.join(folder, f"boot-{node}.yaml")
         with open(os.path.join(REPOSITORY, role["template"]), encoding="utf-8") as template:
             text = re.sub(r"\{\{([a-z_.0-9]+)(\|json)?\}\}", lambda match: self._fill(values, match), template.read())
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,3 +1,4 @@
+#include "base/process_memory.h"
 #include "endpoint/endpoint_role.h"
 #include "entry/entry_role.h"
 #include "gateway/gateway_role.h"
@@ -144,6 +145,7 @@
     if (!settings) {
         return exitInvalidSettings;
     }
+    keepFreedMemorySmall();
     configureLogging(settings->logLevel, settings->logFile, settings->node);
 
     // Threads inherit the signal mask, so the signals are blocked before any thread starts. Only sigtimedwait() in
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -7,6 +7,7 @@
 #include "store/store_configuration_repository.h"
 #include "wire/frame_attempt.h"
 
+#include <algorithm>
 #include <mutex>
 #include <set>
 #include <thread>
@@ -17,6 +18,7 @@
 
 constexpr std::chrono::milliseconds drainPollInterval {20};
 constexpr std::size_t maxConfigurationBytes = std::size_t {1024} * 1024;
+constexpr std::size_t maxAdminConnections = 16;
 constexpr const char *sessionHeader = "X-Bronzechute-Session";
 constexpr const char *versionHeader = "X-Version";
 
@@ -121,6 +123,7 @@
     }
     // Accept a configuration document as large as the largest value of the store.
     options.value().bodyLimit = maxConfigurationBytes;
+    options.value().maxConnections = std::min(options.value().maxConnections, maxAdminConnections);
     auto server = http_server::start(options.value(), *m_admin);
     if (!server) {
         return server.error();
--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -1,11 +1,13 @@
 #include "gateway/caller_session.h"
 
 #include "gateway/end_to_end_fields.h"
+#include "gateway/memory_budget.h"
 #include "gateway/message_head.h"
 #include "gateway/session_response.h"
 #include "http/http_status.h"
 #include "observe/log.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -28,16 +30,39 @@
 constexpr std::chrono::milliseconds discardTimeout {500};
 constexpr std::size_t discardLimitBytes = std::size_t {1024} * 1024;
 constexpr std::size_t discardBlockBytes = std::size_t {16} * 1024;
+// A session with its timer, socket and buffers of the system.
+constexpr std::size_t connectionBytes = std::size_t {16} * 1024;
+// A field is held by the parser, in the request and in the header for the endpoint, in several allocations each.
+constexpr std::size_t bytesPerField = 400;
+constexpr std::size_t fieldCopies = 3;
+// An exchange with its connection to an endpoint.
+constexpr std::size_t exchangeBytes = std::size_t {32} * 1024;
+// Buffers up to this size are kept for the next request or answer.
+constexpr std::size_t keptBufferBytes = std::size_t {4} * 1024;
+// A stream of which its caller leaves so much unread may be broken off when memory is short.
+constexpr std::size_t stalledBytes = std::size_t {64} * 1024;
+constexpr const char *memoryRetryAfterSeconds = "0.5";
+
+/** @returns the bytes that the fields take, over all their copies. */
+std::size_t bytesOf(const http::fields &fields)
+{
+    std::size_t bytes = 0;
+    for (const auto &field : fields) {
+        bytes += bytesPerField + fieldCopies * (field.name_string().size() + field.value().size());
+    }
+    return bytes;
+}
 
 } // namespace
 
 caller_session::caller_session(asio::ip::tcp::socket socket, request_handler &handler, const session_options &options,
-                               session_owner &owner)
+                               session_owner &owner, memory_budget &budget)
     : m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
     , m_handler(handler)
     , m_options(options)
     , m_owner(owner)
+    , m_memory(budget, this)
 {
 }
 
@@ -52,7 +77,93 @@
 {
     m_phase = next;
     ++m_phaseNumber;
+    m_phaseSince = boot_clock::now();
     m_timer.cancel();
+    const bool isIdle = next == phase::idle;
+    m_memory.setUse(isIdle ? memory_use::idle
+                           : (next == phase::serving || next == phase::closed ? memory_use::kept : memory_use::busy),
+                    m_phaseSince);
+}
+
+std::size_t caller_session::heldBytes(std::size_t expected) const
+{
+    return connectionBytes + m_buffer.capacity() + m_requestBytes + m_unsent.capacity() + m_writing.capacity()
+        + expected;
+}
+
+void caller_session::countMemory()
+{
+    m_memory.resize(m_phase == phase::closed ? 0 : heldBytes(0), boot_clock::now());
+}
+
+bool caller_session::drawMemory(std::size_t expected)
+{
+    if (m_memory.tryResize(heldBytes(expected), boot_clock::now())) {
+        return true;
+    }
+    refuseForMemory(false);
+    return false;
+}
+
+void caller_session::refuseForMemory(bool reading)
+{
+    stopReading(reading);
+    m_unreadRequest = true;
+    m_keepAlive = false;
+    writeWhole({statusServiceUnavailable,
+                reasonOf(statusServiceUnavailable),
+                {{"Retry-After", memoryRetryAfterSeconds}}},
+               {});
+}
+
+void caller_session::stopReading(bool reading)
+{
+    if (!reading) {
+        m_parser.reset();
+        m_requestBytes = 0;
+        return;
+    }
+    error_code ignored; // A read that cannot be cancelled ends with the connection.
+    m_socket.cancel(ignored);
+    freeRequest();
+}
+
+void caller_session::freeRequest()
+{
+    m_requestBytes = 0;
+    if (m_parser) {
+        // A read that is cancelled may still refer to the parser, so that only what it holds can be freed.
+        std::string().swap(m_parser->get().body());
+        m_parser->get().base().clear();
+    }
+}
+
+void caller_session::giveBackMemory()
+{
+    switch (m_phase) {
+    case phase::reading_head:
+    case phase::reading_body:
+        refuseForMemory(true);
+        break;
+    case phase::serving: {
+        // Its caller does not read the answer. The exchange calls into other objects when it ends.
+        m_memory.setUse(memory_use::kept, m_phaseSince);
+        m_memory.resize(0, boot_clock::now());
+        asio::post(m_socket.get_executor(), [self = shared_from_this(), number = m_phaseNumber] {
+            if (self->m_phaseNumber == number) {
+                self->closeAfterDisconnect();
+            }
+        });
+        break;
+    }
+    case phase::idle:
+    case phase::finishing:
+    case phase::discarding:
+        close();
+        break;
+    case phase::closed:
+        break;
+    }
 }
 
 void caller_session::waitForRequest()
@@ -66,6 +177,13 @@
         return;
     }
     enter(phase::idle);
+    if (m_buffer.capacity() > keptBufferBytes) {
+        m_buffer.shrink_to_fit();
+    }
+    countMemory();
+    if (m_phase == phase::closed) {
+        return; // Closed to make room for its own connection.
+    }
     startTimer(m_options.limits().idleTimeout);
     m_socket.async_wait(asio::socket_base::wait_read, inThisPhase([this](const error_code &code) {
                             if (!code) {
@@ -84,6 +202,11 @@
     m_parser->body_limit(limits.bodyBytes);
     // Whatever the parser cannot use yet stays in the buffer, such as an incomplete header, chunk size or trailer.
     m_buffer.max_size(std::max(m_buffer.size(), limits.headerBytes + framingBytes));
+    m_headBytes = 0;
+    m_requestBytes = 0;
+    if (!drawMemory(m_buffer.max_size() - std::min(m_buffer.max_size(), m_buffer.capacity()))) {
+        return;
+    }
     startTimer(limits.headerTimeout);
     http::async_read_header(m_socket, m_buffer, *m_parser,
                             inThisPhase([this](const error_code &code) { onHead(code); }));
@@ -96,6 +219,8 @@
         return;
     }
     const auto &message = m_parser->get();
+    m_headBytes = bytesOf(message.base());
+    m_requestBytes = m_headBytes;
     if (message.count(http::field::transfer_encoding) > 0 && message.count(http::field::content_length) > 0) {
         rejectMalformed(http::error::bad_transfer_encoding);
         return;
@@ -104,6 +229,9 @@
         rejectMalformed(http::error::body_limit);
         return;
     }
+    if (!drawMemory(exchangeBytes)) {
+        return;
+    }
     if (refusedWithoutBody()) {
         m_unreadRequest = true;
         dispatch();
@@ -130,19 +258,39 @@
         return;
     }
     enter(phase::reading_body);
+    // The whole length is drawn at once, so that a body which is begun can also be completed.
+    if (const auto length = m_parser->content_length(); length && !drawMemory(exchangeBytes + *length)) {
+        return;
+    }
     if (boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         write("HTTP/1.1 100 Continue\r\n\r\n");
     }
     startTimer(m_options.limits().idleTimeout);
-    http::async_read(m_socket, m_buffer, *m_parser, inThisPhase([this](const error_code &code) { onBody(code); }));
+    m_parser->eager(true);
+    readBodyPart();
+}
+
+void caller_session::readBodyPart()
+{
+    http::async_read_some(m_socket, m_buffer, *m_parser,
+                          inThisPhase([this](const error_code &code) { onBodyPart(code); }));
 }
 
-void caller_session::onBody(const error_code &code)
+void caller_session::onBodyPart(const error_code &code)
 {
     if (code) {
         rejectMalformed(code);
-    } else {
+        return;
+    }
+    const auto length = m_parser->content_length();
+    m_requestBytes = m_headBytes + m_parser->get().body().capacity();
+    if (!length && !drawMemory(exchangeBytes)) {
+        return;
+    }
+    if (m_parser->is_done()) {
         dispatch();
+    } else {
+        readBodyPart();
     }
 }
 
@@ -164,11 +312,12 @@
     }
     const int status = statusOf(code);
     logLine(log_level::warn, "gateway", "malformed request rejected", {{"status", status}, {"cause", code.message()}});
-    rejectUnserved(status);
+    rejectUnserved(status, false);
 }
 
-void caller_session::rejectUnserved(int status)
+void caller_session::rejectUnserved(int status, bool reading)
 {
+    stopReading(reading);
     m_unreadRequest = true;
     m_keepAlive = false;
     writeWhole({status, reasonOf(status), {}}, {});
@@ -191,6 +340,8 @@
 {
     enter(phase::serving);
     gateway_request request = makeRequest(std::move(m_parser->get().body()));
+    m_parser.reset();
+    m_memory.resize(heldBytes(exchangeBytes), boot_clock::now());
     m_keepAlive = request.keepAlive && !m_unreadRequest;
     m_servedRequest = true;
     const std::uint64_t number = m_phaseNumber;
@@ -253,7 +404,9 @@
 {
     std::string text = formatResponseHead(framedResponseHead(head, "Content-Length", std::to_string(body.size())));
     endResponse();
-    write(text.append(body));
+    text.reserve(text.size() + body.size());
+    text.append(body);
+    write(std::move(text));
 }
 
 void caller_session::writeStreamHead(const response_head &head)
@@ -271,13 +424,15 @@
 void caller_session::writeStreamEnd()
 {
     endResponse();
-    write(lastChunk);
+    write(std::string(lastChunk));
 }
 
 void caller_session::endResponse()
 {
     m_exchange = nullptr;
+    m_requestBytes = 0;
     enter(phase::finishing);
+    startTimer(m_options.limits().idleTimeout); // Nothing else ends a connection whose caller never reads.
 }
 
 std::size_t caller_session::unsentBytes() const
@@ -285,17 +440,28 @@
     return m_unsent.size() + m_writing.size();
 }
 
-void caller_session::write(std::string_view bytes)
+void caller_session::write(std::string bytes)
 {
-    m_unsent.append(bytes);
+    if (m_unsent.empty()) {
+        m_unsent = std::move(bytes);
+    } else {
+        m_unsent.append(bytes);
+    }
     if (!m_writeActive) {
         flush();
     }
+    if (m_phase == phase::serving && unsentBytes() > stalledBytes) {
+        m_memory.setUse(memory_use::busy, m_writeStartedAt);
+    }
+    if (m_phase != phase::reading_body) { // A body that is read has drawn its whole length.
+        m_memory.resize(heldBytes(m_phase == phase::serving ? exchangeBytes : 0), boot_clock::now());
+    }
 }
 
 void caller_session::flush()
 {
     m_writeActive = true;
+    m_writeStartedAt = boot_clock::now();
     m_writing.swap(m_unsent);
     m_unsent.clear();
     asio::async_write(m_socket, asio::buffer(m_writing),
@@ -306,9 +472,16 @@
 {
     m_writeActive = false;
     m_writing.clear();
+    if (m_writing.capacity() > keptBufferBytes) {
+        std::string().swap(m_writing);
+    }
     if (m_phase == phase::closed) {
         return;
     }
+    if (m_phase == phase::serving) {
+        m_memory.setUse(memory_use::kept, m_phaseSince);
+        m_memory.resize(heldBytes(exchangeBytes), boot_clock::now());
+    }
     if (code) {
         closeAfterDisconnect();
         return;
@@ -336,6 +509,7 @@
 void caller_session::discardRest()
 {
     enter(phase::discarding);
+    countMemory();
     m_discardedBytes = 0;
     error_code ignored; // Closing is best effort.
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -374,6 +548,10 @@
     }
     enter(phase::closed);
     m_exchange = nullptr;
+    // At once, as the session itself lives until the handlers that are due now have run, which may be many.
+    freeRequest();
+    std::string().swap(m_unsent);
+    countMemory();
     error_code ignored; // Closing is best effort.
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     m_socket.close(ignored);
@@ -392,10 +570,10 @@
 
 void caller_session::onTimeout()
 {
-    if (m_phase == phase::idle || m_phase == phase::discarding) {
+    if (m_phase == phase::idle || m_phase == phase::discarding || m_phase == phase::finishing) {
         close();
     } else {
-        rejectUnserved(statusRequestTimeout);
+        rejectUnserved(statusRequestTimeout, true);
     }
 }
 
--- a/src/gateway/event_relay.h
+++ b/src/gateway/event_relay.h
@@ -38,6 +38,12 @@
     /** @returns why the attempt must be broken off because of incomplete data, or null. */
     const char *faultOfPending() const;
 
+    /** @returns the bytes that are held until their event is complete, or the first event comes. */
+    std::size_t pendingBytes() const
+    {
+        return m_parser.pendingBytes() + m_comments.size();
+    }
+
     /** The response of the current attempt has ended. @returns why the stream is not complete, or null */
     const char *completeAttempt();
 
--- a/src/gateway/gateway_context.h
+++ b/src/gateway/gateway_context.h
@@ -4,6 +4,7 @@
 #include "gateway/crash_guard.h"
 #include "gateway/endpoint_table.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/memory_budget.h"
 #include "gateway/request_dispatcher.h"
 #include "gateway/wire_headers.h"
 
@@ -23,6 +24,7 @@
     gateway_metrics &metrics;
     const caller_redirect &redirect;
     crash_guard &guard;
+    memory_budget &memory;
 };
 
 } // namespace bronzechute
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -34,6 +34,8 @@
 // Callers wait at most a third of their remaining time before a retry.
 constexpr int retryTimeDivisor = 3;
 constexpr std::size_t unsentLimitBytes = std::size_t {256} * 1024;
+constexpr std::size_t unsentLimitBytesWhenShort = std::size_t {16} * 1024;
+constexpr std::chrono::milliseconds memoryRetryInterval {20};
 // Bytes that are no answer may come without end.
 constexpr std::size_t wholeBodyLimitBytes = std::size_t {8} * 1024 * 1024;
 constexpr double gapSmoothing = 0.1;
@@ -74,6 +76,7 @@
     , m_deadlineTimer(context.loop)
     , m_attemptTimer(context.loop)
     , m_retryTimer(context.loop)
+    , m_answerMemory(context.memory, nullptr)
     , m_events(m_response, lastEventIdOf(m_request))
 {
 }
@@ -251,7 +254,9 @@
     m_attemptStartedAt = boot_clock::now();
     m_lastEventAt = m_attemptStartedAt;
     m_events.startAttempt();
-    m_body.clear();
+    std::string().swap(m_body);
+    m_answerMemory.resize(0, boot_clock::now());
+    m_answerPaused = false;
     m_relayingEvents = false;
     m_attemptStatus = 0;
     m_connection = acquireConnection(m_context.loop, *m_endpoint);
@@ -323,9 +328,37 @@
         m_body.append(bytes);
     } else {
         retryOrFail(attempt_outcome::failed, "response body exceeds the size limit");
+        return;
+    }
+    countAnswer();
+}
+
+void gateway_exchange::countAnswer()
+{
+    m_answerMemory.resize(m_body.capacity() + m_events.pendingBytes(), boot_clock::now());
+    m_answerPaused = !m_relayingEvents && m_context.memory.isExhausted();
+    if (m_answerPaused) {
+        resumeLater();
     }
 }
 
+void gateway_exchange::resumeLater()
+{
+    m_retryTimer.expires_after(memoryRetryInterval);
+    m_retryTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &code) {
+        const auto self = weak.lock();
+        if (code || self == nullptr || self->m_connection == nullptr || !self->m_answerPaused) {
+            return;
+        }
+        if (self->m_context.memory.isExhausted()) {
+            self->resumeLater();
+            return;
+        }
+        self->m_answerPaused = false;
+        self->m_connection->resume();
+    });
+}
+
 void gateway_exchange::relayEvents(std::string_view bytes)
 {
     const time_point now = boot_clock::now();
@@ -565,7 +598,8 @@
 
 bool gateway_exchange::wantsMore() const
 {
-    return m_response->unsentBytes() < unsentLimitBytes;
+    const std::size_t limit = m_context.memory.isShort() ? unsentLimitBytesWhenShort : unsentLimitBytes;
+    return !m_answerPaused && m_response->unsentBytes() < limit;
 }
 
 void gateway_exchange::onCallerWritable()
--- a/src/gateway/gateway_exchange.h
+++ b/src/gateway/gateway_exchange.h
@@ -86,6 +86,9 @@
     /** @returns whether the head belongs to the response to the current attempt. */
     bool isForThisRequest(const response_head &head) const;
     void relayEvents(std::string_view bytes);
+    /** Counts what is held of the answer, and stops reading a whole answer for a moment while no memory is left. */
+    void countAnswer();
+    void resumeLater();
     /** Updates what is known of the endpoint and of the prompt by an event that has just been relayed. */
     void recordEvent(time_point now);
     void completeStream();
@@ -125,6 +128,8 @@
     response_head m_wholeHead; ///< Of a response that is relayed only once it is complete.
     bool m_relayingEvents = false; ///< Whether the body of the current attempt is relayed event by event.
     std::string m_body; ///< Of such a response.
+    memory_share m_answerMemory; ///< For m_body and incomplete events.
+    bool m_answerPaused = false; ///< The whole answer is not read on, as no memory is left.
     event_relay m_events;
     int m_attemptStatus = 0; ///< Status of the response to the current attempt; 0 before its head.
     std::optional<time_point> m_firstByteAt;
--- a/src/gateway/gateway_listener.cpp
+++ b/src/gateway/gateway_listener.cpp
@@ -19,8 +19,14 @@
 
 } // namespace
 
-gateway_listener::gateway_listener(asio::io_context &loop, request_handler &handler, const session_options &options)
-    : m_acceptor(loop), m_retryTimer(loop), m_handler(handler), m_options(options)
+gateway_listener::gateway_listener(asio::io_context &loop, request_handler &handler, const session_options &options,
+                                   memory_budget &budget, std::size_t maxConnections)
+    : m_acceptor(loop)
+    , m_retryTimer(loop)
+    , m_handler(handler)
+    , m_options(options)
+    , m_budget(budget)
+    , m_maxConnections(maxConnections)
 {
 }
 
@@ -69,15 +75,49 @@
             });
             return;
         }
-        const auto session = std::make_shared<caller_session>(std::move(socket), m_handler, m_options, *this);
-        m_sessions.insert(session);
-        session->start();
+        admit(std::move(socket));
         accept();
     });
 }
 
+void gateway_listener::admit(tcp::socket socket)
+{
+    if (m_open >= m_maxConnections) {
+        ++m_displaced;
+        if (!closeOne()) {
+            return; // Each one serves a request. The new connection is closed before anything is read from it.
+        }
+    }
+    const auto session = std::make_shared<caller_session>(std::move(socket), m_handler, m_options, *this, m_budget);
+    m_sessions.insert(session);
+    ++m_open;
+    session->start();
+}
+
+bool gateway_listener::closeOne()
+{
+    caller_session *first = nullptr;
+    for (const auto &session : m_sessions) {
+        if (!session->replaceable()) {
+            continue;
+        }
+        const auto order = [](const caller_session &each) {
+            return std::pair(each.busy(), each.phaseSince());
+        };
+        if (first == nullptr || order(*session) < order(*first)) {
+            first = session.get();
+        }
+    }
+    if (first == nullptr) {
+        return false;
+    }
+    first->close();
+    return true;
+}
+
 void gateway_listener::onSessionClosed(const std::shared_ptr<caller_session> &session)
 {
+    --m_open;
     // Later, as a session may close while closeIdle() goes through them.
     asio::post(m_acceptor.get_executor(), [this, session] { m_sessions.erase(session); });
 }
--- a/src/gateway/gateway_listener.h
+++ b/src/gateway/gateway_listener.h
@@ -4,6 +4,7 @@
 #include "gateway/session_owner.h"
 #include "settings/daemon_settings.h"
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <unordered_set>
@@ -14,8 +15,12 @@
 class gateway_listener : public session_owner
 {
 public:
-    /** The handler and the options must outlive all work of the event loop. */
-    gateway_listener(boost::asio::io_context &loop, request_handler &handler, const session_options &options);
+    /**
+     * The handler, the options and the budget must outlive all work of the event loop.
+     * @param maxConnections at which a new connection takes the place of another one
+     */
+    gateway_listener(boost::asio::io_context &loop, request_handler &handler, const session_options &options,
+                     memory_budget &budget, std::size_t maxConnections);
 
     /** Starts to accept connections. @returns the error if the address cannot be bound */
     boost::system::error_code start(const socket_address &address);
@@ -26,6 +31,12 @@
     /** Closes idle keep-alive connections. */
     void closeIdle();
 
+    /** @returns how many connections were closed because there were too many. */
+    std::uint64_t displaced() const
+    {
+        return m_displaced;
+    }
+
     /** @returns the number of connections with a request in progress. */
     std::size_t busyCount();
 
@@ -35,11 +46,18 @@
 
 private:
     void accept();
+    void admit(boost::asio::ip::tcp::socket socket);
+    /** Closes a connection, an idle one if there is any, else the one whose phase lasts longest. @returns whether */
+    bool closeOne();
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_retryTimer;
     request_handler &m_handler;
     const session_options &m_options;
+    memory_budget &m_budget;
+    const std::size_t m_maxConnections;
+    std::size_t m_open = 0; ///< Sessions that are not closed; those that are stay in m_sessions for a moment.
+    std::uint64_t m_displaced = 0;
     std::unordered_set<std::shared_ptr<caller_session>> m_sessions;
 };
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_role.h"
 
 #include "balance/response_bounds.h"
+#include "base/process_memory.h"
 #include "base/request_id.h"
 #include "gateway/event_loop.h"
 #include "gateway/gateway_exchange.h"
@@ -38,6 +39,26 @@
 // The process must exit by itself before the drain timeout expires.
 constexpr std::chrono::milliseconds shutdownMargin {800};
 
+// At most one log line in this time tells of refused and closed callers, whatever their number.
+constexpr std::chrono::milliseconds memoryCheckInterval {1000};
+// The other half is for the program, its tables and what the allocator keeps between the blocks in use.
+constexpr std::size_t heldMemoryDivisor = 2;
+// Descriptors for files, the store, the engines' orders and the log.
+constexpr std::size_t ownDescriptors = 200;
+constexpr std::size_t statusConnections = 64;
+
+memory_budget budgetOf(const daemon_settings &settings)
+{
+    return memory_budget((settings.memoryLimit == 0 ? machineMemory() : settings.memoryLimit) / heldMemoryDivisor);
+}
+
+/** @returns the limit of callers' connections; as many descriptors are left for those to endpoints. */
+std::size_t maxCallers(const daemon_settings &settings)
+{
+    const std::size_t all = settings.maxDescriptors == 0 ? descriptorLimit() : settings.maxDescriptors;
+    return (std::max(all, 2 * ownDescriptors) - ownDescriptors - statusConnections) / 2;
+}
+
 std::vector<std::string> hostsOf(const std::vector<socket_address> &addresses)
 {
     std::vector<std::string> hosts;
@@ -60,6 +81,7 @@
     role->startQuarantineRecord();
     role->startCoordinator();
     role->monitorReachability();
+    role->monitorMemory();
     role->m_source = role->m_options.openSource(*role);
     role->m_thread = std::thread([loop = &role->m_loop] { runEventLoop(*loop); });
     return role;
@@ -68,19 +90,21 @@
 gateway_role::gateway_role(const daemon_settings &settings, gateway_options options)
     : m_settings(settings)
     , m_options(std::move(options))
+    , m_memory(budgetOf(settings))
     , m_work(m_loop.get_executor())
     , m_metrics(m_registry)
     , m_endpoints(settings.dataCentre)
     , m_dispatcher(m_loop, m_endpoints, settings.gateway.repeats, std::random_device()())
     , m_guard(m_loop, m_metrics)
-    , m_context {m_loop, m_options.headers, m_endpoints, m_dispatcher, m_metrics, m_redirect, m_guard}
+    , m_context {m_loop, m_options.headers, m_endpoints, m_dispatcher, m_metrics, m_redirect, m_guard, m_memory}
     , m_loadExchange(m_loop, settings.listen.peers.host, settings.listen.peers.port, settings.node, settings.dataCentre,
                      hostsOf(settings.gateway.seeds), m_endpoints, m_guard, [this] { updateGatewayShares(); })
     , m_status(*this)
-    , m_callers(m_loop, *this, *this)
-    , m_statusListener(m_loop, m_status, *this)
+    , m_callers(m_loop, *this, *this, m_memory, maxCallers(settings))
+    , m_statusListener(m_loop, m_status, *this, m_memory, statusConnections)
     , m_leasePollTimer(m_loop)
     , m_reachabilityTimer(m_loop)
+    , m_memoryTimer(m_loop)
 {
     m_guard.setListeners([this] { m_loadExchange.sendReport(); },
                          [this] {
@@ -107,6 +131,43 @@
 {
     m_registry.gauge("bronzechute_gateway_ready", "", "Whether the gateway takes callers.",
                      [this] { return m_draining ? 0.0 : 1.0; });
+    const auto add = [this](const std::string &name, const std::string &help, auto read) {
+        m_registry.gauge("bronzechute_gateway_" + name, "", help, [read] { return static_cast<double>(read()); });
+    };
+    add("held_bytes", "Bytes held for callers and endpoints.", [this] { return m_memory.used(); });
+    add("held_bytes_limit", "Limit of the bytes held for callers and endpoints.", [this] { return m_memory.limit(); });
+    add("memory_refusals", "Requests refused, since memory was short.", [this] { return m_memory.refused(); });
+    add("memory_given_back", "Requests refused and connections closed, to make room for others.",
+        [this] { return m_memory.givenBack(); });
+    add("connections_displaced", "Connections closed because there were too many.",
+        [this] { return m_callers.displaced() + m_statusListener.displaced(); });
+}
+
+void gateway_role::monitorMemory()
+{
+    m_memoryTimer.expires_after(memoryCheckInterval);
+    m_memoryTimer.async_wait([this](const boost::system::error_code &code) {
+        if (code) {
+            return;
+        }
+        const std::uint64_t displaced = m_callers.displaced() + m_statusListener.displaced();
+        const std::uint64_t refusals = m_memory.refused() + m_memory.givenBack() + displaced;
+        if (refusals != m_reportedRefusals) {
+            m_reportedRefusals = refusals;
+            logLine(log_level::warn, "gateway", "callers refused or closed to stay within the limits",
+                    {{"held_bytes", m_memory.used()},
+                     {"held_bytes_limit", m_memory.limit()},
+                     {"refused", m_memory.refused()},
+                     {"given_back", m_memory.givenBack()},
+                     {"displaced", displaced}});
+        }
+        const bool isHeld = m_memory.used() > m_memory.limit() / 4;
+        if (m_memoryHeld && !isHeld) {
+            returnFreedMemory();
+        }
+        m_memoryHeld = isHeld;
+        monitorMemory();
+    });
 }
 
 result<void> gateway_role::listen()
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -9,6 +9,7 @@
 #include "gateway/gateway_options.h"
 #include "gateway/load_exchange.h"
 #include "gateway/map_coordinator.h"
+#include "gateway/memory_budget.h"
 #include "gateway/quarantine_record.h"
 #include "gateway/request_handler.h"
 #include "gateway/request_matcher.h"
@@ -86,10 +87,12 @@
     void pollCoordinatorLease();
     void reject(const gateway_request &request, const request_rejection &rejection, caller_response &response);
     void registerGauges();
+    void monitorMemory();
     bool canFinishBeforeShutdown(const exchange_plan &plan, time_point now) const;
 
     daemon_settings m_settings; ///< Accessed only by the thread that starts, reloads and drains.
     const gateway_options m_options;
+    memory_budget m_memory; ///< Before the loop, whose handlers hold sessions, which return their memory.
     boost::asio::io_context m_loop;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     metrics_registry m_registry;
@@ -105,6 +108,9 @@
     gateway_listener m_statusListener;
     boost::asio::steady_timer m_leasePollTimer;
     boost::asio::steady_timer m_reachabilityTimer;
+    boost::asio::steady_timer m_memoryTimer;
+    std::uint64_t m_reportedRefusals = 0; ///< Of memory and connections, when they were logged last.
+    bool m_memoryHeld = false; ///< Whether much memory was held since freed memory was returned last.
     std::unique_ptr<platform_store> m_leaseStore;
     std::unique_ptr<coordinator_lease> m_lease;
     std::unique_ptr<platform_store> m_quarantineStore;
--- a/src/http/connection_table.cpp
+++ b/src/http/connection_table.cpp
@@ -1,5 +1,6 @@
 #include "http/connection_table.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <mutex>
@@ -27,6 +28,19 @@
         return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
     }
 
+    /** The server notices that the connection has ended, and closes it. */
+    void shutDown()
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_descriptor >= 0) {
+            ::shutdown(m_descriptor, SHUT_RDWR);
+        }
+    }
+
+    std::uint64_t lastUse = 0; ///< Changed under the mutex of the table, as the others.
+    bool busy = false;
+    bool ending = false; ///< Was shut down to make room.
+
     /** Stops using the descriptor, which the kernel may assign to another connection from now on. */
     void markClosed()
     {
@@ -67,9 +81,51 @@
 }
 
 void connection_table::addConnection(const std::string &address, int descriptor)
+{
+    const auto added = std::make_shared<client_socket>(descriptor);
+    std::shared_ptr<client_socket> replaced;
+    {
+        const std::scoped_lock lock(m_mutex);
+        const auto open = static_cast<std::size_t>(
+            std::ranges::count_if(m_sockets, [](const auto &each) { return !each.second->ending; }));
+        if (m_limit > 0 && open >= m_limit) {
+            replaced = leastRecentlyUsed();
+            replaced = replaced == nullptr ? added : replaced;
+            replaced->ending = true;
+        }
+        added->lastUse = ++m_uses;
+        m_sockets.insert_or_assign(address, added);
+    }
+    if (replaced != nullptr) {
+        replaced->shutDown();
+    }
+}
+
+std::shared_ptr<connection_table::client_socket> connection_table::leastRecentlyUsed() const
+{
+    std::shared_ptr<client_socket> first;
+    for (const auto &[address, each] : m_sockets) {
+        if (!each->busy && !each->ending && (first == nullptr || each->lastUse < first->lastUse)) {
+            first = each;
+        }
+    }
+    return first;
+}
+
+void connection_table::setLimit(std::size_t connections)
 {
     const std::scoped_lock lock(m_mutex);
-    m_sockets.insert_or_assign(address, std::make_shared<client_socket>(descriptor));
+    m_limit = connections;
+}
+
+void connection_table::setBusy(const std::string &address, bool busy)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto position = m_sockets.find(address);
+    if (position != m_sockets.end()) {
+        position->second->busy = busy;
+        position->second->lastUse = ++m_uses;
+    }
 }
 
 void connection_table::removeConnection(const std::string &address)
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -22,12 +22,16 @@
 constexpr std::size_t streamBlockBytes = std::size_t {16} * 1024;
 constexpr unsigned int connectionIdleSeconds = 120;
 constexpr int listenBacklog = 1024;
+// Bodies up to this size are handled in any case.
+constexpr std::size_t smallBodyBytes = std::size_t {64} * 1024;
 
 /** Keeps the body source alive while one response is streamed. */
 struct stream_state
 {
     std::shared_ptr<body_source> source;
     std::atomic<int> *active;
+    connection_table *connections;
+    std::string peer;
 };
 
 ssize_t readStream(void *data, std::uint64_t, char *buffer, std::size_t capacity)
@@ -48,6 +52,7 @@
     const std::unique_ptr<stream_state> state(static_cast<stream_state *>(data));
     state->source->onClosed();
     --*state->active;
+    state->connections->setBusy(state->peer, false);
 }
 
 header_list copyHeaders(const _u_map *map)
@@ -71,6 +76,12 @@
     return std::ranges::any_of(names, [name](std::string_view each) { return headerNamesEqual(each, name); });
 }
 
+/** @returns the reply to a request that is not handled because too many large bodies are. */
+http_reply memoryRefusal()
+{
+    return {503, {{"Retry-After", "1"}, {"X-Bronzechute-Outcome", "not_run"}}, {}, nullptr};
+}
+
 http_request readRequest(const _u_request &request, std::size_t bodyLimit)
 {
     http_request copy;
@@ -99,6 +110,7 @@
     const std::string peer = options.address + ":" + std::to_string(options.port);
     std::unique_ptr<http_server> server(new http_server(handler));
     server->m_bodyLimit = options.bodyLimit;
+    server->m_handledBodyLimit = options.handledBodyBytes;
     server->m_certificate = options.tlsCertificate;
     server->m_key = options.tlsKey;
 
@@ -142,6 +154,11 @@
         {MHD_OPTION_CONNECTION_TIMEOUT, connectionIdleSeconds, nullptr},
         {MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<intptr_t>(&connection_table::notify), &server->m_connections},
     };
+    if (options.maxConnections > 0) {
+        server->m_connections.setLimit(options.maxConnections);
+        // Connections that were shut down to make room need a moment to end.
+        mhdOptions.push_back({MHD_OPTION_CONNECTION_LIMIT, static_cast<intptr_t>(2 * options.maxConnections), nullptr});
+    }
     if (!options.tlsCertificate.empty()) {
         flags |= MHD_USE_TLS;
         mhdOptions.push_back({MHD_OPTION_HTTPS_MEM_CERT, 0, server->m_certificate.data()});
@@ -189,10 +206,20 @@
 int http_server::handleRequest(const _u_request *request, _u_response *response)
 {
     ++m_activeRequests;
-    scope_guard requestGuard([this] { --m_activeRequests; });
+    const std::string peer = connection_table::addressText(request->client_address);
+    m_connections.setBusy(peer, true);
+    scope_guard requestGuard([this, &peer] {
+        --m_activeRequests;
+        m_connections.setBusy(peer, false);
+    });
     http_request received = readRequest(*request, m_bodyLimit);
     received.connection = m_connections.find(received.peer);
-    const http_reply reply = m_handler.handle(received);
+    const std::size_t bodyBytes = received.body.size();
+    const std::size_t handledBytes = m_handledBodyBytes.fetch_add(bodyBytes);
+    scope_guard bodyGuard([this, bodyBytes] { m_handledBodyBytes -= bodyBytes; });
+    const bool isTooMuch = m_handledBodyLimit > 0 && bodyBytes > smallBodyBytes && handledBytes > 0
+        && handledBytes + bodyBytes > m_handledBodyLimit;
+    const http_reply reply = isTooMuch ? memoryRefusal() : m_handler.handle(received);
     for (const auto &[name, value] : reply.headers) {
         if (isLibmicrohttpdHeader(name)) {
             continue;
@@ -205,7 +232,7 @@
         return U_CALLBACK_COMPLETE;
     }
     requestGuard.dismiss(); // closeStream() decrements the count instead.
-    auto state = std::make_unique<stream_state>(stream_state {reply.stream, &m_activeRequests});
+    auto state = std::make_unique<stream_state>(stream_state {reply.stream, &m_activeRequests, &m_connections, peer});
     ulfius_set_stream_response(response, static_cast<unsigned int>(reply.status), readStream, closeStream,
                                U_STREAM_SIZE_UNKNOWN, streamBlockBytes, state.release());
     return U_CALLBACK_COMPLETE;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -23,6 +23,8 @@
     std::string address = "127.0.0.1"; ///< IPv4 address.
     std::uint16_t port = 0; ///< 0 lets the kernel choose a port.
     std::size_t bodyLimit = std::size_t {4} * 1024 * 1024; ///< Bytes; larger bodies set http_request::bodyTooLarge.
+    std::size_t maxConnections = 0; ///< At which a new one takes the place of an idle one; 0: no limit.
+    std::size_t handledBodyBytes = 0; ///< Of all requests that are handled; beyond it they get 503; 0: no limit.
     std::string tlsCertificate; ///< PEM text; TLS is disabled when empty.
     std::string tlsKey; ///< PEM text.
 };
@@ -64,6 +66,8 @@
     connection_table m_connections;
     std::unique_ptr<_u_instance> m_instance;
     std::size_t m_bodyLimit = 0;
+    std::size_t m_handledBodyLimit = 0;
+    std::atomic<std::size_t> m_handledBodyBytes {0};
     std::string m_certificate;
     std::string m_key;
     std::uint16_t m_port = 0;
