--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -35,6 +35,8 @@
 // A field is held by the parser, in the request and in the header for the endpoint, in several allocations each.
 constexpr std::size_t bytesPerField = 400;
 constexpr std::size_t fieldCopies = 3;
+// Smaller changes, such as each event of a stream makes, are not counted.
+constexpr std::size_t uncountedBytes = std::size_t {4} * 1024;
 // An exchange with its connection to an endpoint.
 constexpr std::size_t exchangeBytes = std::size_t {32} * 1024;
 // Buffers up to this size are kept for the next request or answer.
@@ -93,7 +95,11 @@
 
 void caller_session::countMemory()
 {
-    m_memory.resize(m_phase == phase::closed ? 0 : heldBytes(0), boot_clock::now());
+    const std::size_t held = m_phase == phase::closed ? 0 : heldBytes(m_phase == phase::serving ? exchangeBytes : 0);
+    const std::size_t counted = m_memory.bytes();
+    if (std::max(held, counted) - std::min(held, counted) > uncountedBytes) {
+        m_memory.resize(held, boot_clock::now());
+    }
 }
 
 bool caller_session::drawMemory(std::size_t expected)
@@ -110,10 +116,8 @@
     stopReading(reading);
     m_unreadRequest = true;
     m_keepAlive = false;
-    writeWhole({statusServiceUnavailable,
-                reasonOf(statusServiceUnavailable),
-                {{"Retry-After", memoryRetryAfterSeconds}}},
-               {});
+    writeWhole(
+        {statusServiceUnavailable, reasonOf(statusServiceUnavailable), {{"Retry-After", memoryRetryAfterSeconds}}}, {});
 }
 
 void caller_session::stopReading(bool reading)
@@ -341,7 +345,8 @@
     enter(phase::serving);
     gateway_request request = makeRequest(std::move(m_parser->get().body()));
     m_parser.reset();
-    m_memory.resize(heldBytes(exchangeBytes), boot_clock::now());
+    m_stalled = false;
+    countMemory();
     m_keepAlive = request.keepAlive && !m_unreadRequest;
     m_servedRequest = true;
     const std::uint64_t number = m_phaseNumber;
@@ -450,18 +455,18 @@
     if (!m_writeActive) {
         flush();
     }
-    if (m_phase == phase::serving && unsentBytes() > stalledBytes) {
-        m_memory.setUse(memory_use::busy, m_writeStartedAt);
+    if (m_phase == phase::serving && !m_stalled && unsentBytes() > stalledBytes) {
+        m_stalled = true;
+        m_memory.setUse(memory_use::busy, boot_clock::now());
     }
     if (m_phase != phase::reading_body) { // A body that is read has drawn its whole length.
-        m_memory.resize(heldBytes(m_phase == phase::serving ? exchangeBytes : 0), boot_clock::now());
+        countMemory();
     }
 }
 
 void caller_session::flush()
 {
     m_writeActive = true;
-    m_writeStartedAt = boot_clock::now();
     m_writing.swap(m_unsent);
     m_unsent.clear();
     asio::async_write(m_socket, asio::buffer(m_writing),
@@ -479,8 +484,9 @@
         return;
     }
     if (m_phase == phase::serving) {
+        m_stalled = false;
         m_memory.setUse(memory_use::kept, m_phaseSince);
-        m_memory.resize(heldBytes(exchangeBytes), boot_clock::now());
+        countMemory();
     }
     if (code) {
         closeAfterDisconnect();
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -36,6 +36,8 @@
 constexpr std::size_t unsentLimitBytes = std::size_t {256} * 1024;
 constexpr std::size_t unsentLimitBytesWhenShort = std::size_t {16} * 1024;
 constexpr std::chrono::milliseconds memoryRetryInterval {20};
+// Smaller changes of what is held of an answer are not counted.
+constexpr std::size_t uncountedAnswerBytes = std::size_t {4} * 1024;
 // Bytes that are no answer may come without end.
 constexpr std::size_t wholeBodyLimitBytes = std::size_t {8} * 1024 * 1024;
 constexpr double gapSmoothing = 0.1;
@@ -255,7 +257,7 @@
     m_lastEventAt = m_attemptStartedAt;
     m_events.startAttempt();
     std::string().swap(m_body);
-    m_answerMemory.resize(0, boot_clock::now());
+    countAnswer();
     m_answerPaused = false;
     m_relayingEvents = false;
     m_attemptStatus = 0;
@@ -335,7 +337,11 @@
 
 void gateway_exchange::countAnswer()
 {
-    m_answerMemory.resize(m_body.capacity() + m_events.pendingBytes(), boot_clock::now());
+    const std::size_t held = m_body.capacity() + m_events.pendingBytes();
+    const std::size_t counted = m_answerMemory.bytes();
+    if (std::max(held, counted) - std::min(held, counted) > uncountedAnswerBytes) {
+        m_answerMemory.resize(held, boot_clock::now());
+    }
     m_answerPaused = !m_relayingEvents && m_context.memory.isExhausted();
     if (m_answerPaused) {
         resumeLater();
--- a/src/http/connection_table.cpp
+++ b/src/http/connection_table.cpp
@@ -86,9 +86,7 @@
     std::shared_ptr<client_socket> replaced;
     {
         const std::scoped_lock lock(m_mutex);
-        const auto open = static_cast<std::size_t>(
-            std::ranges::count_if(m_sockets, [](const auto &each) { return !each.second->ending; }));
-        if (m_limit > 0 && open >= m_limit) {
+        if (m_limit > 0 && m_sockets.size() >= m_limit && openCount() >= m_limit) {
             replaced = leastRecentlyUsed();
             replaced = replaced == nullptr ? added : replaced;
             replaced->ending = true;
@@ -101,6 +99,12 @@
     }
 }
 
+std::size_t connection_table::openCount() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_sockets, [](const auto &each) { return !each.second->ending; }));
+}
+
 std::shared_ptr<connection_table::client_socket> connection_table::leastRecentlyUsed() const
 {
     std::shared_ptr<client_socket> first;
--- a/src/http/connection_table.h
+++ b/src/http/connection_table.h
@@ -43,6 +43,8 @@
 
     void addConnection(const std::string &address, int descriptor);
     void removeConnection(const std::string &address);
+    /** @returns the number of connections that were not shut down to make room. */
+    std::size_t openCount() const;
     /** @returns the connection without a request in progress whose last use is longest ago, or null. */
     std::shared_ptr<client_socket> leastRecentlyUsed() const;
 
--- a/src/node/server_options.cpp
+++ b/src/node/server_options.cpp
@@ -28,7 +28,8 @@
 std::size_t maxConnections(const daemon_settings &settings)
 {
     const std::size_t descriptors = settings.maxDescriptors == 0 ? descriptorLimit() : settings.maxDescriptors;
-    const std::size_t byMemory = memoryOf(settings) / connectionsDivisor / (bodyCopies * settings.bodyLimit + threadBytes);
+    const std::size_t byMemory =
+        memoryOf(settings) / connectionsDivisor / (bodyCopies * settings.bodyLimit + threadBytes);
     const std::size_t byDescriptors = (std::max(descriptors, ownDescriptors) - ownDescriptors) / 2;
     return std::max(fewestConnections, std::min(byMemory, byDescriptors));
 }
