gateway: the forecast of others' placements knows how old tables of hubs are

Cause: the exchange gave no age, so the forecast assumed 40 ms, that of a full mesh, in hub mode as well. Ruled out: the age since the last table, which is that of the message and not of what it sums up. Change: the exchange tells the mean age of its mode.

--- a/src/gateway/exchange_node.cpp
+++ b/src/gateway/exchange_node.cpp
@@ -22,6 +22,8 @@
 // Hub mode.
 constexpr std::chrono::milliseconds hubTickInterval {20};
 constexpr std::chrono::milliseconds memberReportInterval {55};
+// Mean time from a change at one gateway until another one has it: a report, and the table of a hub or two.
+constexpr std::chrono::milliseconds hubLoadAge {110};
 constexpr std::chrono::milliseconds queuesInterval {500};
 // States of groups that accept requests everywhere do not expire; gateways that start need them.
 constexpr std::chrono::seconds openGroupsInterval {2};
@@ -129,6 +131,11 @@
     return m_hubMode ? hubTickInterval : meshInterval;
 }
 
+std::chrono::milliseconds exchange_node::usualLoadAge() const
+{
+    return m_hubMode ? hubLoadAge : meshInterval;
+}
+
 int exchange_node::knownGateways(time_point now) const
 {
     return static_cast<int>(m_peers.members(now).size()) + 1;
--- a/src/gateway/exchange_node.h
+++ b/src/gateway/exchange_node.h
@@ -60,6 +60,9 @@
     /** @returns the time to the next call of tick(). */
     std::chrono::milliseconds tickInterval() const;
 
+    /** @returns the mean age of what is known of the others' loads in calm. */
+    std::chrono::milliseconds usualLoadAge() const;
+
     /** @returns the datagrams to send since the last call. */
     std::vector<outgoing_datagram> takeOutgoing();
 
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -194,7 +194,7 @@
             byId.emplace(id, found->second);
         }
     }
-    m_endpoints.setPeerLoads(byId);
+    m_endpoints.setPeerLoads(byId, m_exchange.usualLoadAge());
 }
 
 void load_exchange::sendOutgoing()
