tests, node: findings of the linter, names that differ in joined compilations

Cause: clang-tidy found an ignored result and two names; unnamed constants of two tests and two folders were the same.

--- a/src/node/server_options.cpp
+++ b/src/node/server_options.cpp
@@ -17,7 +17,7 @@
 constexpr std::size_t handlerCopies = 4;
 constexpr std::size_t handledDivisor = 6;
 // Descriptors for files, the store and other processes; half of the others are for callers.
-constexpr std::size_t ownDescriptors = 200;
+constexpr std::size_t reservedDescriptors = 200;
 constexpr std::size_t fewestConnections = 8;
 
 std::size_t memoryOf(const daemon_settings &settings)
@@ -30,7 +30,7 @@
     const std::size_t descriptors = settings.maxDescriptors == 0 ? descriptorLimit() : settings.maxDescriptors;
     const std::size_t byMemory =
         memoryOf(settings) / connectionsDivisor / (bodyCopies * settings.bodyLimit + threadBytes);
-    const std::size_t byDescriptors = (std::max(descriptors, ownDescriptors) - ownDescriptors) / 2;
+    const std::size_t byDescriptors = (std::max(descriptors, reservedDescriptors) - reservedDescriptors) / 2;
     return std::max(fewestConnections, std::min(byMemory, byDescriptors));
 }
 
--- a/tests/hostile/caller_crowd.cpp
+++ b/tests/hostile/caller_crowd.cpp
@@ -55,7 +55,8 @@
     peer.sin_family = AF_INET;
     peer.sin_port = htons(m_address.port);
     inet_pton(AF_INET, m_address.host.c_str(), &peer.sin_addr);
-    ::connect(each.descriptor, reinterpret_cast<sockaddr *>(&peer), sizeof peer); // Completes while press() polls.
+    // Completes, or fails, while press() polls.
+    static_cast<void>(::connect(each.descriptor, reinterpret_cast<sockaddr *>(&peer), sizeof peer));
 }
 
 std::size_t caller_crowd::totalBytes() const
--- a/tests/hostile/hostile_entry_test.cpp
+++ b/tests/hostile/hostile_entry_test.cpp
@@ -39,9 +39,9 @@
     crowd_behaviour crowd;
 };
 
-void PrintTo(const entry_row &row, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const entry_row &row)
 {
-    *out << row.crowd.name << " " << row.place.name;
+    return out << row.crowd.name << " " << row.place.name;
 }
 
 class hostile_entry : public testing::TestWithParam<entry_row>
--- a/tests/hostile/hostile_gateway_test.cpp
+++ b/tests/hostile/hostile_gateway_test.cpp
@@ -42,9 +42,9 @@
     crowd_behaviour crowd;
 };
 
-void PrintTo(const hostile_row &row, std::ostream *out)
+std::ostream &operator<<(std::ostream &out, const hostile_row &row)
 {
-    *out << row.crowd.name << " " << row.place.name;
+    return out << row.crowd.name << " " << row.place.name;
 }
 
 /** One gateway with low limits and one endpoint. The gateway is started again for each row. */
