balance: limit of a rank group from replayed passes, room divided by gateways (in progress)

Cause: the limit came from the longest passes without their longest tenth, was lifted below 0.4 of the slots, and each gateway filled the same room. Ruled out: a lower limit at any price; its refusals cost more than the late answers.

--- a/src/balance/wait_queue.cpp
+++ b/src/balance/wait_queue.cpp
@@ -5,6 +5,13 @@
 
 namespace bronzechute {
 
+namespace {
+
+// While lower priorities wait, one dispatch of this many is theirs: they keep a share, and the others lose little.
+constexpr int lowerPriorityInterval = 12;
+
+} // namespace
+
 bool isServedBefore(const waiting_request &left, const waiting_request &right, time_point now)
 {
     const auto rank = [now](const waiting_request &request) {
@@ -22,18 +29,35 @@
 
 std::optional<waiting_request> wait_queue::pop(time_point now)
 {
-    const auto first =
-        std::ranges::min_element(m_waiting, [now](const waiting_request &left, const waiting_request &right) {
-            return isServedBefore(left, right, now);
-        });
+    auto first = std::ranges::min_element(m_waiting, [now](const waiting_request &left, const waiting_request &right) {
+        return isServedBefore(left, right, now);
+    });
     if (first == m_waiting.end()) {
         return std::nullopt;
     }
+    const int priority = first->priority;
+    const auto key = [priority](const waiting_request &request) {
+        return std::make_tuple(request.priority == priority, request.arrivedAt, request.ticket);
+    };
+    const auto lower = std::ranges::min_element(m_waiting, {}, key);
+    m_passedOverBefore = m_passedOver;
+    if (lower->priority == priority) {
+        m_passedOver = 0;
+    } else if (++m_passedOver == lowerPriorityInterval) {
+        first = lower;
+        m_passedOver = 0;
+    }
     waiting_request request = std::move(*first);
     m_waiting.erase(first);
     return request;
 }
 
+void wait_queue::putBack(waiting_request request)
+{
+    m_passedOver = m_passedOverBefore;
+    push(std::move(request));
+}
+
 std::vector<waiting_request> wait_queue::takeExpired(time_point now)
 {
     std::vector<waiting_request> expired;
--- a/src/balance/wait_queue.h
+++ b/src/balance/wait_queue.h
@@ -14,6 +14,9 @@
  * target come first, earliest deadline first. The others are late in any case: retries come before first attempts,
  * whose callers can still retry, each in order of arrival.
  *
+ * While requests of a higher priority take all capacity, one dispatch in a few goes to the lower priorities, in order
+ * of arrival. Otherwise they would be starved for as long as the overload lasts.
+ *
  * All operations scan the queue linearly: it is short, because admission bounds it by the expected wait.
  */
 class wait_queue
@@ -24,6 +27,9 @@
     /** Removes and returns the request to dispatch next; nothing when the queue is empty. */
     std::optional<waiting_request> pop(time_point now);
 
+    /** Returns the request that pop() returned last and that could not be dispatched. */
+    void putBack(waiting_request request);
+
     /** Removes and returns the requests that have expired. */
     std::vector<waiting_request> takeExpired(time_point now);
 
@@ -48,6 +54,8 @@
 
 private:
     std::vector<waiting_request> m_waiting;
+    int m_passedOver = 0; ///< Consecutive dispatches ahead of a request with a lower priority.
+    int m_passedOverBefore = 0; ///< m_passedOver before the last pop().
 };
 
 /** @returns whether the left request is dispatched before the right one. */
--- a/src/gateway/endpoint_group.h
+++ b/src/gateway/endpoint_group.h
@@ -2,6 +2,7 @@
 
 #include "balance/pass_latency_limiter.h"
 #include "balance/recent_minimum.h"
+#include "balance/room_share.h"
 #include "base/boot_clock.h"
 
 #include <string>
@@ -22,7 +23,11 @@
         0; ///< Listed endpoints that get requests; updated by endpoint_table::viewsOf(), as are the fields below.
     int running = 0; ///< Requests of all gateways.
     int ownRunning = 0; ///< Requests of this gateway.
-    bool atLimit = false; ///< Whether it runs as many requests as the target for its step time allows.
+    bool atLimit = false; ///< Whether it starts no requests now that can still be in time.
+    bool atLateLimit = false; ///< Whether it starts no requests now that are late in any case.
+    room_share room; ///< Of the room below the limits.
+    pass_limits reportedLimits; ///< As last written to the log.
+    time_point reportedAt {}; ///< Time of that log line.
 };
 
 } // namespace bronzechute
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -4,6 +4,8 @@
 #include "observe/log.h"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
 
 namespace bronzechute {
 
@@ -22,6 +24,8 @@
 constexpr std::chrono::milliseconds progressTimeout {500};
 // Fewer requests or failures than this are no evidence of a stalled group or a failing service.
 constexpr int minDetectionSamples = 3;
+// A limit of a rank group is logged when it has changed by a request per engine, this often at most.
+constexpr std::chrono::seconds limitLogInterval {2};
 
 /** @returns the step-time model of an engine for requests of average length. */
 pass_latency_model paceModelOf(const engine_profile &engine, std::chrono::milliseconds gapTarget)
@@ -33,7 +37,11 @@
         // Each completed request is followed by one whose prefill runs between the decode steps of the others.
         perRequest += thousand * engine.meanPromptTokens / engine.promptTokensPerSecond / engine.meanAnswerTokens;
     }
-    return {engine.stepMs, perRequest, static_cast<double>(engine.slots), gapTarget};
+    pass_latency_model model {engine.stepMs, perRequest, static_cast<double>(engine.slots), gapTarget};
+    if (engine.meanAnswerTokens > 0) {
+        model.passesPerRequest = std::max(1.0, engine.meanAnswerTokens / std::max(1, engine.stepsPerPass));
+    }
+    return model;
 }
 
 } // namespace
@@ -125,6 +133,7 @@
 
 void endpoint_table::applyRouting(const routing_table &table, int gateways)
 {
+    m_gateways = gateways;
     std::vector<endpoint_record> newlyNamed;
     std::set<std::string> services;
     for (const routed_service &service : table.document().services) {
@@ -290,13 +299,47 @@
         if (group->ownRunning < minDetectionSamples) {
             group->progressAt = now;
         }
-        group->atLimit =
-            model != m_paceModels.end() && group->running >= group->pace.limit(model->second, now) * group->endpoints;
+        if (model == m_paceModels.end()) {
+            group->atLimit = false;
+            group->atLateLimit = false;
+        } else {
+            updateLimits(*group, model->second, now);
+        }
+    }
+}
+
+void endpoint_table::updateLimits(endpoint_group &group, const pass_latency_model &model, time_point now) const
+{
+    const pass_limits limits = group.pace.limits(model, now);
+    const double room = limits.late * group.endpoints - group.running;
+    group.atLateLimit = limits.late < model.slots && !group.room.allows(room, m_gateways, now);
+    group.atLimit = group.atLateLimit || group.running >= limits.inTime * group.endpoints;
+    const pass_limits &reported = group.reportedLimits;
+    const bool changed = limits.reason != reported.reason || std::abs(limits.late - reported.late) >= 1.0;
+    if (!changed || now - group.reportedAt < limitLogInterval) {
+        return;
+    }
+    static constexpr std::array<const char *, 3> reasons {"none", "shifts", "long_passes"};
+    logLine(log_level::info, "gateway", "concurrency limit of a rank group changed",
+            {{"group", group.name},
+             {"reason", reasons.at(static_cast<std::size_t>(limits.reason))},
+             {"requests_per_engine", limits.late},
+             {"requests_in_time_per_engine", limits.inTime},
+             {"running", group.running},
+             {"endpoints", group.endpoints}});
+    group.reportedLimits = limits;
+    group.reportedAt = now;
+}
+
+void endpoint_table::recordPlacement(const gateway_endpoint &endpoint)
+{
+    if (endpoint.group != nullptr) {
+        endpoint.group->room.take();
     }
 }
 
 std::vector<endpoint_view> endpoint_table::viewsOf(const std::string &service, std::span<const std::string> tried,
-                                                   time_point now)
+                                                   time_point now, bool late)
 {
     updateGroupLoads(service, now);
     const auto &endpoints = endpointsOf(service);
@@ -304,7 +347,9 @@
     views.reserve(endpoints.size());
     for (const gateway_endpoint_ptr &endpoint : endpoints) {
         endpoint_view view = viewOf(*endpoint, tried, now);
-        view.usable = view.usable && (endpoint->group == nullptr || !endpoint->group->atLimit);
+        if (const endpoint_group *group = endpoint->group.get()) {
+            view.usable = view.usable && !(late ? group->atLateLimit : group->atLimit);
+        }
         views.push_back(view);
     }
     return views;
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -87,10 +87,15 @@
 
     /**
      * @param tried ids of endpoints that the request must not be sent to again
+     * @param late whether the response misses its latency target in any case
      * @returns the endpoints of a service in the order of endpointsOf(). Endpoints of a group at its concurrency limit
      *          are not usable
      */
-    std::vector<endpoint_view> viewsOf(const std::string &service, std::span<const std::string> tried, time_point now);
+    std::vector<endpoint_view> viewsOf(const std::string &service, std::span<const std::string> tried, time_point now,
+                                       bool late = false);
+
+    /** Records that a request of this gateway was placed at the endpoint. */
+    static void recordPlacement(const gateway_endpoint &endpoint);
 
     /** @returns the view of one endpoint, without the concurrency limit of its group. */
     endpoint_view viewOf(const gateway_endpoint &endpoint, std::span<const std::string> tried, time_point now) const;
@@ -115,9 +120,11 @@
     void rebuild();
     static void setAvoided(gateway_endpoint &endpoint, bool avoided, time_point now);
     void updateGroupLoads(const std::string &service, time_point now);
+    void updateLimits(endpoint_group &group, const pass_latency_model &model, time_point now) const;
     bool acceptsRequests(const gateway_endpoint &endpoint, time_point now) const;
 
     const std::string m_dataCentre;
+    int m_gateways = 1; ///< That share the groups.
     std::map<std::string, gateway_endpoint_ptr> m_endpoints;
     std::map<std::string, std::vector<gateway_endpoint_ptr>> m_byService;
     std::set<std::string> m_dataCentresOutOfService;
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -48,7 +48,7 @@
     request.ticket = m_nextTicket++;
     const std::size_t ahead = queue.waiting.countAhead(request, now);
     if (ahead == 0) {
-        if (const gateway_endpoint_ptr endpoint = choose(service, *client)) {
+        if (const gateway_endpoint_ptr endpoint = choose(service, request, *client)) {
             place(endpoint, client);
             return std::nullopt;
         }
@@ -76,10 +76,12 @@
     return slots / static_cast<std::size_t>(std::max(1, m_gatewayCount));
 }
 
-gateway_endpoint_ptr request_dispatcher::choose(const std::string &service, const placement_client &client)
+gateway_endpoint_ptr request_dispatcher::choose(const std::string &service, const waiting_request &request,
+                                                const placement_client &client)
 {
     const time_point now = boot_clock::now();
-    std::vector<endpoint_view> views = m_endpoints.viewsOf(service, client.tried(), now);
+    const bool late = now > request.latestOnTimeStart;
+    std::vector<endpoint_view> views = m_endpoints.viewsOf(service, client.tried(), now, late);
     const auto &endpoints = m_endpoints.endpointsOf(service);
     if (const auto demand = client.demand()) {
         for (std::size_t index = 0; index < views.size(); ++index) {
@@ -101,6 +103,7 @@
     ++endpoint->ownRunning;
     endpoint->ownTokens += client->tokens();
     endpoint->coldRate.take(boot_clock::now());
+    endpoint_table::recordPlacement(*endpoint);
     client->onPlaced(endpoint);
 }
 
@@ -172,9 +175,9 @@
             client->onRefused(refusal::cannot_complete, {});
             continue;
         }
-        const gateway_endpoint_ptr endpoint = choose(service, *client);
+        const gateway_endpoint_ptr endpoint = choose(service, *request, *client);
         if (endpoint == nullptr) {
-            queue.waiting.push(*request);
+            queue.waiting.putBack(*request);
             return;
         }
         queue.clients.erase(found);
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -81,7 +81,8 @@
     service_queue &queueOf(const std::string &service);
     retry_limits ownRetryLimits() const;
     std::size_t ownSlots(const std::string &service) const;
-    gateway_endpoint_ptr choose(const std::string &service, const placement_client &client);
+    gateway_endpoint_ptr choose(const std::string &service, const waiting_request &request,
+                                const placement_client &client);
     /** @returns whether the service works, but too slowly for the request. */
     bool isTooSlow(const std::string &service, const placement_client &client, time_point now) const;
     void place(const gateway_endpoint_ptr &endpoint, const std::shared_ptr<placement_client> &client);
--- a/tests/balance/pass_latency_limiter_test.cpp
+++ b/tests/balance/pass_latency_limiter_test.cpp
@@ -65,6 +65,39 @@
     EXPECT_EQ(pace.limit(model, start + 10s), model.slots);
 }
 
+/** Records passes of one length for a while. @returns the time of the last one */
+time_point recordPasses(pass_latency_limiter &pace, std::chrono::milliseconds pass, double running, int count,
+                        time_point from)
+{
+    constexpr int streams = 8;
+    for (int index = 0; index < count; ++index) {
+        from += pass;
+        for (int each = 0; each < streams; ++each) {
+            pace.record(pass, running, from);
+        }
+    }
+    return from;
+}
+
+// Guards against requests that are started while each of their first events would come too late.
+TEST(pass_latency_limiter, followsLongPassesWithinTwoPassesBothWays)
+{
+    constexpr double running = 7;
+    constexpr auto shortPass = 70ms;
+    constexpr auto longPass = 150ms;
+    pass_latency_limiter pace;
+    time_point now = recordPasses(pace, shortPass, running, 100, start);
+    EXPECT_GT(pace.limit(model, now), running);
+    now = recordPasses(pace, longPass, running, 1, now) + 20ms;
+    EXPECT_GT(pace.limit(model, now), running) << "a single long pass is over when it is seen";
+    now = recordPasses(pace, longPass, running, 1, now) + 20ms;
+    EXPECT_LT(pace.limit(model, now), running);
+    EXPECT_EQ(pace.limits(model, now).reason, pass_limit_reason::long_passes);
+    EXPECT_GT(pace.limits(model, now).late, pace.limits(model, now).inTime);
+    now = recordPasses(pace, shortPass, running, 2, now) + 20ms;
+    EXPECT_NE(pace.limits(model, now).reason, pass_limit_reason::long_passes);
+}
+
 TEST(pass_latency_limiter, doesNotLimitWithoutADeclaredGap)
 {
     pass_latency_limiter pace;
--- a/tests/balance/wait_queue_test.cpp
+++ b/tests/balance/wait_queue_test.cpp
@@ -75,6 +75,39 @@
                     {2, 1}}),
     [](const auto &row) { return row.param.name; });
 
+// Guards against requests of a low priority that are never served while urgent ones take all capacity.
+TEST(wait_queue, givesLowPrioritiesAShare)
+{
+    wait_queue line;
+    line.push(withPriority(request(1, 0ms, 400ms), 2));
+    std::uint64_t ticket = 2;
+    int urgent = 0;
+    for (;; ++urgent) {
+        line.push(request(ticket++, 0ms, 400ms));
+        const auto next = line.pop(start);
+        ASSERT_TRUE(next);
+        if (next->ticket == 1) {
+            break;
+        }
+        ASSERT_LT(urgent, 20);
+    }
+    EXPECT_GE(urgent, 7);
+}
+
+// Guards against turns that are used up by checks that find no free slot.
+TEST(wait_queue, countsOnlyDispatches)
+{
+    wait_queue line;
+    line.push(withPriority(request(1, 0ms, 400ms), 2));
+    line.push(request(2, 0ms, 400ms));
+    for (int check = 0; check < 50; ++check) {
+        const auto next = line.pop(start);
+        ASSERT_TRUE(next);
+        EXPECT_EQ(next->ticket, 2U);
+        line.putBack(*next);
+    }
+}
+
 TEST(wait_queue, removesExpiredRequests)
 {
     wait_queue line;
--- a/tests/standins/load_replay.cpp
+++ b/tests/standins/load_replay.cpp
@@ -402,7 +402,7 @@
         }
         const auto endpoint = choose(gateway);
         if (!endpoint) {
-            gateway.line.push(*request);
+            gateway.line.putBack(*request);
             return;
         }
         gateway.waiting.erase(request->ticket);
