--- a/src/gateway/hub_rule.cpp
+++ b/src/gateway/hub_rule.cpp
@@ -1,7 +1,6 @@
 #include "gateway/hub_rule.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace bronzechute {
 
@@ -27,7 +26,10 @@
 
 std::string hub_rule::choose(const std::map<std::string, int> &freshMembers)
 {
-    const int most = std::ranges::max(freshMembers | std::views::values);
+    int most = 0;
+    for (const auto &[host, count] : freshMembers) {
+        most = std::max(most, count);
+    }
     for (const auto &[host, count] : freshMembers) {
         if (count * 2 >= most) {
             return host;
