--- a/tests/gateway/memory_budget_test.cpp
+++ b/tests/gateway/memory_budget_test.cpp
@@ -107,10 +107,10 @@
                     {"1"}},
         budget_row {"asking_one_displaces_quicker_ones", {{busy, 600000, 1s}}, {busy, 300000, 9s}, false, {}},
         budget_row {"more_give_back_than_needed",
-                    {{idle, 5000, 3s}, {idle, 5000, 2s}, {idle, 5000, 1s}, {kept, 950000, 9s}},
+                    {{kept, 950000, 9s}, {idle, 5000, 3s}, {idle, 5000, 2s}, {idle, 5000, 1s}},
                     {busy, 42000, 0s},
                     true,
-                    {"0", "1"}}),
+                    {"1", "2"}}),
     [](const auto &row) { return std::string(row.param.name); });
 
 // A holder that keeps what it has would be asked again without end.
