gateway: a caller that reads the rest of an answer slowly is not cut off

Cause: with the memory budget, a complete answer had idle_timeout to be written in all, so that a caller that reads a long answer slowly but steadily would lose its end. Ruled out: no limit at all; a caller that never reads would keep the connection and its bytes. Change: the time counts from the last bytes that the socket took.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -7,6 +7,7 @@
 #include "http/http_status.h"
 #include "observe/log.h"
 
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -437,7 +438,7 @@
     m_exchange = nullptr;
     m_requestBytes = 0;
     enter(phase::finishing);
-    startTimer(m_options.limits().idleTimeout); // Nothing else ends a connection whose caller never reads.
+    startTimer(m_options.limits().idleTimeout); // Nothing else ends a connection whose caller does not read.
 }
 
 std::size_t caller_session::unsentBytes() const
@@ -469,7 +470,11 @@
     m_writeActive = true;
     m_writing.swap(m_unsent);
     m_unsent.clear();
-    asio::async_write(m_socket, asio::buffer(m_writing),
+    const auto recordProgress = [self = shared_from_this()](const error_code &code, std::size_t written) {
+        self->m_writtenAt = boot_clock::now();
+        return asio::transfer_all()(code, written);
+    };
+    asio::async_write(m_socket, asio::buffer(m_writing), recordProgress,
                       [self = shared_from_this()](const error_code &code, std::size_t) { self->onWritten(code); });
 }
 
@@ -576,7 +581,10 @@
 
 void caller_session::onTimeout()
 {
-    if (m_phase == phase::idle || m_phase == phase::discarding || m_phase == phase::finishing) {
+    const std::chrono::milliseconds idleTimeout = m_options.limits().idleTimeout;
+    if (m_phase == phase::finishing && boot_clock::now() - m_writtenAt < idleTimeout) {
+        startTimer(idleTimeout); // The caller reads slowly.
+    } else if (m_phase == phase::idle || m_phase == phase::discarding || m_phase == phase::finishing) {
         close();
     } else {
         rejectUnserved(statusRequestTimeout, true);
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -159,6 +159,7 @@
     std::shared_ptr<running_exchange> m_exchange; ///< Null unless a request is being served.
     std::string m_unsent; ///< Bytes that are queued until the current write completes.
     std::string m_writing;
+    time_point m_writtenAt {}; ///< When the socket last took bytes of a response.
     bool m_stalled = false; ///< The caller leaves much of a stream unread.
     time_point m_requestStartedAt {};
     std::size_t m_discardedBytes = 0;
