--- a/src/gateway/table_writer.cpp
+++ b/src/gateway/table_writer.cpp
@@ -61,6 +61,7 @@
     if (isNew || listDue) {
         // Idle endpoints stay in the list until it is due again, so that it changes seldom.
         std::vector<std::uint32_t> endpoints;
+        endpoints.reserve(loads.size());
         for (const auto &[key, load] : loads) {
             endpoints.push_back(key);
         }
--- a/tests/hostile/hostile_entry_test.cpp
+++ b/tests/hostile/hostile_entry_test.cpp
@@ -49,6 +49,7 @@
 public:
     static void SetUpTestSuite()
     {
+        limitSanitizerQuarantine();
         system = std::make_unique<local_system>();
         system->startStore();
         system->startService("office-1", "pest");
--- a/tests/hostile/hostile_gateway_test.cpp
+++ b/tests/hostile/hostile_gateway_test.cpp
@@ -53,6 +53,7 @@
 public:
     static void SetUpTestSuite()
     {
+        limitSanitizerQuarantine();
         deployment = std::make_unique<gateway_site>();
         deployment->startStore();
         deployment->put("op/config", siteDocument(10));
--- a/tests/hostile/process_usage.cpp
+++ b/tests/hostile/process_usage.cpp
@@ -1,5 +1,6 @@
 #include "process_usage.h"
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -27,4 +28,10 @@
     return usage;
 }
 
+void limitSanitizerQuarantine()
+{
+    constexpr int keepExisting = 0;
+    ::setenv("ASAN_OPTIONS", "quarantine_size_mb=16:thread_local_quarantine_size_kb=64", keepExisting);
+}
+
 } // namespace bronzechute
--- a/tests/hostile/process_usage.h
+++ b/tests/hostile/process_usage.h
@@ -15,4 +15,11 @@
     static process_usage of(pid_t process);
 };
 
+/**
+ * Bounds the freed memory that the address sanitizer keeps in processes that are started from now on. By default that
+ * is 256 MiB and a part for each thread, which hides what the process itself holds. Without the sanitizer it has no
+ * effect.
+ */
+void limitSanitizerQuarantine();
+
 } // namespace bronzechute
