tests: the smallest quarantine of the sanitizer for processes whose memory is measured

Cause: with 16 MiB and the parts of the threads, a row of hostile_entry still passed the bound in the sanitizer build. Ruled out: a higher bound. Change: 1 MiB, and freed memory is returned to the system at once.

--- a/tests/hostile/process_usage.cpp
+++ b/tests/hostile/process_usage.cpp
@@ -31,7 +31,7 @@
 void limitSanitizerQuarantine()
 {
     constexpr int keepExisting = 0;
-    ::setenv("ASAN_OPTIONS", "quarantine_size_mb=16:thread_local_quarantine_size_kb=64", keepExisting);
+    ::setenv("ASAN_OPTIONS", "quarantine_size_mb=1:allocator_release_to_os_interval_ms=0", keepExisting);
 }
 
 } // namespace bronzechute
