gateway: reports of both kinds are accepted, and held bytes compared, in one place

Cause: peer_loads applied the sender of a load report and of a member report in two copies; caller_session and gateway_exchange each had the tolerance below which a change of held bytes is not counted. Ruled out: counting inside memory_share with a clock of its own; it would be read for each event of a stream. Change: peer_loads::accept() records the sender of either report, memory_share::isOutdated() holds the tolerance. Behaviour is the same.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -36,8 +36,6 @@
 // A field is held by the parser, in the request and in the header for the endpoint, in several allocations each.
 constexpr std::size_t bytesPerField = 400;
 constexpr std::size_t fieldCopies = 3;
-// Smaller changes, such as each event of a stream makes, are not counted.
-constexpr std::size_t uncountedBytes = std::size_t {4} * 1024;
 // An exchange with its connection to an endpoint.
 constexpr std::size_t exchangeBytes = std::size_t {32} * 1024;
 // Buffers up to this size are kept for the next request or answer.
@@ -97,8 +95,7 @@
 void caller_session::countMemory()
 {
     const std::size_t held = m_phase == phase::closed ? 0 : heldBytes(m_phase == phase::serving ? exchangeBytes : 0);
-    const std::size_t counted = m_memory.bytes();
-    if (std::max(held, counted) - std::min(held, counted) > uncountedBytes) {
+    if (m_memory.isOutdated(held)) {
         m_memory.resize(held, boot_clock::now());
     }
 }
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -36,8 +36,6 @@
 constexpr std::size_t unsentLimitBytes = std::size_t {256} * 1024;
 constexpr std::size_t unsentLimitBytesWhenShort = std::size_t {16} * 1024;
 constexpr std::chrono::milliseconds memoryRetryInterval {20};
-// Smaller changes of what is held of an answer are not counted.
-constexpr std::size_t uncountedAnswerBytes = std::size_t {4} * 1024;
 // Bytes that are no answer may come without end.
 constexpr std::size_t wholeBodyLimitBytes = std::size_t {8} * 1024 * 1024;
 constexpr double gapSmoothing = 0.1;
@@ -356,8 +354,7 @@
 void gateway_exchange::countAnswer()
 {
     const std::size_t held = m_body.capacity() + m_events.pendingBytes();
-    const std::size_t counted = m_answerMemory.bytes();
-    if (std::max(held, counted) - std::min(held, counted) > uncountedAnswerBytes) {
+    if (m_answerMemory.isOutdated(held)) {
         m_answerMemory.resize(held, boot_clock::now());
     }
     m_answerPaused = !m_relayingEvents && m_context.memory.isExhausted();
--- a/src/gateway/memory_share.h
+++ b/src/gateway/memory_share.h
@@ -39,6 +39,9 @@
     /** Counts memory that is already in use. Other holders may be made to give theirs back. */
     void resize(std::size_t bytes, time_point now);
 
+    /** @returns whether the size differs by enough to be counted; each event of a stream changes it a little. */
+    bool isOutdated(std::size_t bytes) const;
+
     std::size_t bytes() const
     {
         return m_bytes;
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -25,38 +25,41 @@
 {
 }
 
-bool peer_loads::accept(peer &known, std::uint64_t incarnation, std::uint64_t sequence, time_point now, bool &isNew)
+template<typename Report>
+peer_loads::peer *peer_loads::accept(const std::string &host, const Report &report, time_point now, bool &isNew)
 {
-    isNew = known.directAt == time_point {} || known.incarnation != incarnation;
+    if (host == m_self) {
+        return nullptr;
+    }
+    peer &known = m_peers[host];
+    isNew = known.directAt == time_point {} || known.incarnation != report.incarnation;
     // A late datagram of the process before a restart is no news.
-    if ((!isNew && sequence <= known.sequence)
-        || (isNew && incarnation != 0 && incarnation == known.formerIncarnation)) {
-        return false;
+    if ((!isNew && report.sequence <= known.sequence)
+        || (isNew && report.incarnation != 0 && report.incarnation == known.formerIncarnation)) {
+        return nullptr;
     }
     if (isNew) {
         known.formerIncarnation = known.incarnation;
         known.queues.clear();
     }
-    known.incarnation = incarnation;
-    known.sequence = sequence;
+    known.incarnation = report.incarnation;
+    known.sequence = report.sequence;
+    known.dataCentre = report.dataCentre;
+    known.isCoordinator = report.isCoordinator;
     known.heardAt = now;
     known.directAt = now;
     known.namedAt = now;
-    return true;
+    return &known;
 }
 
 bool peer_loads::record(const std::string &host, const load_report &report, time_point now)
 {
-    if (host == m_self) {
-        return false;
-    }
-    peer &known = m_peers[host];
     bool isNew = false;
-    if (!accept(known, report.incarnation, report.sequence, now, isNew)) {
+    peer *const accepted = accept(host, report, now, isNew);
+    if (accepted == nullptr) {
         return false;
     }
-    known.dataCentre = report.dataCentre;
-    known.isCoordinator = report.isCoordinator;
+    peer &known = *accepted;
     known.knowsHubs = report.gateways > 0;
     known.queues = report.queues;
     known.loads.clear();
@@ -76,16 +79,12 @@
 
 bool peer_loads::record(const std::string &host, const member_report &report, time_point now)
 {
-    if (host == m_self) {
-        return false;
-    }
-    peer &known = m_peers[host];
     bool isNew = false;
-    if (!accept(known, report.incarnation, report.sequence, now, isNew)) {
+    peer *const accepted = accept(host, report, now, isNew);
+    if (accepted == nullptr) {
         return false;
     }
-    known.dataCentre = report.dataCentre;
-    known.isCoordinator = report.isCoordinator;
+    peer &known = *accepted;
     known.knowsHubs = true;
     known.loads = report.loads;
     if (report.queues) {
--- a/src/gateway/peer_loads.h
+++ b/src/gateway/peer_loads.h
@@ -102,8 +102,13 @@
     static bool reports(const peer &known, time_point now);
 
 private:
-    /** @returns whether a report with this sequence is to be applied. @param isNew set if the process is */
-    bool accept(peer &known, std::uint64_t incarnation, std::uint64_t sequence, time_point now, bool &isNew);
+    /**
+     * Records the sender of a report of either kind.
+     * @param isNew set if the report is the first of a process
+     * @returns the sender, to apply the rest of the report to; null if the report is to be ignored
+     */
+    template<typename Report>
+    peer *accept(const std::string &host, const Report &report, time_point now, bool &isNew);
 
     const std::string m_self;
     std::map<std::string, peer> m_peers; ///< By host.
