balance: limit of a rank group, overflow in one group (in progress)

Cause: groups that take more than their passes bear make all of their streams late at once, evenly in all groups. Ruled out so far: refusing the rest, as late answers count for callers.

--- /dev/null
+++ b/src/balance/room_share.cpp
@@ -0,0 +1,41 @@
+#include "balance/room_share.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bronzechute {
+
+namespace {
+
+// Mean age of the other gateways' loads. Within it, the same room is seen again.
+constexpr std::chrono::milliseconds renewalInterval {40};
+// Of an equal share, for a gateway that runs little because its callers have just arrived.
+constexpr double minShare = 0.5;
+
+} // namespace
+
+bool room_share::allows(double room, double share, time_point now)
+{
+    if (now - m_renewedAt >= renewalInterval) {
+        m_renewedAt = now;
+        const double part = std::max(0.0, room) * share;
+        const double whole = std::floor(part);
+        // A fraction is a request with that probability, so that the gateways together start as many as there is room.
+        m_left = whole + (std::uniform_real_distribution<double>(0, 1)(m_random) < part - whole ? 1 : 0);
+    }
+    return m_left >= 1;
+}
+
+void room_share::take()
+{
+    m_left -= 1;
+}
+
+double shareOfRoom(int own, int all, int gateways)
+{
+    const double least = minShare / std::max(1, gateways);
+    return all <= 0 ? std::max(least, 1.0 / std::max(1, gateways))
+                    : std::clamp(static_cast<double>(own) / all, least, 1.0);
+}
+
+} // namespace bronzechute
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -2,9 +2,11 @@
 
 #include "balance/cold_permits.h"
 #include "gateway/endpoint_connection.h"
+#include "gateway/group_assignment.h"
 #include "observe/log.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace bronzechute {
 
@@ -40,7 +42,11 @@
         // Each completed request is followed by one whose prefill runs between the decode steps of the others.
         perRequest += thousand * engine.meanPromptTokens / engine.promptTokensPerSecond / engine.meanAnswerTokens;
     }
-    return {engine.stepMs, perRequest, static_cast<double>(engine.slots), gapTarget};
+    pass_latency_model model {engine.stepMs, perRequest, static_cast<double>(engine.slots), gapTarget};
+    if (engine.meanAnswerTokens > 0) {
+        model.passesPerRequest = std::max(1.0, engine.meanAnswerTokens / std::max(1, engine.stepsPerPass));
+    }
+    return model;
 }
 
 /** @returns the share of an average request's part in a step that grows with its tokens. */
@@ -183,6 +189,12 @@
         removePredecessors(record);
     }
     m_paceModels.clear();
+    m_priorities.clear();
+    for (const route &declared : table.document().routes) {
+        for (const weighted_service &share : declared.services) {
+            m_priorities[share.service].insert(declared.priority);
+        }
+    }
     for (const routed_service &service : table.document().services) {
         if (service.engine) {
             m_paceModels.emplace(service.name, paceModelOf(*service.engine, table.gapTargetOf(service.name)));
@@ -288,6 +300,9 @@
 void endpoint_table::recordPlaced(const gateway_endpoint &endpoint, std::int64_t tokens, time_point now)
 {
     m_forecasts[endpoint.record.service].recordPlaced(tokens, now);
+    if (endpoint.group != nullptr) {
+        endpoint.group->room.take();
+    }
 }
 
 void endpoint_table::recordReleased(const gateway_endpoint &endpoint, time_point now)
@@ -356,16 +371,39 @@
 {
     return std::ranges::any_of(endpointsOf(service), [&](const gateway_endpoint_ptr &endpoint) {
         return acceptsRequests(*endpoint, now) && now >= endpoint->suspectUntil
-            && (!demand || completes(*endpoint, *demand, now));
+            && (!demand || isFastEnough(*endpoint, *demand, now));
     });
 }
 
-bool endpoint_table::completes(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now) const
+bool endpoint_table::isFastEnough(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now)
 {
     const auto interval = endpoint.group == nullptr ? std::nullopt : endpoint.group->eventInterval.value(now);
     return !interval || canComplete(demand, *interval, now);
 }
 
+bool endpoint_table::completes(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now) const
+{
+    if (endpoint.group != nullptr && !endpoint.group->takes.empty()) {
+        const std::size_t level = levelOf(endpoint.record.service, demand);
+        if (!endpoint.group->takes[std::min(level, endpoint.group->takes.size() - 1)]) {
+            return false;
+        }
+    }
+    return isFastEnough(endpoint, demand, now);
+}
+
+std::size_t endpoint_table::levelOf(const std::string &service, const stream_demand &demand) const
+{
+    const auto found = m_priorities.find(service);
+    if (found == m_priorities.end()) {
+        return 0;
+    }
+    const std::set<int> &priorities = found->second;
+    return demand.late
+        ? priorities.size()
+        : static_cast<std::size_t>(std::distance(priorities.begin(), priorities.lower_bound(demand.priority)));
+}
+
 bool endpoint_table::acceptsRequests(const gateway_endpoint &endpoint, time_point now) const
 {
     return now >= endpoint.pausedUntil && isInService(endpoint, now);
@@ -484,7 +522,7 @@
     endpoint.group->refusedUntil = now + refusalTimeout;
 }
 
-void endpoint_table::updateGroupLoads(const std::string &service, time_point now)
+std::vector<endpoint_group *> endpoint_table::updateGroupLoads(const std::string &service, time_point now)
 {
     const auto &endpoints = endpointsOf(service);
     for (const gateway_endpoint_ptr &endpoint : endpoints) {
@@ -507,27 +545,58 @@
         group->running += endpoint->ownRunning + endpoint->peersRunning;
         group->ownRunning += endpoint->ownRunning;
     }
-    const auto model = m_paceModels.find(service);
     for (endpoint_group *const group : groups) {
         if (group->ownRunning < minDetectionSamples) {
             group->progressAt = now;
         }
-        group->atLimit =
-            model != m_paceModels.end() && group->running >= group->pace.limit(model->second, now) * group->endpoints;
     }
+    std::ranges::sort(groups, {}, &endpoint_group::name); // All gateways share this order.
+    return groups;
+}
+
+void endpoint_table::assignGroups(const std::string &service, std::span<endpoint_group *const> groups,
+                                  std::span<const endpoint_view> views, time_point now)
+{
+    const auto model = m_paceModels.find(service);
+    if (model == m_paceModels.end() || model->second.gapTarget.count() == 0) {
+        for (endpoint_group *const group : groups) {
+            group->takes.clear();
+        }
+        return;
+    }
+    const auto &endpoints = endpointsOf(service);
+    std::vector<group_member> members;
+    members.reserve(endpoints.size());
+    for (std::size_t index = 0; index < endpoints.size(); ++index) {
+        members.push_back({endpoints[index]->group.get(), acceptsRequests(*endpoints[index], now),
+                           views[index].usable && views[index].running < views[index].slots});
+    }
+    int own = 0;
+    int all = 0;
+    for (const endpoint_group *const group : groups) {
+        own += group->ownRunning;
+        all += group->running;
+    }
+    assignRequests(groups, members, model->second, m_priorities[service].size() + 1, shareOfRoom(own, all, m_gateways),
+                   now);
 }
 
 std::vector<endpoint_view> endpoint_table::viewsOf(const std::string &service, std::span<const std::string> tried,
                                                    time_point now)
 {
-    updateGroupLoads(service, now);
+    const std::vector<endpoint_group *> groups = updateGroupLoads(service, now);
     const auto &endpoints = endpointsOf(service);
     std::vector<endpoint_view> views;
     views.reserve(endpoints.size());
     for (const gateway_endpoint_ptr &endpoint : endpoints) {
-        endpoint_view view = viewOf(*endpoint, tried, now);
-        view.usable = view.usable && (endpoint->group == nullptr || !endpoint->group->atLimit);
-        views.push_back(view);
+        views.push_back(viewOf(*endpoint, tried, now));
+    }
+    assignGroups(service, groups, views, now);
+    for (std::size_t index = 0; index < endpoints.size(); ++index) {
+        if (const endpoint_group *const group = endpoints[index]->group.get()) {
+            const bool takesAny = group->takes.empty() || std::ranges::find(group->takes, true) != group->takes.end();
+            views[index].usable = views[index].usable && takesAny;
+        }
     }
     advanceForecast(service, now);
     m_forecasts[service].apply(views, workOf(service), now);
@@ -541,6 +610,8 @@
         if (group == nullptr) {
             group = std::make_shared<endpoint_group>();
             group->name = state.name;
+            group->room = room_share(std::hash<std::string>()(m_fleet.self + state.name)
+                                     ^ static_cast<std::uint64_t>(now.time_since_epoch().count()));
             group->progressAt = now;
         }
         for (const std::string &id : state.endpoints) {
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -192,13 +192,16 @@
 std::optional<stream_demand> gateway_exchange::demand() const
 {
     const routed_service *service = m_plan.table->findService(m_plan.service);
-    const std::optional<int> tokens = m_plan.expectedAnswerTokens();
-    if (!streaming() || !tokens || service == nullptr || !service->engine) {
+    if (!streaming() || service == nullptr || !service->engine) {
         return std::nullopt;
     }
     // An engine produces one event in each pass.
-    const double events = static_cast<double>(*tokens) / std::max(1, service->engine->stepsPerPass);
-    return stream_demand {std::max(0.0, events - static_cast<double>(m_events.eventsRelayed())), m_plan.deadline};
+    const double events =
+        static_cast<double>(m_plan.expectedAnswerTokens().value_or(0)) / std::max(1, service->engine->stepsPerPass);
+    const bool late = m_plan.isCallerRetry
+        || boot_clock::now() + typicalFirstEventTime > m_request.arrivedAt + m_plan.matched->latencyTarget;
+    return stream_demand {std::max(0.0, events - static_cast<double>(m_events.eventsRelayed())), m_plan.deadline,
+                          m_plan.priority, late};
 }
 
 void gateway_exchange::onPlaced(const gateway_endpoint_ptr &endpoint)
