--- a/src/balance/pass_latency_limiter.cpp
+++ b/src/balance/pass_latency_limiter.cpp
@@ -26,16 +26,16 @@
 constexpr double surelyLongShare = 1.02;
 // Candidate limits, as a share of the slots.
 constexpr int candidates = 40;
-// Assumed worth of a late response, as a share of one in time; the gateway isn't told. It decides when streams in time
-// would be so few that all slots serve callers better. It is low because those in time are the urgent ones.
-constexpr double lateWorth = 0.2;
+// Below this share of the slots, streams in time would be so few that all slots serve callers better.
+constexpr double minConcurrencyShare = 0.35;
 // With fewer streams in time, long passes are the usual state, and fewer requests would not end it.
-constexpr double minInTimeShareForPresent = 0.5;
+constexpr double minInTimeShare = 0.5;
 
 struct outcome
 {
     double inTimeShare = 0; ///< Of the requests that would have started during the window.
-    double worthPerSecond = 0; ///< In responses in time, up to a constant factor.
+    /** Responses in time, weighted by their share: those below the limit are the urgent ones, which need certainty. */
+    double worthPerSecond = 0;
 };
 
 /** @returns the probability that a pass of this length makes its streams late. */
@@ -65,7 +65,7 @@
     }
     const auto passes = static_cast<double>(count);
     const double share = inTime / passes;
-    return {share, running * passes / totalMs * (share + lateWorth * (1 - share))};
+    return {share, running * passes / totalMs * share * share};
 }
 
 } // namespace
@@ -130,18 +130,23 @@
     const std::vector<double> lengths = relativeLengths(model);
     pass_limit result;
     double bestWorth = 0;
+    double shareOfAllSlots = 0;
     for (int candidate = 1; candidate <= candidates; ++candidate) {
         const double running = model.slots * candidate / candidates;
         const outcome next = play(lengths, model, running);
-        if (next.worthPerSecond >= bestWorth) {
+        shareOfAllSlots = next.inTimeShare;
+        if (running >= minConcurrencyShare * model.slots && next.worthPerSecond >= bestWorth) {
             bestWorth = next.worthPerSecond;
             result.requests = running;
             result.inTimeShare = next.inTimeShare;
         }
     }
+    if (result.inTimeShare < minInTimeShare) {
+        return {model.slots, shareOfAllSlots, pass_limit_reason::none};
+    }
     result.reason = result.requests < model.slots ? pass_limit_reason::shifts : pass_limit_reason::none;
     const double present = presentLimit(model, lengths, now);
-    if (result.inTimeShare >= minInTimeShareForPresent && present < result.requests) {
+    if (present < result.requests) {
         result.requests = present;
         result.reason = pass_limit_reason::long_passes;
     }
--- a/src/balance/pass_latency_limiter.h
+++ b/src/balance/pass_latency_limiter.h
@@ -19,7 +19,7 @@
  *
  * - The planned one is that with which most requests of the last seconds would have been in time: each candidate is
  *   played over the measured passes. With a lower limit fewer requests complete, with a higher one more of them meet a
- *   pass that is too long. If hardly any would be in time at a useful limit, all slots are used.
+ *   pass that is too long. If most would be late at any useful limit, all slots are used.
  * - The present one is the most with which the last passes would have been short enough. It takes effect after two
  *   passes and ends with the first pass that is short enough.
  */
--- a/src/balance/room_share.cpp
+++ b/src/balance/room_share.cpp
@@ -18,8 +18,9 @@
 
 bool room_share::allows(double room, double share, time_point now)
 {
-    if (now - m_renewedAt >= renewalInterval) {
+    if (now - m_renewedAt >= renewalInterval || !m_hadRoom) { // Without room, nothing was started in it.
         m_renewedAt = now;
+        m_hadRoom = room > 0;
         const double part = usableShare * std::max(0.0, room) * share;
         const double whole = std::floor(part);
         // A fraction is a request with that probability, so that the gateways together start as many as there is room.
--- a/src/balance/room_share.h
+++ b/src/balance/room_share.h
@@ -33,6 +33,7 @@
 private:
     std::mt19937_64 m_random;
     time_point m_renewedAt {};
+    bool m_hadRoom = false; ///< At the last renewal.
     double m_left = 0;
 };
 
