balance: the share of the room of a rank group is named group_room_share

Cause: another class room_share divides the free slots of a service over the gateways. Change: the name only. Ruled out: one class for both, since this one goes by what gateways run, the other by what waits there.

--- a/src/balance/group_room.h
+++ b/src/balance/group_room.h
@@ -12,7 +12,7 @@
     bool canBeInTime = true; ///< False if most of its streams are late with any number of requests.
     bool serves = true; ///< Whether it accepts requests, now or once a slot is free.
     bool hasFreeSlot = true; ///< Whether one of its endpoints takes the request now.
-    bool mayFill = true; ///< Whether this gateway has some of the room below the limit left, see room_share.
+    bool mayFill = true; ///< Whether this gateway has some of the room below the limit left, see group_room_share.
 
     friend bool operator==(const group_room &, const group_room &) = default;
 };
--- a/src/balance/room_share.cpp
+++ b/src/balance/group_room_share.cpp
@@ -1,4 +1,4 @@
-#include "balance/room_share.h"
+#include "balance/group_room_share.h"
 
 #include <algorithm>
 #include <cmath>
@@ -16,7 +16,7 @@
 
 } // namespace
 
-bool room_share::allows(double room, double share, time_point now)
+bool group_room_share::allows(double room, double share, time_point now)
 {
     if (now - m_renewedAt >= renewalInterval || !m_hadRoom) { // Without room, nothing was started in it.
         m_renewedAt = now;
@@ -29,7 +29,7 @@
     return m_left >= 1;
 }
 
-void room_share::take()
+void group_room_share::take()
 {
     m_left -= 1;
 }
--- a/src/balance/room_share.h
+++ b/src/balance/group_room_share.h
@@ -12,11 +12,11 @@
  * what the other gateways have started. It answers the load pattern of requests that wait, or are urgent, at all
  * gateways: each of them sees the same room, and together they would fill it several times over.
  */
-class room_share
+class group_room_share
 {
 public:
     /** @param seed should differ between gateways, so that fractions are not rounded up by all of them at once */
-    explicit room_share(std::uint64_t seed = 1) : m_random(seed)
+    explicit group_room_share(std::uint64_t seed = 1) : m_random(seed)
     {
     }
 
--- a/src/gateway/endpoint_group.h
+++ b/src/gateway/endpoint_group.h
@@ -2,7 +2,7 @@
 
 #include "balance/pass_latency_limiter.h"
 #include "balance/recent_minimum.h"
-#include "balance/room_share.h"
+#include "balance/group_room_share.h"
 #include "base/boot_clock.h"
 
 #include <string>
@@ -24,7 +24,7 @@
         0; ///< Listed endpoints that get requests; updated by endpoint_table::viewsOf(), as are the fields below.
     int running = 0; ///< Requests of all gateways.
     int ownRunning = 0; ///< Requests of this gateway.
-    room_share room; ///< Of what it may run beyond `running` and below its limit.
+    group_room_share room; ///< Of what it may run beyond `running` and below its limit.
     std::vector<bool> takes; ///< Levels of urgency whose requests it takes now; empty: all.
     pass_limit reported; ///< Limit as last written to the log.
     bool reportedBeyond = false; ///< Whether it ran more, as last written to the log.
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -610,7 +610,7 @@
         if (group == nullptr) {
             group = std::make_shared<endpoint_group>();
             group->name = state.name;
-            group->room = room_share(std::hash<std::string>()(m_fleet.self + state.name)
+            group->room = group_room_share(std::hash<std::string>()(m_fleet.self + state.name)
                                      ^ static_cast<std::uint64_t>(now.time_since_epoch().count()));
             group->progressAt = now;
         }
--- a/tests/balance/room_share_test.cpp
+++ b/tests/balance/group_room_share_test.cpp
@@ -1,4 +1,4 @@
-#include "balance/room_share.h"
+#include "balance/group_room_share.h"
 
 #include <gtest/gtest.h>
 
@@ -29,7 +29,7 @@
     constexpr int rounds = 200;
     int started = 0;
     for (std::uint64_t gateway = 0; gateway < gateways; ++gateway) {
-        room_share share(gateway);
+        group_room_share share(gateway);
         for (int round = 0; round < rounds; ++round) {
             while (share.allows(GetParam().room, 1.0 / gateways, time_point(1h) + round * 40ms)) {
                 share.take();
@@ -48,7 +48,7 @@
                          [](const auto &row) { return std::string(row.param.name); });
 
 // Guards against gateways with many callers that leave room to those without.
-TEST(room_share, followsWhatAGatewayRuns)
+TEST(group_room_share, followsWhatAGatewayRuns)
 {
     EXPECT_DOUBLE_EQ(shareOfRoom(30, 100, 12), 0.3);
     EXPECT_GT(shareOfRoom(0, 100, 12), 0);
--- a/tests/standins/pass_replay.cpp
+++ b/tests/standins/pass_replay.cpp
@@ -5,7 +5,7 @@
 #include "balance/group_choice.h"
 #include "balance/pass_latency_limiter.h"
 #include "balance/retry_delay.h"
-#include "balance/room_share.h"
+#include "balance/group_room_share.h"
 #include "balance/start_deadlines.h"
 #include "balance/wait_queue.h"
 
@@ -78,7 +78,7 @@
     std::array<int, groupCount> reported {}; ///< As the others know it.
     std::array<int, groupCount> leaving {}; ///< As the next report tells it.
     std::array<pass_latency_limiter, groupCount> pace;
-    std::array<room_share, groupCount> room;
+    std::array<group_room_share, groupCount> room;
 };
 
 class pass_replay
@@ -392,7 +392,7 @@
 pass_replay_result pass_replay::play()
 {
     for (std::size_t gateway = 0; gateway < m_gateways.size(); ++gateway) {
-        m_gateways[gateway].room.fill(room_share(gateway));
+        m_gateways[gateway].room.fill(group_room_share(gateway));
     }
     for (std::size_t group = 0; group < groupCount; ++group) {
         m_groups.at(group).nextShift = m_start + 2400ms;
