gateway: the tables of hubs and the pacing of repeated messages have classes of their own

Ruled out: moving the news as well, whose rules need the hub rule, the budget and the members at every step. Change: known_tables keeps tables and forms the sums, paced_hosts remembers when something was sent, both bounded; peer_loads refuses reports of new hosts above its limit; the number of members is counted without a list of their names.

--- a/src/gateway/exchange_node.cpp
+++ b/src/gateway/exchange_node.cpp
@@ -33,7 +33,8 @@
 constexpr std::size_t evidenceBytesPerSecond = 22000; ///< To each receiver.
 // Another gateway knows that there are enough for hub mode.
 constexpr std::chrono::seconds hubModeDuration {10};
-constexpr std::chrono::milliseconds tableTimeout {3000};
+// Another data centre that is silent for longer is taken for stopped, not for cut off.
+constexpr std::chrono::milliseconds silentDataCentreTimeout {3000};
 constexpr std::chrono::milliseconds silentHubInterval {250};
 constexpr std::size_t silentHubCandidates = 3;
 constexpr std::size_t announcementsAtOnce = 8;
@@ -45,7 +46,6 @@
 constexpr std::chrono::milliseconds probeAfter {400};
 constexpr std::chrono::milliseconds replyInterval {200};
 constexpr std::size_t maxReportedPeers = 16;
-constexpr std::size_t maxSentReports = 80; ///< Those of some 4 s, longer than a hub keeps a report.
 constexpr std::size_t maxNewsOrigins = 64;
 constexpr std::size_t maxDataCentres = 64;
 // Sustained control traffic of a gateway for itself, and of a hub for each gateway that it sends to.
@@ -76,20 +76,6 @@
     return newest;
 }
 
-void subtract(queue_summary &sum, const queue_summary &part)
-{
-    sum.waiting = std::max(0, sum.waiting - part.waiting);
-    sum.waitingTokens = std::max<std::int64_t>(0, sum.waitingTokens - part.waitingTokens);
-    sum.startsPerSecond = std::max(0.0, sum.startsPerSecond - part.startsPerSecond);
-    sum.refusalsPerSecond = std::max(0.0, sum.refusalsPerSecond - part.refusalsPerSecond);
-    sum.promisedReturns = std::max(0, sum.promisedReturns - part.promisedReturns);
-    for (const auto &[account, tokens] : part.tokensByAccount) {
-        if (const auto found = sum.tokensByAccount.find(account); found != sum.tokensByAccount.end()) {
-            found->second = std::max<std::int64_t>(0, found->second - tokens);
-        }
-    }
-}
-
 } // namespace
 
 exchange_node::exchange_node(std::string self, std::string node, std::string dataCentre, std::uint64_t incarnation,
@@ -103,6 +89,9 @@
     , m_sequence(incarnation
                  & 0xfffff) // So that a sum with a report of an earlier process is not taken for a later one.
     , m_rule(m_self)
+    , m_announcements(silentHubInterval)
+    , m_greetings(greetingInterval)
+    , m_replies(replyInterval)
 {
     m_budget.setRate(bytesPerSecondPerGateway);
 }
@@ -138,7 +127,7 @@
 
 int exchange_node::knownGateways(time_point now) const
 {
-    return static_cast<int>(m_peers.members(now).size()) + 1;
+    return m_peers.memberCount(now) + 1;
 }
 
 std::map<std::uint32_t, endpoint_load> exchange_node::ownLoadsByKey() const
@@ -196,14 +185,6 @@
     return m_meshEvidence.repetitions > 0 || now - m_meshEvidence.sentAt >= evidenceInterval;
 }
 
-void exchange_node::remember(std::map<std::uint32_t, endpoint_load> loads, time_point now)
-{
-    m_sentReports.push_back({m_sequence, now, std::move(loads), m_reportedQueues});
-    if (m_sentReports.size() > maxSentReports) {
-        m_sentReports.pop_front();
-    }
-}
-
 load_report exchange_node::makeReport(time_point now)
 {
     load_report report;
@@ -228,7 +209,7 @@
     if (!m_hubMode) {
         report.peers = m_peers.heardPeers(now);
     }
-    remember(ownLoadsByKey(), now);
+    m_tables.rememberReport({m_sequence, now, ownLoadsByKey(), m_reportedQueues});
     return report;
 }
 
@@ -347,44 +328,31 @@
     if (table.gateways > maxMeshGateways) {
         m_hubModeUntil = now + hubModeDuration;
     }
-    kept_table &kept = (table.ofAll ? m_allTables : m_dataCentreTables)[host];
-    const bool sameProcess = table.incarnation == kept.table.incarnation;
-    if (sameProcess ? table.sequence <= kept.table.sequence : table.incarnation == kept.formerIncarnation) {
-        return; // Late, or doubled.
-    }
-    if (!sameProcess) {
-        const std::uint64_t former = kept.table.incarnation;
-        kept = {};
-        kept.formerIncarnation = former;
-        kept.table.incarnation = table.incarnation;
+    if (!m_tables.isNews(host, table)) {
+        return;
     }
     m_peers.hearOf(host, table.dataCentre, true, now);
     if (table.ofAll) {
-        const sent_report *included = sentReport(table.included);
-        m_rule.hear(host, table.freshMembers, included == nullptr ? std::nullopt : std::optional(included->at), now);
+        m_rule.hear(host, table.freshMembers, m_tables.reportSentAt(table.included), now);
     } else if (m_hubMode && !m_rule.acting()) {
         reply(host, table.dataCentre, now); // It takes this gateway for the hub.
     }
     const bool hasList = table.list.has_value();
-    if (!hasList && (table.listNumber != kept.table.listNumber || kept.receivedAt == time_point {})) {
+    const kept_table *kept = m_tables.keep(host, std::move(table), now);
+    if (kept == nullptr) {
         return; // The list of these values was lost; it is repeated.
     }
     if (hasList) {
-        kept.list = std::move(*table.list);
-        table.list.reset();
-    }
-    if (table.queues) {
-        kept.queues = std::move(*table.queues);
-        table.queues.reset();
-    }
-    kept.receivedAt = now;
-    kept.table = std::move(table);
-    if (hasList) {
-        for (const table_member &member : kept.list.members) {
-            m_peers.hearOf(member.host, kept.list.dataCentres[member.dataCentre], member.knowsHubs,
+        for (const table_member &member : kept->list.members) {
+            m_peers.hearOf(member.host, kept->list.dataCentres[member.dataCentre], member.knowsHubs,
                            now - std::chrono::milliseconds(member.ageMs));
         }
     }
+    applyHubs(host, *kept, now);
+}
+
+void exchange_node::applyHubs(const std::string &host, const kept_table &kept, time_point now)
+{
     const std::size_t dataCentres = std::min(kept.list.dataCentres.size(), kept.table.ageMs.size());
     for (std::size_t index = 0; index < dataCentres; ++index) {
         const std::string &dataCentre = kept.list.dataCentres[index];
@@ -474,10 +442,10 @@
 
 void exchange_node::reply(const std::string &host, const std::string &dataCentre, time_point now)
 {
-    if (now - m_repliedAt[host] < replyInterval) {
+    if (!m_replies.isDue(host, now)) {
         return;
     }
-    m_repliedAt[host] = now;
+    m_replies.note(host, now);
     load_report report = makeReport(now);
     // A gateway that has just started needs its hub, or those among which it will be.
     for (const bool own : {true, false}) {
@@ -528,12 +496,6 @@
     }
 }
 
-const exchange_node::sent_report *exchange_node::sentReport(std::uint64_t sequence) const
-{
-    const auto found = std::ranges::find(m_sentReports, sequence, &sent_report::sequence);
-    return found == m_sentReports.end() ? nullptr : &*found;
-}
-
 void exchange_node::sendMemberReport(time_point now)
 {
     if (now - m_reportSentAt < memberReportInterval) {
@@ -556,135 +518,29 @@
         m_reportedQueues = m_source.ownQueues();
         report.queues = m_reportedQueues;
     }
-    remember(std::move(loads), now);
+    m_tables.rememberReport({m_sequence, now, std::move(loads), m_reportedQueues});
     const std::string datagram = encodeMemberReport(report);
     for (const std::string &host : targets) {
         send(host, datagram, control_kind::membership, now);
     }
 }
 
-std::vector<const exchange_node::kept_table *> exchange_node::tablesOfOthers(time_point now) const
-{
-    std::map<std::string, std::map<std::string, int>> fresh; // By data centre and host.
-    std::map<std::string, const kept_table *> newest;
-    for (const auto &[host, kept] : m_dataCentreTables) {
-        if (kept.receivedAt == time_point {} || now - kept.receivedAt > tableTimeout) {
-            continue;
-        }
-        const std::string &dataCentre = kept.table.dataCentre;
-        if (now - kept.receivedAt <= hub_rule::hubTimeout) {
-            fresh[dataCentre].emplace(host, kept.table.freshMembers);
-        }
-        const kept_table *&last = newest[dataCentre];
-        if (last == nullptr || last->receivedAt < kept.receivedAt) {
-            last = &kept;
-        }
-    }
-    std::vector<const kept_table *> tables;
-    for (const auto &[dataCentre, last] : newest) {
-        const auto heard = fresh.find(dataCentre);
-        tables.push_back(heard == fresh.end() ? last : &m_dataCentreTables.at(hub_rule::choose(heard->second)));
-    }
-    return tables;
-}
-
-std::vector<const exchange_node::kept_table *> exchange_node::usedTables(time_point now) const
+std::vector<const kept_table *> exchange_node::usedTables(time_point now) const
 {
     if (!m_hubMode) {
         return {};
     }
-    const kept_table *widest = nullptr;
-    const kept_table *followed = nullptr;
-    for (const auto &[host, kept] : m_allTables) {
-        if (kept.receivedAt == time_point {} || now - kept.receivedAt > tableTimeout) {
-            continue;
-        }
-        if (widest == nullptr || kept.list.members.size() > widest->list.members.size()) {
-            widest = &kept;
-        }
-        if (host == m_rule.followed()) {
-            followed = &kept;
-        }
-    }
-    // A hub that is new knows little for a moment; the last table of its predecessor is better then.
-    const auto isWideEnough = [widest](std::size_t members) {
-        return widest == nullptr || members * 2 >= widest->list.members.size();
-    };
-    if (m_rule.acting() || widest == nullptr) {
-        std::vector<const kept_table *> others = tablesOfOthers(now);
-        if (isWideEnough(coveredBy(others).size() + ownReporters(now).size() + 1)) {
-            return others;
-        }
-    }
-    if (followed != nullptr && isWideEnough(followed->list.members.size())) {
-        return {followed};
-    }
-    return {widest};
-}
-
-std::set<std::string> exchange_node::coveredBy(const std::vector<const kept_table *> &tables)
-{
-    std::set<std::string> hosts;
-    for (const kept_table *kept : tables) {
-        for (const table_member &member : kept->list.members) {
-            hosts.insert(member.host);
-        }
-    }
-    return hosts;
-}
-
-std::map<std::uint32_t, endpoint_load> exchange_node::sumOf(const std::vector<const kept_table *> &tables,
-                                                            time_point now) const
-{
-    auto total = m_peers.loads(coveredBy(tables), now);
-    for (const kept_table *kept : tables) {
-        const std::size_t count = std::min(kept->list.endpoints.size(), kept->table.loads.size());
-        for (std::size_t index = 0; index < count; ++index) {
-            endpoint_load &sum = total[kept->list.endpoints[index]];
-            sum.requests += kept->table.loads[index].requests;
-            sum.tokens += kept->table.loads[index].tokens;
-        }
-        const sent_report *own = kept->table.ofAll ? sentReport(kept->table.included) : nullptr;
-        if (own == nullptr) {
-            continue;
-        }
-        for (const auto &[key, load] : own->loads) {
-            endpoint_load &sum = total[key];
-            sum.requests = std::max(0, sum.requests - load.requests);
-            sum.tokens = std::max<std::int64_t>(0, sum.tokens - load.tokens);
-        }
-    }
-    std::erase_if(total, [](const auto &entry) { return entry.second == endpoint_load {}; });
-    return total;
-}
-
-std::map<std::string, queue_summary> exchange_node::queuesOf(const std::vector<const kept_table *> &tables,
-                                                             time_point now) const
-{
-    auto total = m_peers.queues(coveredBy(tables), now);
-    for (const kept_table *kept : tables) {
-        const sent_report *own = kept->table.ofAll ? sentReport(kept->table.included) : nullptr;
-        for (const auto &[service, queue] : kept->queues) {
-            queue_summary others = queue;
-            if (own != nullptr) {
-                if (const auto found = own->queues.find(service); found != own->queues.end()) {
-                    subtract(others, found->second);
-                }
-            }
-            total[service] += others;
-        }
-    }
-    return total;
+    return m_tables.used(m_rule.acting(), m_rule.followed(), ownReporters(now).size() + 1, now);
 }
 
 std::map<std::uint32_t, endpoint_load> exchange_node::othersLoads(time_point now) const
 {
-    return sumOf(usedTables(now), now);
+    return m_tables.loads(usedTables(now), m_peers, now);
 }
 
 std::map<std::string, queue_summary> exchange_node::othersQueues(time_point now) const
 {
-    return queuesOf(usedTables(now), now);
+    return m_tables.queues(usedTables(now), m_peers, now);
 }
 
 load_table exchange_node::emptyTable(bool ofAll, time_point now) const
@@ -718,11 +574,9 @@
 {
     std::vector<std::string> heard;
     std::set<std::string> heardDataCentres;
-    for (const auto &[host, kept] : m_dataCentreTables) {
-        if (kept.receivedAt != time_point {} && now - kept.receivedAt <= hub_rule::hubTimeout) {
-            heard.push_back(host);
-            heardDataCentres.insert(kept.table.dataCentre);
-        }
+    for (const kept_table *kept : m_tables.heardOfOtherDataCentres(now)) {
+        heard.push_back(kept->host);
+        heardDataCentres.insert(kept->table.dataCentre);
     }
     std::map<std::string, std::set<std::string>> silent; // By data centre.
     for (const auto &[dataCentre, hub] : m_hubs) {
@@ -771,11 +625,10 @@
     std::string announced;
     std::size_t count = 0;
     for (const std::string &host : silentHosts) {
-        time_point &sentAt = m_tableSentAt[host];
-        if (now - sentAt < silentHubInterval || count == announcementsAtOnce) {
+        if (count == announcementsAtOnce || !m_announcements.isDue(host, now)) {
             continue;
         }
-        sentAt = now;
+        m_announcements.note(host, now);
         ++count;
         if (announced.empty()) {
             announced = encodeLoadTable(announcement);
@@ -796,7 +649,7 @@
 
 void exchange_node::sendAllTable(time_point now)
 {
-    const std::vector<const kept_table *> others = tablesOfOthers(now);
+    const std::vector<const kept_table *> others = m_tables.ofOtherDataCentres(now);
     load_table table = emptyTable(true, now);
     table_list list;
     std::map<std::string, std::size_t> dataCentres;
@@ -832,7 +685,7 @@
         const auto hub = m_peers.all().find(list.hubs[index]);
         table.ageMs.push_back(hub == m_peers.all().end() ? 0 : ageMs(hub->second.heardAt, now));
     }
-    auto loads = sumOf(others, now);
+    auto loads = m_tables.loads(others, m_peers, now);
     for (const auto &[key, load] : ownLoadsByKey()) {
         loads[key].requests += load.requests;
         loads[key].tokens += load.tokens;
@@ -843,7 +696,7 @@
     }
     if (now - m_allQueuesSentAt >= queuesInterval && m_budget.allows(control_kind::queues, 0, now)) {
         m_allQueuesSentAt = now;
-        next->queues = queuesOf(others, now);
+        next->queues = m_tables.queues(others, m_peers, now);
         for (const auto &[service, queue] : m_source.ownQueues()) {
             (*next->queues)[service] += queue;
         }
@@ -960,7 +813,7 @@
 
 void exchange_node::greet(const std::string &host, const load_report &report, time_point now)
 {
-    m_greetedAt[host] = now;
+    m_greetings.note(host, now);
     send(host, encodeLoadReport(report, now), control_kind::membership, now);
 }
 
@@ -973,12 +826,12 @@
     std::vector<std::string> hosts;
     for (const std::string &host : m_peers.targets(now)) {
         const bool neverHeard = m_peers.all().at(host).heardAt == time_point {};
-        if (neverHeard && hosts.size() < greetingsAtOnce && now - m_greetedAt[host] >= greetingInterval) {
+        if (neverHeard && hosts.size() < greetingsAtOnce && m_greetings.isDue(host, now)) {
             hosts.push_back(host);
         }
     }
     const auto age = newestDataCentreAge(m_peers, m_dataCentre, now);
-    if (m_rule.isQuestioned(now) || (age && *age > probeAfter && *age < tableTimeout)) {
+    if (m_rule.isQuestioned(now) || (age && *age > probeAfter && *age < silentDataCentreTimeout)) {
         // Tells a silent or deaf hub from a cut: the gateways of other data centres answer if they can be reached.
         std::set<std::string> probes;
         for (const auto &[dataCentre, hub] : m_hubs) {
--- a/src/gateway/exchange_node.h
+++ b/src/gateway/exchange_node.h
@@ -5,12 +5,13 @@
 #include "gateway/hub_message.h"
 #include "gateway/hub_rule.h"
 #include "gateway/incoming_news.h"
+#include "gateway/known_tables.h"
 #include "gateway/outgoing_datagram.h"
+#include "gateway/paced_hosts.h"
 #include "gateway/peer_loads.h"
 #include "gateway/table_writer.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -104,23 +105,6 @@
     }
 
 private:
-    struct kept_table
-    {
-        load_table table;
-        table_list list; ///< That the values of the table belong to.
-        std::map<std::string, queue_summary> queues;
-        std::uint64_t formerIncarnation = 0;
-        time_point receivedAt {};
-    };
-
-    struct sent_report
-    {
-        std::uint64_t sequence = 0;
-        time_point at {};
-        std::map<std::uint32_t, endpoint_load> loads;
-        std::map<std::string, queue_summary> queues;
-    };
-
     struct evidence_progress
     {
         std::uint64_t version = 0; ///< Of the evidence that was sent last.
@@ -134,7 +118,6 @@
     bool groupsDue(time_point now) const;
     bool evidenceDue(time_point now) const;
     load_report makeReport(time_point now);
-    void remember(std::map<std::uint32_t, endpoint_load> loads, time_point now);
 
     // Hub mode.
     void updateMode(time_point now);
@@ -149,20 +132,15 @@
     void greet(const std::string &host, const load_report &report, time_point now);
     void applyReport(const std::string &host, const member_report &report, time_point now);
     void applyTable(const std::string &host, load_table table, time_point now);
+    void applyHubs(const std::string &host, const kept_table &kept, time_point now);
     void applyNews(const std::string &host, const exchange_news &news, time_point now, incoming_news &result);
     void reply(const std::string &host, const std::string &dataCentre, time_point now);
     bool send(const std::string &host, std::string bytes, control_kind kind, time_point now);
 
     int knownGateways(time_point now) const;
     std::map<std::uint32_t, endpoint_load> ownLoadsByKey() const;
-    /** @returns the tables of the other data centres, one of each. */
-    std::vector<const kept_table *> tablesOfOthers(time_point now) const;
     /** @returns the tables that this gateway goes by. */
     std::vector<const kept_table *> usedTables(time_point now) const;
-    static std::set<std::string> coveredBy(const std::vector<const kept_table *> &tables);
-    std::map<std::uint32_t, endpoint_load> sumOf(const std::vector<const kept_table *> &tables, time_point now) const;
-    std::map<std::string, queue_summary> queuesOf(const std::vector<const kept_table *> &tables, time_point now) const;
-    const sent_report *sentReport(std::uint64_t sequence) const;
     std::vector<std::string> ownReporters(time_point now) const;
     /** @returns the hubs of the other data centres that are heard; and, of silent ones, those that may be the hub. */
     std::pair<std::vector<std::string>, std::vector<std::string>> otherHubs(time_point now) const;
@@ -179,7 +157,6 @@
     peer_loads m_peers;
     std::vector<outgoing_datagram> m_outgoing;
     std::uint64_t m_sequence = 0; ///< Of the last report, in either mode.
-    std::deque<sent_report> m_sentReports; ///< The last ones, so that this gateway's part of a sum is known.
     bool m_isCoordinator = false;
     std::vector<group_state> m_groups;
     bool m_groupsChanged = false;
@@ -199,15 +176,14 @@
     time_point m_reportSentAt {};
     time_point m_queuesSentAt {};
     std::map<std::string, queue_summary> m_reportedQueues;
-    std::map<std::string, kept_table> m_allTables; ///< Of hubs of this data centre, by host.
-    std::map<std::string, kept_table> m_dataCentreTables; ///< Of hubs of the others, by host.
+    known_tables m_tables;
     table_writer m_allWriter;
     table_writer m_ownWriter;
     time_point m_allQueuesSentAt {};
     time_point m_ownQueuesSentAt {};
     std::string m_reportedHub; ///< To which the group states were sent last.
     std::map<std::string, std::string> m_hubs; ///< Last known host, by data centre.
-    std::map<std::string, time_point> m_tableSentAt; ///< To hosts that are silent, by host.
+    paced_hosts m_announcements; ///< Tables to hosts that are silent.
     std::map<std::string, evidence_progress> m_evidence; ///< By receiver.
     std::uint64_t m_newsSequence = 0;
     std::string m_lastNews; ///< The newest group states that were passed on.
@@ -215,8 +191,8 @@
     std::set<std::string> m_heardHubs; ///< Of other data centres, when the last table was sent.
     std::set<std::string> m_newsHubs; ///< Hubs of other data centres that had been heard by then.
     std::map<std::uint64_t, std::uint64_t> m_newsSeen; ///< Newest sequence of group states, by origin.
-    std::map<std::string, time_point> m_greetedAt; ///< By host.
-    std::map<std::string, time_point> m_repliedAt; ///< By host.
+    paced_hosts m_greetings;
+    paced_hosts m_replies;
     time_point m_probedAt {};
     time_point m_earlierVersionsAt {};
 };
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -28,7 +28,7 @@
 template<typename Report>
 peer_loads::peer *peer_loads::accept(const std::string &host, const Report &report, time_point now, bool &isNew)
 {
-    if (host == m_self) {
+    if (host == m_self || (!m_peers.contains(host) && m_peers.size() >= maxHosts)) {
         return nullptr;
     }
     peer &known = m_peers[host];
@@ -128,6 +128,11 @@
     }
 }
 
+bool peer_loads::isMember(const peer &known, time_point now)
+{
+    return known.heardAt != time_point {} && now - known.namedAt <= candidateTimeout;
+}
+
 bool peer_loads::isAlive(const peer &known, time_point now)
 {
     return known.heardAt != time_point {} && now - known.heardAt <= peerTimeout;
@@ -171,13 +176,19 @@
 {
     std::vector<std::string> hosts;
     for (const auto &[host, known] : m_peers) {
-        if (known.heardAt != time_point {} && now - known.namedAt <= candidateTimeout) {
+        if (isMember(known, now)) {
             hosts.push_back(host);
         }
     }
     return hosts;
 }
 
+int peer_loads::memberCount(time_point now) const
+{
+    return static_cast<int>(
+        std::ranges::count_if(m_peers, [now](const auto &entry) { return isMember(entry.second, now); }));
+}
+
 int peer_loads::alive(time_point now) const
 {
     return static_cast<int>(
--- a/src/gateway/peer_loads.h
+++ b/src/gateway/peer_loads.h
@@ -71,6 +71,9 @@
     /** @returns the hosts of the peers that were heard or named lately, so that they may still be running. */
     std::vector<std::string> members(time_point now) const;
 
+    /** @returns the number of members(). */
+    int memberCount(time_point now) const;
+
     /** @returns the number of live peers. */
     int alive(time_point now) const;
 
@@ -102,6 +105,9 @@
     static bool reports(const peer &known, time_point now);
 
 private:
+    /** @returns whether the peer was heard or named lately, so that it may still be running. */
+    static bool isMember(const peer &known, time_point now);
+
     /**
      * Records the sender of a report of either kind.
      * @param isNew set if the report is the first of a process
