gateway: the hub of a data centre watches the store for its members

Ruled out: longer polls (a change ends all of them at once), relaying only the revision (each still reads each change), an election through the store (a lease of 2 s to wait for), one watcher for all data centres (lost at a cut).

Change: in hub mode the hub passes on what it reads, with the revisions that the changes join. A member that misses changes, does not hear its hub, or hears that the store does not answer it asks the store itself, at a random time within 250 ms. Hubs name their revision to each other, so that one with a dead connection is noticed. Earlier versions are sent none of it. While the store is out members leave most attempts to their hub.

--- a/src/gateway/exchange_node.cpp
+++ b/src/gateway/exchange_node.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/endpoint_key.h"
 #include "gateway/message_codec.h"
+#include "gateway/store_relay.h"
 
 #include <algorithm>
 
@@ -107,6 +108,11 @@
     m_budget.setRate(bytesPerSecondPerGateway);
 }
 
+void exchange_node::setStoreRelay(store_relay &relay)
+{
+    m_storeRelay = &relay;
+}
+
 void exchange_node::addCandidates(const std::vector<std::string> &hosts, time_point now)
 {
     m_peers.addCandidates(hosts, now);
@@ -165,10 +171,12 @@
 {
     updateMode(now);
     if (!m_hubMode) {
+        relayStore(now);
         tickMesh(now);
         return;
     }
     updateRule(now);
+    relayStore(now);
     sendMemberReport(now);
     if (m_rule.acting()) {
         sendTables(now);
@@ -292,6 +300,10 @@
             applyReport(host, *report, now);
         } else if (auto *table = std::get_if<load_table>(&*message)) {
             applyTable(host, std::move(*table), now);
+        } else if (const auto *changes = std::get_if<store_message>(&*message)) {
+            if (m_storeRelay != nullptr) {
+                m_storeRelay->hear(host, *changes, now);
+            }
         } else {
             applyNews(host, std::get<exchange_news>(*message), now, result);
         }
@@ -359,6 +371,9 @@
         kept.table.incarnation = table.incarnation;
     }
     m_peers.hearOf(host, table.dataCentre, true, now);
+    if (!table.ofAll && m_storeRelay != nullptr) {
+        m_storeRelay->hearOther(table.storeRevision, now);
+    }
     if (table.ofAll) {
         const sent_report *included = sentReport(table.included);
         m_rule.hear(host, table.freshMembers, included == nullptr ? std::nullopt : std::optional(included->at), now);
@@ -550,7 +565,8 @@
     }
     m_reportSentAt = now;
     m_reportedLoads = loads;
-    member_report report {m_incarnation, ++m_sequence, m_dataCentre, m_isCoordinator, knownGateways(now), loads, {}};
+    member_report report {m_incarnation,      ++m_sequence, m_dataCentre, m_isCoordinator,
+                          knownGateways(now), loads,        {},           m_storeRelay != nullptr};
     if (withQueues) {
         m_queuesSentAt = now;
         m_reportedQueues = m_source.ownQueues();
@@ -868,6 +884,7 @@
     }
     m_heardHubs = std::move(heardHubs);
     load_table table = emptyTable(false, now);
+    table.storeRevision = m_storeRelay == nullptr ? 0 : m_storeRelay->watchedRevision(now);
     table.ageMs = {0};
     table_list list;
     list.dataCentres = {m_dataCentre};
@@ -958,6 +975,30 @@
     std::erase_if(m_evidence, [now](const auto &entry) { return now - entry.second.sentAt > 2 * evidenceInterval; });
 }
 
+void exchange_node::relayStore(time_point now)
+{
+    if (m_storeRelay == nullptr) {
+        return;
+    }
+    const relay_part part = m_rule.acting() ? relay_part::watcher : relay_part::member;
+    m_storeRelay->setPart(m_hubMode ? part : relay_part::alone, now);
+    const std::vector<store_message> messages = m_storeRelay->takeDue(now);
+    if (messages.empty()) {
+        return;
+    }
+    const std::vector<std::string> hosts = ownReporters(now);
+    for (const store_message &message : messages) {
+        const std::string datagram = encodeStoreMessage(message);
+        // Like much evidence; whoever misses changes reads the store itself.
+        const control_kind kind = datagram.size() > urgentEvidenceBytes ? control_kind::queues : control_kind::news;
+        for (const std::string &host : hosts) {
+            if (m_peers.all().at(host).followsStore) {
+                send(host, datagram, kind, now);
+            }
+        }
+    }
+}
+
 void exchange_node::greet(const std::string &host, const load_report &report, time_point now)
 {
     m_greetedAt[host] = now;
--- a/src/gateway/exchange_node.h
+++ b/src/gateway/exchange_node.h
@@ -19,6 +19,8 @@
 
 namespace bronzechute {
 
+class store_relay;
+
 /**
  * Protocol of the exchange between gateways, without sockets and timers: what to send, and what is known.
  *
@@ -39,6 +41,9 @@
     exchange_node(std::string self, std::string node, std::string dataCentre, std::uint64_t incarnation,
                   exchange_source &source);
 
+    /** Sets what the gateways share of the store, whose messages are carried; it must outlive this object. */
+    void setStoreRelay(store_relay &relay);
+
     /** Adds hosts that may be gateways. */
     void addCandidates(const std::vector<std::string> &hosts, time_point now);
 
@@ -144,6 +149,7 @@
     void sendAllTable(time_point now);
     void sendOwnTable(time_point now);
     void sendNews(time_point now);
+    void relayStore(time_point now);
     void sendGreetings(time_point now);
     void reportToEarlierVersions(time_point now);
     void greet(const std::string &host, const load_report &report, time_point now);
@@ -176,6 +182,7 @@
     const std::string m_dataCentre;
     const std::uint64_t m_incarnation;
     exchange_source &m_source;
+    store_relay *m_storeRelay = nullptr;
     peer_loads m_peers;
     std::vector<outgoing_datagram> m_outgoing;
     std::uint64_t m_sequence = 0; ///< Of the last report, in either mode.
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -102,7 +102,7 @@
     role->startCoordinator();
     role->monitorReachability();
     role->monitorMemory();
-    role->m_source = role->m_options.openSource(*role);
+    role->m_source = role->m_options.openSource(*role, role->m_storeRelay);
     role->m_thread = std::thread([loop = &role->m_loop] { runEventLoop(*loop); });
     return role;
 }
@@ -117,6 +117,7 @@
     , m_dispatcher(m_loop, m_endpoints, settings.gateway.repeats, std::random_device()())
     , m_guard(m_loop, m_metrics)
     , m_context {m_loop, m_options.headers, m_endpoints, m_dispatcher, m_metrics, m_redirect, m_guard, m_memory}
+    , m_storeRelay(m_dispatcher.random()())
     , m_loadExchange(m_loop, settings.listen.peers.host, settings.listen.peers.port, settings.node, settings.dataCentre,
                      hostsOf(settings.gateway.seeds), m_endpoints, m_guard, [this] { updateGatewayShares(); })
     , m_status(*this)
@@ -132,7 +133,10 @@
                                  m_quarantineRecord->save(m_guard.evidence());
                              }
                          });
+    m_loadExchange.setStoreRelay(m_storeRelay);
+    m_storeRelay.setWake([this] { asio::post(m_loop, [this] { m_loadExchange.sendReport(); }); });
     registerGauges();
+    registerStoreGauges();
 }
 
 gateway_role::~gateway_role()
@@ -182,6 +186,24 @@
         [this] { return m_callers.displaced() + m_statusListener.displaced(); });
 }
 
+void gateway_role::registerStoreGauges()
+{
+    const auto add = [this](const std::string &name, const std::string &help, auto read) {
+        m_registry.gauge("bronzechute_gateway_store_" + name, "", help,
+                         [this, read] { return static_cast<double>(read(m_storeRelay.counts())); });
+    };
+    add("reads", "Answers of the store to the gateway's own watch.",
+        [](const store_relay_counts &counts) { return counts.ownReads; });
+    add("relayed_changes", "Messages with changes of the store that came from another gateway.",
+        [](const store_relay_counts &counts) { return counts.relayed; });
+    add("relay_gaps", "Times that changes were missing, so that the gateway read the store once.",
+        [](const store_relay_counts &counts) { return counts.gaps; });
+    add("relay_losses", "Times that no other gateway watched the store for this one any more.",
+        [](const store_relay_counts &counts) { return counts.losses; });
+    add("relayed", "Whether another gateway watches the store for this one.",
+        [](const store_relay_counts &counts) { return counts.isFollowing; });
+}
+
 void gateway_role::monitorMemory()
 {
     m_memoryTimer.expires_after(memoryCheckInterval);
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -14,6 +14,7 @@
 #include "gateway/quarantine_record.h"
 #include "gateway/request_handler.h"
 #include "gateway/request_matcher.h"
+#include "gateway/store_relay.h"
 #include "node/node_role.h"
 #include "routing/routing_observer.h"
 #include "routing/routing_source.h"
@@ -89,6 +90,7 @@
     void pollCoordinatorLease();
     void reject(const gateway_request &request, const request_rejection &rejection, caller_response &response);
     void registerGauges();
+    void registerStoreGauges();
     void monitorMemory();
     bool canFinishBeforeShutdown(const exchange_plan &plan, time_point now) const;
 
@@ -104,6 +106,7 @@
     caller_redirect m_redirect;
     crash_guard m_guard;
     gateway_context m_context;
+    store_relay m_storeRelay;
     load_exchange m_loadExchange;
     status_handler m_status;
     gateway_listener m_callers;
--- a/src/gateway/hub_message.cpp
+++ b/src/gateway/hub_message.cpp
@@ -1,6 +1,7 @@
 #include "gateway/hub_message.h"
 
 #include "gateway/message_codec.h"
+#include "gateway/store_message_codec.h"
 #include "quarantine/crash_evidence_codec.h"
 
 #include <boost/asio/ip/address_v4.hpp>
@@ -18,6 +19,9 @@
 constexpr char reportKind = 'R';
 constexpr char tableKind = 'T';
 constexpr char newsKind = 'N';
+constexpr char storeKind = 'S';
+constexpr std::size_t followsStoreIndex = 7; ///< In a member report; earlier versions lack it.
+constexpr std::size_t storeRevisionIndex = 14; ///< In a table; likewise.
 constexpr std::size_t headerBytes = 2;
 constexpr std::size_t includedBytes = 8;
 constexpr int memberAgeUnitMs = 100; // Keeps most ages within one byte.
@@ -108,6 +112,9 @@
     if (!body.at(6).is_null()) {
         report.queues = decodeQueues(body.at(6));
     }
+    if (body.size() > followsStoreIndex) {
+        body.at(followsStoreIndex).get_to(report.followsStore);
+    }
     return report;
 }
 
@@ -137,6 +144,9 @@
     if (!body.at(13).is_null()) {
         table.queues = decodeQueues(body.at(13));
     }
+    if (body.size() > storeRevisionIndex) {
+        body.at(storeRevisionIndex).get_to(table.storeRevision);
+    }
     return table;
 }
 
@@ -169,7 +179,7 @@
     }
     return pack(reportKind, 0,
                 {report.incarnation, report.sequence, report.dataCentre, report.isCoordinator, report.gateways, loads,
-                 report.queues ? encodeQueues(*report.queues) : json()});
+                 report.queues ? encodeQueues(*report.queues) : json(), report.followsStore});
 }
 
 std::string encodeLoadTable(const load_table &table)
@@ -188,7 +198,7 @@
                                 {table.incarnation, table.sequence, table.ofAll, table.dataCentre, table.freshMembers,
                                  table.gateways, addressOf(table.coordinator), table.coordinatorAgeMs / ageUnitMs,
                                  table.listNumber, table.list ? encodeList(*table.list) : json(), requests, tokens,
-                                 ages, table.queues ? encodeQueues(*table.queues) : json()});
+                                 ages, table.queues ? encodeQueues(*table.queues) : json(), table.storeRevision});
     setIncluded(datagram, table.included);
     return datagram;
 }
@@ -208,6 +218,11 @@
                  news.evidence.empty() ? json() : encodeCrashEvidence(news.evidence, now)});
 }
 
+std::string encodeStoreMessage(const store_message &message)
+{
+    return pack(storeKind, 0, encodeStoreBody(message));
+}
+
 std::optional<hub_message> decodeHubMessage(std::string_view datagram, time_point now)
 {
     if (!isHubMessage(datagram) || datagram.size() < headerBytes) {
@@ -229,6 +244,9 @@
         if (kind == newsKind) {
             return decodeNewsBody(body, now);
         }
+        if (kind == storeKind) {
+            return decodeStoreBody(body);
+        }
         if (kind == tableKind) {
             load_table table = decodeTable(body);
             for (std::size_t index = 0; index < includedBytes; ++index) {
--- a/src/gateway/hub_message.h
+++ b/src/gateway/hub_message.h
@@ -4,6 +4,7 @@
 #include "gateway/exchange_news.h"
 #include "gateway/load_table.h"
 #include "gateway/member_report.h"
+#include "gateway/store_message.h"
 
 #include <optional>
 #include <string>
@@ -12,7 +13,7 @@
 
 namespace bronzechute {
 
-using hub_message = std::variant<member_report, load_table, exchange_news>;
+using hub_message = std::variant<member_report, load_table, exchange_news, store_message>;
 
 /** @returns whether the datagram is one of the messages of hub mode; load reports begin with another byte. */
 bool isHubMessage(std::string_view datagram);
@@ -28,6 +29,8 @@
 /** @param now time of the sender, from which the ages of evidence are counted */
 std::string encodeNews(const exchange_news &news, time_point now);
 
+std::string encodeStoreMessage(const store_message &message);
+
 /** @returns the message, or nothing if the datagram is not a valid one */
 std::optional<hub_message> decodeHubMessage(std::string_view datagram, time_point now);
 
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -103,6 +103,11 @@
     m_queueSource = std::move(source);
 }
 
+void load_exchange::setStoreRelay(store_relay &relay)
+{
+    m_exchange.setStoreRelay(relay);
+}
+
 bool load_exchange::peerIsCoordinator() const
 {
     return !m_exchange.peers().coordinator(boot_clock::now()).empty();
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -51,6 +51,9 @@
     /** Sets where the summaries of this gateway's queues come from, by service. */
     void setQueueSource(std::function<std::map<std::string, queue_summary>()> source);
 
+    /** Sets what the gateways share of the store; it must outlive this object. */
+    void setStoreRelay(store_relay &relay);
+
     /** @returns whether another gateway is the coordinator of expert maps. */
     bool peerIsCoordinator() const;
 
--- a/src/gateway/load_table.h
+++ b/src/gateway/load_table.h
@@ -53,6 +53,7 @@
     std::vector<endpoint_load> loads; ///< For each of table_list::endpoints.
     std::vector<int> ageMs; ///< Time since each of table_list::dataCentres was heard.
     std::optional<std::map<std::string, queue_summary>> queues; ///< By service; unchanged if absent.
+    std::int64_t storeRevision = 0; ///< Up to which the hub knows all changes of the store; 0 if it does not watch it.
 
     friend bool operator==(const load_table &, const load_table &) = default;
 };
--- a/src/gateway/member_report.h
+++ b/src/gateway/member_report.h
@@ -20,6 +20,7 @@
     int gateways = 0; ///< That the sender knows, itself included.
     std::map<std::uint32_t, endpoint_load> loads; ///< By endpointKey(); idle endpoints are left out.
     std::optional<std::map<std::string, queue_summary>> queues; ///< By service; unchanged if absent.
+    bool followsStore = false; ///< Whether the sender understands store_message; false for earlier versions.
 
     friend bool operator==(const member_report &, const member_report &) = default;
 };
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -41,6 +41,7 @@
     if (isNew) {
         known.formerIncarnation = known.incarnation;
         known.queues.clear();
+        known.followsStore = false;
     }
     known.incarnation = report.incarnation;
     known.sequence = report.sequence;
@@ -86,6 +87,7 @@
     }
     peer &known = *accepted;
     known.knowsHubs = true;
+    known.followsStore = report.followsStore;
     known.loads = report.loads;
     if (report.queues) {
         known.queues = *report.queues;
--- a/src/gateway/peer_loads.h
+++ b/src/gateway/peer_loads.h
@@ -29,6 +29,7 @@
         std::string dataCentre;
         bool isCoordinator = false;
         bool knowsHubs = false; ///< False for a process of an earlier version, or one that was never heard.
+        bool followsStore = false; ///< Whether it understands store_message.
         std::map<std::uint32_t, endpoint_load> loads; ///< By endpointKey().
         std::map<std::string, queue_summary> queues; ///< By service.
     };
--- a/tests/gateway/exchange_node_test.cpp
+++ b/tests/gateway/exchange_node_test.cpp
@@ -354,7 +354,7 @@
     for (std::size_t size = 0; size < whole.size(); ++size) {
         EXPECT_EQ(decodeHubMessage(whole.substr(0, size), {}), std::nullopt) << size;
     }
-    for (const char kind : {'R', 'T', 'N'}) {
+    for (const char kind : {'R', 'T', 'N', 'S'}) {
         const std::string head = std::string("\xc1") + kind + std::string(kind == 'T' ? 8 : 0, '\0');
         EXPECT_EQ(decodeHubMessage(head + std::string(60000, '\x91') + "\x01", {}), std::nullopt);
         EXPECT_EQ(decodeHubMessage(head + "\x90", {}), std::nullopt);
--- a/tests/gateway/gateway_harness.cpp
+++ b/tests/gateway/gateway_harness.cpp
@@ -42,7 +42,7 @@
     settings.dataCentre = "here";
     settings.drainTimeout = drainTimeout;
     gateway_options options;
-    options.openSource = [this](routing_observer &observer) -> std::unique_ptr<routing_source> {
+    options.openSource = [this](routing_observer &observer, watch_relay &) -> std::unique_ptr<routing_source> {
         m_observer = &observer;
         return std::make_unique<idle_routing_source>();
     };
--- a/tests/gateway/simulated_fleet.cpp
+++ b/tests/gateway/simulated_fleet.cpp
@@ -102,6 +102,7 @@
         return;
     }
     gateway.hubMessages += isHubMessage(bytes) ? 1 : 0;
+    gateway.storeMessages += bytes.starts_with("\xc1S") ? 1 : 0;
     if (gateway.isOld) {
         if (const auto report = decodeLoadReport(bytes, m_now)) {
             gateway.reports[from] = *report;
--- a/tests/gateway/simulated_fleet.h
+++ b/tests/gateway/simulated_fleet.h
@@ -52,6 +52,7 @@
     std::uint64_t sentBytes = 0; ///< With the headers of IP and UDP.
     std::uint64_t crossBytes = 0; ///< Of these, between data centres.
     std::uint64_t hubMessages = 0; ///< That arrived here.
+    std::uint64_t storeMessages = 0; ///< Of these, what another gateway read in the store.
     std::map<std::string, load_report> reports; ///< That arrived at an old process, by host.
 };
 
--- a/tests/platform/kv_store_test.cpp
+++ b/tests/platform/kv_store_test.cpp
@@ -2,6 +2,7 @@
 
 #include "base/boot_clock.h"
 #include "standins/scripted_server.h"
+#include "store/watch_relay.h"
 
 #include <gtest/gtest.h>
 
@@ -254,6 +255,83 @@
     ending = true;
 }
 
+/** Another process reads until its changes are used up; the n-th call of await() returns the n-th entry. */
+class scripted_relay : public watch_relay
+{
+public:
+    explicit scripted_relay(std::vector<store_changes> script) : m_script(std::move(script))
+    {
+    }
+
+    std::optional<store_changes> await(std::int64_t, bool, time_point) override
+    {
+        return m_next < m_script.size() ? std::optional(m_script[m_next++]) : std::nullopt;
+    }
+
+    void awaitRetry(std::chrono::milliseconds) override
+    {
+    }
+
+    std::optional<std::chrono::milliseconds> readWait() const override
+    {
+        return std::nullopt;
+    }
+
+    void onRead(const store_changes &changes, time_point, bool settled) override
+    {
+        lastRevision = changes.revision;
+        wasUnsettled = wasUnsettled || !settled;
+    }
+
+    void onOutage() override
+    {
+    }
+
+    void close() override
+    {
+    }
+
+    std::atomic<std::int64_t> lastRevision {0};
+    std::atomic<bool> wasUnsettled {false};
+
+private:
+    const std::vector<store_changes> m_script;
+    std::size_t m_next = 0;
+};
+
+// A watch that reads although another process does, loses its place when that ends, or believes a store that was away.
+TEST(kv_watch, takesOverWhereAnotherProcessEnded)
+{
+    scripted_relay relay({{8, 12, {{false, {"p/a", "b", 11}}}}});
+    std::string firstWatch;
+    standins::scripted_server server([&](const standins::scripted_request &request,
+                                         standins::raw_connection &connection) {
+        if (request.target.starts_with("/v1/kv-range")) {
+            return connection.send(listingOfA);
+        }
+        if (firstWatch.empty()) {
+            firstWatch = request.target;
+            std::this_thread::sleep_for(700ms); // Later than the store answers such a request.
+            return connection.send(answer(200, R"({"events":[{"key":"p/a","revision":13,"removed":true}],"at":13})"));
+        }
+        std::this_thread::sleep_for(50ms);
+        return connection.send(answer(200, R"({"events":[],"at":13})"));
+    });
+    kv_platform_store store("http://" + server.address(), 1500ms, &relay);
+    event_log log;
+    const time_point begin = boot_clock::now();
+    const auto running = store.watch("p/", [&](const store_event &event) { log.add(event); });
+    const auto events = log.waitFor(3);
+    ASSERT_EQ(events.size(), 3U);
+    EXPECT_EQ(events[1].entry.value, "b") << "what the other process read was not reported";
+    EXPECT_NE(firstWatch.find("after=12&"), std::string::npos) << firstWatch;
+    EXPECT_NE(firstWatch.find("wait_ms=1"), std::string::npos) << firstWatch;
+    EXPECT_TRUE(events[2].deleted);
+    EXPECT_GT(boot_clock::now() - begin, 2700ms) << "a deletion was believed at once though the store was away";
+    EXPECT_TRUE(relay.wasUnsettled) << "others would rely on a store that was away";
+    EXPECT_EQ(relay.lastRevision, 13);
+}
+
 } // namespace
 
 } // namespace bronzechute::platform
