gateway: what endpoints say outlives their entry, and hopeless requests hear so at once

A service with one endpoint in a long pause and another that had just failed was refused without asking the other one, as was one with a closed group. If all endpoints left, callers waited 1.6 s for nothing, and requests in the queue waited out their time when the last endpoint spoke. A pause was ended after 10 minutes, so that an endpoint that asks for an hour was asked six times in it, where the rule allows two. Ruled out: telling a run by its address alone, which would hold back the next one. The row hour_is_not_bounded stated the former bound; it is replaced by hour_cut_short and years_are_not_bounded, and thatAlwaysAsksForAnHourIsAskedOnceAnHour states the rule.

--- a/src/gateway/endpoint_statement.h
+++ b/src/gateway/endpoint_statement.h
@@ -19,8 +19,8 @@
     friend bool operator==(const endpoint_statement &, const endpoint_statement &) = default;
 };
 
-/** A longer pause counts as this one. */
-constexpr std::chrono::minutes maxEndpointPause {10};
+/** A longer pause is not plausible and counts as this one. */
+constexpr std::chrono::hours maxEndpointPause {24};
 
 /**
  * Reads the statement of a response. A pause is only read from a refusal with status 503: seconds, whole or with a
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -77,10 +77,12 @@
     std::vector<endpoint_run> ended;
     if (known != nullptr) {
         known->listed = false;
+        m_unlistedStatements.keep(*known, now);
         ended.push_back({known->record.id, known->record.startedAtMs});
     }
     known = std::make_shared<gateway_endpoint>();
     known->record = record;
+    m_unlistedStatements.restore(*known);
     if (!m_initialListComplete && ended.empty() && record.coldRemaining.count() == 0) {
         known->warmth.setWarm();
     } else {
@@ -110,6 +112,7 @@
     logLine(log_level::info, "gateway", "endpoint removed",
             {{"endpoint", id}, {"service", found->second->record.service}});
     found->second->listed = false;
+    m_unlistedStatements.keep(*found->second, boot_clock::now());
     found->second->idleConnections.clear();
     m_endpoints.erase(found);
     rebuild();
@@ -376,15 +379,21 @@
     return !endpoint.saysLeaving && now >= endpoint.pausedUntil;
 }
 
-std::optional<time_point> endpoint_table::firstPauseEnd(const std::string &service, time_point now) const
+time_point endpoint_table::earliestRoom(const std::string &service, time_point now) const
 {
-    std::optional<time_point> first;
+    std::optional<time_point> earliest;
     for (const gateway_endpoint_ptr &endpoint : endpointsOf(service)) {
-        if (now < endpoint->pausedUntil && isInService(*endpoint, now)) {
-            first = std::min(first.value_or(endpoint->pausedUntil), endpoint->pausedUntil);
+        if (!endpoint->listed || m_dataCentresOutOfService.contains(endpoint->record.dataCentre)) {
+            continue;
+        }
+        const bool leaves = endpoint->record.leaving || endpoint->saysLeaving;
+        const time_point roomAt = leaves ? time_point::max() : std::max(now, endpoint->pausedUntil);
+        earliest = std::min(earliest.value_or(roomAt), roomAt);
+        if (*earliest == now) {
+            break;
         }
     }
-    return first;
+    return earliest.value_or(now);
 }
 
 bool endpoint_table::isInService(const gateway_endpoint &endpoint, time_point now) const
@@ -443,7 +452,8 @@
         logLine(log_level::info, "gateway", "endpoint asks for a pause",
                 {{"endpoint", endpoint.record.id},
                  {"service", endpoint.record.service},
-                 {"pause_ms", statement.pause->count()}});
+                 {"pause_ms", statement.pause->count()},
+                 {"cut_short", *statement.pause == maxEndpointPause}});
     }
     const std::chrono::milliseconds spread = std::min(*statement.pause / pauseSpreadDivisor, maxPauseSpread);
     const std::chrono::milliseconds later(std::uniform_int_distribution<std::int64_t>(0, spread.count())(random));
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -10,6 +10,7 @@
 #include "gateway/gateway_endpoint.h"
 #include "gateway/group_state.h"
 #include "gateway/service_health.h"
+#include "gateway/unlisted_statements.h"
 #include "quarantine/endpoint_run.h"
 #include "routing/routing_table.h"
 
@@ -123,8 +124,12 @@
     /** @returns whether the endpoint has said nothing that forbids a request now. */
     static bool wantsRequests(const gateway_endpoint &endpoint, time_point now);
 
-    /** @returns the end of the first pause of the endpoints that would otherwise accept requests; nothing if none. */
-    std::optional<time_point> firstPauseEnd(const std::string &service, time_point now) const;
+    /**
+     * @returns the earliest time at which an endpoint of a service may accept a request, by what endpoints have said
+     * and by their entries: `now` unless all pause or leave, time_point::max() if all leave. Endpoints of data centres
+     * out of service do not count.
+     */
+    time_point earliestRoom(const std::string &service, time_point now) const;
 
     /** Records an attempt that ended without a response. */
     void recordFailure(const gateway_endpoint &endpoint);
@@ -190,6 +195,7 @@
     std::map<std::string, double> m_coldRates; ///< Requests per second that a cold endpoint tolerates, by service.
     std::map<std::string, std::chrono::milliseconds> m_longestCold; ///< That was reported, by service.
     gateway_fleet m_fleet;
+    unlisted_statements m_unlistedStatements;
     int m_gateways = 1; ///< Number of gateways that share the rate limits of warm endpoints.
     bool m_initialListComplete = false;
 };
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -493,7 +493,8 @@
     } else if (m_mayHaveRun) {
         fail(statusBadGateway, "unknown", retryAfterFailure);
     } else {
-        fail(statusServiceUnavailable, "not_run", retryAfterTime(refusal_cause::unavailable, {}));
+        const auto wait = m_context.dispatcher.knownWait(m_plan.service, boot_clock::now());
+        fail(statusServiceUnavailable, "not_run", retryAfterTime(refusal_cause::unavailable, wait));
     }
 }
 
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -46,8 +46,9 @@
         client->onRefused(refusal::cannot_complete, {});
         return std::nullopt;
     }
-    if (const auto pauseEnd = pauseEndIfAllPause(service, now); pauseEnd && *pauseEnd > request.expiresAt) {
-        client->onRefused(refusal::no_endpoint, *pauseEnd - now);
+    const boot_clock::duration roomWait = knownWait(service, now);
+    if (m_endpoints.earliestRoom(service, now) > request.expiresAt) {
+        client->onRefused(refusal::no_endpoint, roomWait);
         return std::nullopt;
     }
     request.ticket = m_nextTicket++;
@@ -64,7 +65,7 @@
     const boot_clock::duration rateWait = rateDelay(service, now);
     if (!decision.admitted || now + rateWait > request.expiresAt) {
         client->onRefused(state.anyUsable ? refusal::wait_too_long : refusal::no_endpoint,
-                          std::max(decision.expectedWait, rateWait));
+                          std::max({decision.expectedWait, rateWait, roomWait}));
         return std::nullopt;
     }
     const std::uint64_t ticket = request.ticket;
@@ -74,9 +75,10 @@
     return ticket;
 }
 
-std::optional<time_point> request_dispatcher::pauseEndIfAllPause(const std::string &service, time_point now) const
+boot_clock::duration request_dispatcher::knownWait(const std::string &service, time_point now) const
 {
-    return m_endpoints.anyUsable(service, now) ? std::nullopt : m_endpoints.firstPauseEnd(service, now);
+    const time_point roomAt = m_endpoints.earliestRoom(service, now);
+    return roomAt == time_point::max() ? boot_clock::duration(0) : roomAt - now;
 }
 
 std::size_t request_dispatcher::ownSlots(const std::string &service) const
@@ -211,16 +213,15 @@
 
 void request_dispatcher::expire(const std::string &service, service_queue &queue, time_point now)
 {
-    const std::vector<waiting_request> expired = queue.waiting.takeExpired(now);
+    // Requests that expire before an endpoint accepts any are refused now.
+    const std::vector<waiting_request> expired = queue.waiting.takeExpired(m_endpoints.earliestRoom(service, now));
     if (expired.empty()) {
         return; // The usual case; this runs each time a slot is freed.
     }
     const bool anyUsable = m_endpoints.anyUsable(service, now);
     const refusal reason = anyUsable ? refusal::queue_timeout : refusal::no_endpoint;
-    const auto pauseEnd = pauseEndIfAllPause(service, now);
-    const boot_clock::duration untilPauseEnd = pauseEnd ? *pauseEnd - now : boot_clock::duration {};
-    const boot_clock::duration knownWait = anyUsable ? queue.completions.interval(now) : untilPauseEnd;
-    const boot_clock::duration expectedWait = std::max(knownWait, rateDelay(service, now));
+    const boot_clock::duration roomWait = anyUsable ? queue.completions.interval(now) : knownWait(service, now);
+    const boot_clock::duration expectedWait = std::max(roomWait, rateDelay(service, now));
     for (const waiting_request &request : expired) {
         const auto found = queue.clients.find(request.ticket);
         const std::shared_ptr<placement_client> client = found->second;
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -66,6 +66,9 @@
 
     std::size_t queueDepth() const;
 
+    /** @returns the time until an endpoint of a service accepts requests; zero if that is now or not known. */
+    boot_clock::duration knownWait(const std::string &service, time_point now) const;
+
     std::mt19937_64 &random()
     {
         return m_random;
@@ -84,8 +87,6 @@
     service_queue &queueOf(const std::string &service);
     retry_limits ownRetryLimits(const std::string &service) const;
     std::size_t ownSlots(const std::string &service) const;
-    /** @returns when the first endpoint of a service ends its pause, if no endpoint can be used until then. */
-    std::optional<time_point> pauseEndIfAllPause(const std::string &service, time_point now) const;
     gateway_endpoint_ptr choose(const std::string &service, const placement_client &client);
     /** @returns whether the service works, but too slowly for the request. */
     bool isTooSlow(const std::string &service, const placement_client &client, time_point now) const;
--- a/tests/gateway/endpoint_statement_test.cpp
+++ b/tests/gateway/endpoint_statement_test.cpp
@@ -58,7 +58,8 @@
         statement_row {"infinity_taken", 503, {{"Retry-After", "inf"}}, ignored},
         statement_row {"date_taken_for_seconds", 503, {{"Retry-After", "Sun, 06 Dec 2026 07:00:00 GMT"}}, ignored},
         statement_row {"empty_pause_taken", 503, {{"Retry-After", ""}}, ignored},
-        statement_row {"hour_is_not_bounded", 503, {{"Retry-After", "3600"}}, pauseOf(maxEndpointPause)},
+        statement_row {"hour_cut_short", 503, {{"Retry-After", "3600"}}, pauseOf(3600000ms)},
+        statement_row {"years_are_not_bounded", 503, {{"Retry-After", "999999999"}}, pauseOf(maxEndpointPause)},
         statement_row {
             "overflow_is_not_bounded", 503, {{"Retry-After", std::string(400, '9')}}, pauseOf(maxEndpointPause)},
         statement_row {
@@ -121,14 +122,125 @@
     state(pauseOf(500ms)); // A later, shorter pause does not end the earlier one.
     EXPECT_FALSE(usableAt(now + 1999ms));
     EXPECT_TRUE(usableAt(now + 2400ms));
-    EXPECT_EQ(m_table.firstPauseEnd("models", now), m_table.all().at("a")->pausedUntil);
+    EXPECT_EQ(m_table.earliestRoom("models", now), m_table.all().at("a")->pausedUntil);
 }
 
 TEST_F(stated_endpoint, thatLeavesNamesNoEndOfItsPause)
 {
     state(pauseOf(2000ms));
     state(leaving);
-    EXPECT_EQ(m_table.firstPauseEnd("models", now), std::nullopt);
+    EXPECT_EQ(m_table.earliestRoom("models", now), time_point::max());
+}
+
+// An entry lapses when its heartbeats are lost, for instance while the store is out; the process goes on.
+TEST_F(stated_endpoint, isHeldToItsWordWhenItsEntryLapsesAndReturns)
+{
+    state(leaving);
+    m_table.remove("a");
+    m_table.update(m_record);
+    EXPECT_FALSE(usableAt(now + 1h));
+}
+
+TEST_F(stated_endpoint, isHeldToItsPauseWhenItsEntryLapsesAndReturns)
+{
+    const time_point statedAt = boot_clock::now(); // The table takes the time of a removal from the clock.
+    m_table.recordStatement(*m_table.all().at("a"), pauseOf(60000ms), statedAt, m_random);
+    m_table.remove("a");
+    m_table.update(m_record);
+    EXPECT_FALSE(usableAt(statedAt + 59s));
+    EXPECT_TRUE(usableAt(statedAt + 61s));
+}
+
+// A listing of the earlier run arrives late, between two of the run that has spoken.
+TEST_F(stated_endpoint, isHeldToItsWordBesideALateListingOfTheRunBefore)
+{
+    state(leaving);
+    endpoint_record earlier = m_record;
+    earlier.startedAtMs = 500;
+    m_table.update(earlier);
+    m_table.update(m_record);
+    EXPECT_FALSE(usableAt(now + 1h));
+}
+
+TEST_F(stated_endpoint, doesNotHoldBackTheNextRunAfterItsEntryLapsed)
+{
+    state(leaving);
+    m_table.remove("a");
+    m_record.startedAtMs = 2000;
+    m_table.update(m_record);
+    EXPECT_TRUE(usableAt(now));
+}
+
+// Runs whose start is not given cannot be told apart; a new one must not be held back.
+TEST(unlisted_endpoint, withoutAStartIsNotRemembered)
+{
+    unlisted_statements kept;
+    gateway_endpoint endpoint;
+    endpoint.saysLeaving = true;
+    kept.keep(endpoint, now);
+    EXPECT_EQ(kept.size(), 0U);
+}
+
+TEST(unlisted_endpoint, takesBoundedMemory)
+{
+    unlisted_statements kept;
+    gateway_endpoint endpoint;
+    endpoint.saysLeaving = true;
+    for (std::size_t run = 1; run <= 2 * unlisted_statements::limit; ++run) {
+        endpoint.record.startedAtMs = static_cast<std::int64_t>(run);
+        kept.keep(endpoint, now);
+    }
+    EXPECT_EQ(kept.size(), unlisted_statements::limit);
+    gateway_endpoint last;
+    last.record = endpoint.record;
+    kept.restore(last);
+    EXPECT_TRUE(last.saysLeaving);
+}
+
+// The rule binds a gateway for the whole time that the endpoint has stated, be it true or not.
+TEST_F(stated_endpoint, thatAlwaysAsksForAnHourIsAskedOnceAnHour)
+{
+    int asked = 0;
+    for (std::chrono::seconds at {0}; at < 3h; at += 10s) {
+        if (usableAt(now + at)) {
+            ++asked;
+            m_table.recordStatement(*m_table.all().at("a"), pauseOf(3600000ms), now + at, m_random);
+        }
+    }
+    EXPECT_EQ(asked, 3);
+}
+
+TEST_F(stated_endpoint, thatLeavesAndPausesByTurnsIsNotAskedAgain)
+{
+    for (const endpoint_statement &statement : {pauseOf(1000ms), leaving, pauseOf(1000ms), nothing}) {
+        state(statement);
+    }
+    EXPECT_FALSE(usableAt(now + 24h));
+}
+
+TEST(rank_group, servesWithItsOtherRanksWhileOnePauses)
+{
+    endpoint_table table("here");
+    std::mt19937_64 random(1);
+    for (const char *id : {"a", "b", "c"}) {
+        endpoint_record record;
+        record.id = id;
+        record.service = "models";
+        table.update(record);
+    }
+    table.setGroups({{"g", true, {"a", "b", "c"}, {}}}, now);
+    const auto usable = [&](const char *id, time_point at) {
+        return table.viewOf(*table.all().at(id), {}, at).usable;
+    };
+    table.recordStatement(*table.all().at("a"), pauseOf(1000ms), now, random);
+    EXPECT_FALSE(usable("a", now + 500ms));
+    EXPECT_TRUE(usable("b", now + 500ms));
+    EXPECT_TRUE(usable("c", now + 500ms));
+    EXPECT_EQ(table.earliestRoom("models", now), now);
+    EXPECT_TRUE(usable("a", now + 1400ms));
+    table.recordStatement(*table.all().at("b"), pauseOf(2000ms), now, random);
+    table.recordStatement(*table.all().at("c"), pauseOf(3000ms), now, random);
+    EXPECT_EQ(table.earliestRoom("models", now), table.all().at("a")->pausedUntil);
 }
 
 // All gateways that were told to pause at the same moment would fill the endpoint at once when the pause ends.
@@ -199,6 +311,9 @@
                             "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Leaving: 1\r\n", false, true},
         statement_path_row {"misdirection_from_the_next_owner_of_the_address_taken",
                             "HTTP/1.1 421 Misdirected\r\nX-Leaving: 1\r\n", true, false},
+        statement_path_row {"interim_response_taken",
+                            "HTTP/1.1 103 Early Hints\r\nX-Leaving: 1\r\n\r\nHTTP/1.1 200 OK\r\nX-Signature: s\r\n",
+                            true, false},
         statement_path_row {"pause_ignored", "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 60\r\n", true, true},
         statement_path_row {"pause_without_a_promise_ignored", "HTTP/1.1 503 Busy\r\nRetry-After: 60\r\n", true, true},
         statement_path_row {"pause_of_an_earlier_request_taken",
--- a/tests/gateway/request_dispatcher_test.cpp
+++ b/tests/gateway/request_dispatcher_test.cpp
@@ -1,4 +1,5 @@
 #include "gateway/request_dispatcher.h"
+#include "recorded_client.h"
 
 #include <gtest/gtest.h>
 
@@ -11,43 +12,6 @@
 
 using namespace std::chrono_literals;
 
-/** A request that records what the dispatcher decides. */
-class recorded_client : public placement_client
-{
-public:
-    explicit recorded_client(std::optional<stream_demand> demand) : m_demand(demand)
-    {
-    }
-
-    void onPlaced(const gateway_endpoint_ptr &placed) override
-    {
-        endpoint = placed;
-    }
-
-    void onRefused(refusal reason, boot_clock::duration expectedWait) override
-    {
-        refused = reason;
-        wait = expectedWait;
-    }
-
-    std::span<const std::string> tried() const override
-    {
-        return {};
-    }
-
-    std::optional<stream_demand> demand() const override
-    {
-        return m_demand;
-    }
-
-    gateway_endpoint_ptr endpoint;
-    std::optional<refusal> refused;
-    boot_clock::duration wait {0};
-
-private:
-    const std::optional<stream_demand> m_demand;
-};
-
 /** A group of two engines with one slot each. */
 class dispatched_streams : public testing::Test
 {
