--- a/tests/standins/load_replay.cpp
+++ b/tests/standins/load_replay.cpp
@@ -6,6 +6,7 @@
 #include "balance/retry_delay.h"
 #include "balance/start_deadlines.h"
 #include "balance/wait_queue.h"
+#include "gateway/endpoint_table.h"
 
 #include <algorithm>
 #include <deque>
@@ -36,6 +37,13 @@
 constexpr milliseconds callerDeadline = 8s;
 constexpr milliseconds reportDelay = 40ms; ///< Between gateways.
 constexpr milliseconds checkInterval = 10ms;
+constexpr milliseconds pausePeriod = 3s;
+constexpr milliseconds pauseTime = 1s;
+constexpr milliseconds pauseGrace = 500ms; ///< After which a pause allows two requests.
+constexpr int pauseTolerance = 2;
+constexpr milliseconds suspectTime = 250ms; ///< For which a gateway prefers others to an endpoint that refused.
+constexpr int mostSends = 3; ///< Of one try, to endpoints that refuse.
+constexpr const char *serviceName = "service";
 constexpr int returnShare = 3; ///< Callers use a third of their time at most until they return.
 
 /** A caller's request over all its tries. */
@@ -51,6 +59,7 @@
     std::size_t gateway = 0;
     time_point triedAt;
     int attempt = 0; ///< Counts tries; what belongs to an earlier one is void.
+    int refusedSends = 0; ///< Of this try.
     bool placed = false;
     bool done = false;
 };
@@ -59,6 +68,7 @@
 {
     int running = 0;
     bool gone = false;
+    time_point pausedUntil;
     double slowness = 1;
     std::deque<std::size_t> queue; ///< Callers, with the policy without lines.
 };
@@ -74,6 +84,9 @@
     std::vector<int> reported = std::vector<int>(endpointCount); ///< As the others know them.
     std::vector<time_point> avoidUntil = std::vector<time_point>(endpointCount);
     bool checking = false;
+    endpoint_table table {"here"}; ///< Holds what the endpoints have said.
+    std::vector<time_point> toldAt = std::vector<time_point>(endpointCount); ///< Of the first refusal in a pause.
+    std::vector<int> unwanted = std::vector<int>(endpointCount); ///< Requests in the pause that count.
 };
 
 class replay
@@ -82,6 +95,14 @@
     replay(const replay_pattern &pattern, replay_policy policy, std::uint64_t seed)
         : m_pattern(pattern), m_policy(policy), m_random(seed), m_endpoints(endpointCount), m_gateways(gateways)
     {
+        for (emulated_gateway &gateway : m_gateways) {
+            for (std::size_t index = 0; index < endpointCount; ++index) {
+                endpoint_record record;
+                record.id = std::to_string(index);
+                record.service = serviceName;
+                gateway.table.update(record);
+            }
+        }
     }
 
     replay_result play();
@@ -108,6 +129,11 @@
     std::optional<std::size_t> choose(emulated_gateway &gateway);
     void place(std::size_t id, std::size_t endpoint);
     void begin(std::size_t id, std::size_t endpoint, int attempt);
+    void schedulePauses();
+    /** The endpoint pauses: it refuses the request, which is sent to another one. */
+    void turnAway(std::size_t id, std::size_t endpoint);
+    void countAfterPause(const emulated_endpoint &endpoint);
+    void submitAgain(std::size_t id, std::size_t endpoint, boot_clock::duration suspect);
     void release(std::size_t gateway, std::size_t endpoint);
     void serveLine(std::size_t gateway);
     void check(std::size_t gateway);
@@ -140,6 +166,9 @@
     std::vector<caller> m_callers;
     std::map<std::size_t, milliseconds> m_firstEvents; ///< Of answered callers, from their first try on.
     std::map<std::string, int> m_refusals;
+    int m_turnedAway = 0;
+    int m_unwanted = 0;
+    std::map<time_point, int> m_afterPause; ///< Requests soon after a pause, by its end.
 };
 
 double replay::capacity() const
@@ -178,6 +207,7 @@
         at(third, [&endpoint] { endpoint.gone = true; });
         at(secondThird, [&endpoint] { endpoint.gone = false; });
     }
+    schedulePauses();
     while (!m_events.empty()) {
         const event next = m_events.top();
         m_events.pop();
@@ -187,6 +217,18 @@
     return summarize();
 }
 
+void replay::schedulePauses()
+{
+    for (int index = 0; index < m_pattern.pausingEndpoints; ++index) {
+        emulated_endpoint &endpoint = m_endpoints[static_cast<std::size_t>(index)];
+        const milliseconds offset =
+            m_pattern.pauseTogether ? milliseconds(0) : pausePeriod * index / m_pattern.pausingEndpoints;
+        for (time_point begin = m_start + pauseTime + offset; begin < m_start + length; begin += pausePeriod) {
+            at(begin, [&endpoint, begin] { endpoint.pausedUntil = begin + pauseTime; });
+        }
+    }
+}
+
 void replay::arrive(double rate, time_point until, int account)
 {
     if (m_now >= until) {
@@ -251,6 +293,11 @@
         refuse(id, refusal_cause::unavailable, {}, "no_endpoint");
         return;
     }
+    const time_point roomAt = gateway.table.earliestRoom(serviceName, m_now);
+    if (usesBalance() && roomAt > request.expiresAt) {
+        refuse(id, refusal_cause::unavailable, roomAt - m_now, "all_pause");
+        return;
+    }
     const std::size_t ahead = gateway.line.countAhead(request, m_now);
     if (ahead == 0) {
         if (const auto endpoint = choose(gateway)) {
@@ -258,12 +305,13 @@
             return;
         }
     }
-    const queue_state state {ahead, gateway.rate.interval(m_now), gateway.arrivals.interval(m_now), !m_closed,
+    const bool closed = m_closed || roomAt > m_now;
+    const queue_state state {ahead, gateway.rate.interval(m_now), gateway.arrivals.interval(m_now), !closed,
                              endpointCount * slots / gateways};
     const admission_decision decision = admit(state, request, m_now);
     if (usesBalance() && !decision.admitted) {
-        refuse(id, m_closed ? refusal_cause::unavailable : refusal_cause::overloaded, decision.expectedWait,
-               "line_too_long");
+        refuse(id, closed ? refusal_cause::unavailable : refusal_cause::overloaded,
+               std::max(decision.expectedWait, roomAt - m_now), "line_too_long");
         return;
     }
     gateway.waiting[request.ticket] = id;
@@ -276,6 +324,7 @@
     caller &each = m_callers[id];
     ++m_refusals[reason];
     ++each.attempt;
+    each.refusedSends = 0;
     const auto left = each.firstTry + callerDeadline - m_now;
     if (each.triesLeft == 0 || left < callerPatience) {
         each.done = true;
@@ -295,7 +344,8 @@
     std::vector<endpoint_view> views(endpointCount);
     for (std::size_t index = 0; index < endpointCount; ++index) {
         views[index].slots = slots;
-        views[index].usable = !m_closed;
+        const gateway_endpoint &known = *gateway.table.all().at(std::to_string(index));
+        views[index].usable = !m_closed && endpoint_table::wantsRequests(known, m_now);
         views[index].running = gateway.own[index];
         for (const emulated_gateway &other : m_gateways) {
             views[index].running += &other == &gateway ? 0 : other.reported[index];
@@ -317,6 +367,11 @@
     each.placed = true;
     ++m_gateways[each.gateway].own[endpoint];
     report(each.gateway);
+    if (m_now < m_endpoints[endpoint].pausedUntil) {
+        turnAway(id, endpoint);
+        return;
+    }
+    countAfterPause(m_endpoints[endpoint]);
     begin(id, endpoint, each.attempt);
 }
 
@@ -326,15 +381,7 @@
     emulated_endpoint &target = m_endpoints[endpoint];
     const std::size_t gateway = each.gateway;
     if (target.gone) {
-        // Refused as not run; another endpoint is tried.
-        --m_gateways[gateway].own[endpoint];
-        m_gateways[gateway].avoidUntil[endpoint] = m_now + 1s;
-        --each.attempt;
-        at(m_now + 2ms, [=, this] {
-            if (!m_callers[id].done && m_callers[id].attempt == attempt - 1) {
-                submit(id);
-            }
-        });
+        submitAgain(id, endpoint, 1s);
         return;
     }
     if (target.running >= slots) {
@@ -364,6 +411,54 @@
     });
 }
 
+void replay::submitAgain(std::size_t id, std::size_t endpoint, boot_clock::duration suspect)
+{
+    caller &each = m_callers[id];
+    --m_gateways[each.gateway].own[endpoint];
+    m_gateways[each.gateway].avoidUntil[endpoint] = m_now + suspect;
+    const int attempt = --each.attempt;
+    at(m_now + 2ms, [=, this] {
+        if (!m_callers[id].done && m_callers[id].attempt == attempt) {
+            submit(id);
+        }
+    });
+}
+
+void replay::turnAway(std::size_t id, std::size_t endpoint)
+{
+    caller &each = m_callers[id];
+    emulated_gateway &gateway = m_gateways[each.gateway];
+    const time_point pauseEnd = m_endpoints[endpoint].pausedUntil;
+    ++m_turnedAway;
+    if (gateway.toldAt[endpoint] <= pauseEnd - pauseTime) {
+        gateway.toldAt[endpoint] = m_now;
+        gateway.unwanted[endpoint] = 0;
+    } else if (m_now > gateway.toldAt[endpoint] + pauseGrace && ++gateway.unwanted[endpoint] > pauseTolerance) {
+        ++m_unwanted;
+    }
+    if (m_pattern.readsPauses) {
+        endpoint_statement statement;
+        statement.pause = std::chrono::ceil<milliseconds>(pauseEnd - m_now);
+        gateway.table.recordStatement(*gateway.table.all().at(std::to_string(endpoint)), statement, m_now, m_random);
+    }
+    if (++each.refusedSends < mostSends) {
+        submitAgain(id, endpoint, suspectTime);
+        return;
+    }
+    --gateway.own[endpoint];
+    gateway.avoidUntil[endpoint] = m_now + suspectTime;
+    const time_point roomAt = gateway.table.earliestRoom(serviceName, m_now);
+    refuse(id, refusal_cause::unavailable, roomAt - m_now, "refused_by_endpoints");
+}
+
+void replay::countAfterPause(const emulated_endpoint &endpoint)
+{
+    const bool hasPaused = endpoint.pausedUntil > m_start;
+    if (hasPaused && m_now < endpoint.pausedUntil + 100ms) {
+        ++m_afterPause[endpoint.pausedUntil];
+    }
+}
+
 void replay::release(std::size_t gateway, std::size_t endpoint)
 {
     --m_gateways[gateway].own[endpoint];
@@ -436,6 +531,11 @@
     replay_result result;
     result.capacity = capacity();
     result.refusals = m_refusals;
+    result.turnedAway = m_turnedAway;
+    result.unwanted = m_unwanted;
+    for (const auto &[end, count] : m_afterPause) {
+        result.firstAfterPause = std::max(result.firstAfterPause, count);
+    }
     const double seconds = std::chrono::duration<double>(length).count();
     std::vector<int> asked(accounts);
     std::vector<int> served(accounts);
@@ -473,6 +573,8 @@
     result.offered = static_cast<double>(m_callers.size()) / seconds;
     result.goodput = inTime / seconds / result.capacity;
     result.served = share(static_cast<int>(times.size()), owed);
+    result.inAim = share(inTime, owed);
+    result.worth = (result.inAim + result.served) / 2;
     result.inTimeUrgent = share(urgentInTime, urgent);
     result.servedLarge = share(largeServed, large);
     result.leastAccount = 1;
--- a/tests/standins/load_replay.h
+++ b/tests/standins/load_replay.h
@@ -30,6 +30,9 @@
     int slowEndpoints = 0; ///< Work at half the speed.
     std::chrono::milliseconds outage {0}; ///< Time for which no endpoint takes new requests.
     int goneEndpoints = 0; ///< Stop working in the middle third.
+    int pausingEndpoints = 0; ///< Refuse all requests for a second in each three, and say for how long they will.
+    bool pauseTogether = false; ///< At the same time, not one after the other.
+    bool readsPauses = true; ///< Whether gateways act on what the refusals say.
 };
 
 /** What the callers of a replay got. */
@@ -45,6 +48,11 @@
     std::chrono::milliseconds firstEventMedian {0}; ///< Of the requests that were answered, from the first try on.
     std::chrono::milliseconds firstEventP99 {0};
     std::map<std::string, int> refusals; ///< By reason.
+    double inAim = 0; ///< Share of the requests with the first event within the target.
+    double worth = 0; ///< Of the answers, over that of all requests in time; a late one is worth half.
+    int turnedAway = 0; ///< Requests that endpoints refused.
+    int unwanted = 0; ///< Of these, beyond two of a gateway from half a second after its refusal to the pause's end.
+    int firstAfterPause = 0; ///< Most requests that reached all endpoints in the first 100 ms after a pause.
 };
 
 /** The patterns that the users' worst loads consist of. */
