soak: endpoints state that they leave or pause, truly and falsely

The soak played neither statement. Its endpoints now say in all answers that they leave when they do, ask for pauses with the time left (one rank of the group too), and lie: an hour, leaving, or both, until they start again.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -150,6 +150,7 @@
     if (answer) {
         call.status = answer.value().status;
         call.genuine = isGenuine(answer.value(), call);
+        call.saidLeaving = findHeader(answer.value().headers, "Server-Leaving").has_value();
         wait = returnAfter(answer.value());
     }
     const std::scoped_lock lock(m_mutex);
@@ -201,6 +202,7 @@
         record.endedAt = boot_clock::now();
         record.newest = m_view.newest();
         call_record call {id, call_kind::read, gateway, record.sentAt, record.endedAt, 0, true, false};
+        call.saidLeaving = answer && findHeader(answer.value().headers, "Server-Leaving");
         const std::scoped_lock lock(m_mutex);
         m_calls.push_back(call);
         if (answer && record.incarnation == m_view.incarnation(gateway)) {
--- a/tests/soak/soak_evidence.cpp
+++ b/tests/soak/soak_evidence.cpp
@@ -1,5 +1,7 @@
 #include "soak/soak_evidence.h"
 
+#include "soak/soak_statements.h"
+
 #include <algorithm>
 #include <set>
 
@@ -139,6 +141,7 @@
     checkRuns(evidence, findings);
     checkVersions(evidence, findings);
     checkEndpoints(evidence, findings);
+    checkStatements(evidence, findings);
     return findings;
 }
 
--- a/tests/soak/soak_evidence.h
+++ b/tests/soak/soak_evidence.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,7 @@
     int status = 0; ///< 0: no whole answer.
     bool genuine = true; ///< A success has the endpoint's body and signature.
     bool owed = true; ///< Whether an answer has to come in calm: the caller neither leaves nor overloads the site.
+    bool saidLeaving = false; ///< The answer says that its endpoint is leaving.
 };
 
 /** A request that shows whether a gateway knows a version of the configuration. */
@@ -52,14 +54,40 @@
     std::string detail;
 };
 
+/** What an endpoint has said about itself in the answer to a request. */
+struct endpoint_saying
+{
+    time_point at;
+    std::string endpoint;
+    int run = 0; ///< Number of the endpoint's process.
+    std::string id; ///< Of the request.
+    std::optional<std::chrono::milliseconds> pause; ///< Absent: it is leaving.
+};
+
+/** A request that reached an endpoint after it had said something. */
+struct endpoint_arrival
+{
+    time_point at;
+    std::string endpoint;
+    int run = 0;
+    std::string id;
+};
+
 /** A time in which a part of the site was disturbed. */
 struct disturbance
 {
-    std::string part; ///< "store" or the name of a gateway or endpoint.
+    /** "store", the name of a gateway or endpoint, or processOf() a gateway while it is stopped or frozen. */
+    std::string part;
     time_point from;
     time_point until;
 };
 
+/** @returns the name of a gateway's process among the disturbed parts. */
+inline std::string processOf(const std::string &gateway)
+{
+    return gateway + ".process";
+}
+
 /** Everything that callers, endpoints and the runner have seen. */
 struct soak_evidence
 {
@@ -67,6 +95,8 @@
     std::vector<version_probe> probes;
     std::vector<run_record> runs;
     std::vector<endpoint_violation> violations;
+    std::vector<endpoint_saying> sayings;
+    std::vector<endpoint_arrival> arrivals;
     std::vector<disturbance> disturbances;
     std::map<std::int64_t, time_point> acknowledged; ///< When the store took each version.
     std::vector<std::string> findings; ///< What the runner itself found, such as a process that ended.
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -20,9 +20,10 @@
         soak_run run(plan);
         const soak_evidence evidence = run.play();
         const auto findings = findingsOf(evidence);
-        std::printf("seed %llu: %zu gateways, %zu faults, %zu calls, %zu runs, %d maps, %zu findings\n",
+        std::printf("seed %llu: %zu gateways, %zu faults, %zu calls, %zu runs, %zu statements, %d maps, %zu findings\n",
                     static_cast<unsigned long long>(seed), plan.gateways, plan.faults.size(), evidence.calls.size(),
-                    evidence.runs.size(), evidence.mapSwitches, findings.size());
+                    evidence.runs.size(), evidence.sayings.size(), evidence.mapSwitches, findings.size());
+        std::fflush(stdout);
         if (findings.empty()) {
             continue;
         }
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -30,6 +30,8 @@
     change_configuration,
     evacuate,
     unreadable_entry,
+    endpoint_pauses, ///< One endpoint, or one rank of the group, refuses for the whole time and says so.
+    endpoint_lies, ///< It says that it leaves, asks for an hour, or both, and starts again at the end.
     count, ///< Number of kinds.
 };
 
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -65,7 +65,20 @@
 /** @returns whether an endpoint reads late, or not at all, what was sent to it before. */
 bool disturbsEndpoint(fault kind)
 {
-    return kind != fault::bad_answers && kind != fault::kill_endpoint;
+    return kind == fault::freeze_endpoint || kind == fault::drain_endpoint || kind == fault::cut_endpoint_link
+        || kind == fault::delay_endpoint_link;
+}
+
+/** @returns what an endpoint says in each answer although it is not so. */
+json lieOf(int variant)
+{
+    constexpr int hour = 3600;
+    return {{"say_leaving", variant != 0}, {"claim_pause_s", variant < 2 ? hour : 0}};
+}
+
+bool disturbsProcess(fault kind)
+{
+    return kind == fault::kill_gateway || kind == fault::stop_gateway || kind == fault::freeze_gateway;
 }
 
 json answerFault(int variant, double share)
@@ -268,6 +281,9 @@
 void soak_run::beginAtGateway(const planned_fault &next, const std::string &gateway)
 {
     disturb(gateway, boot_clock::now());
+    if (disturbsProcess(next.kind)) {
+        disturb(processOf(gateway), boot_clock::now());
+    }
     switch (next.kind) {
     case fault::kill_gateway:
         ++m_down[gateway];
@@ -319,6 +335,9 @@
     default:
         break;
     }
+    if (disturbsProcess(past.kind)) {
+        disturb(processOf(gateway), {});
+    }
     disturb(gateway, {});
 }
 
@@ -386,6 +405,12 @@
     case fault::delay_endpoint_link:
         m_site.inject(endpoint + ".link", {{"delay_ms", 150}});
         break;
+    case fault::endpoint_pauses:
+        m_site.inject(next.target % 4 == 0 ? group : endpoint, {{"pause_ms", next.duration.count()}});
+        break;
+    case fault::endpoint_lies:
+        m_site.inject(endpoint, lieOf(next.variant));
+        break;
     default:
         m_site.inject(next.target % 2 == 0 ? endpoint : group, answerFault(next.variant, 0.3));
         break;
@@ -397,8 +422,11 @@
     switch (past.kind) {
     case fault::kill_endpoint:
     case fault::drain_endpoint:
+    case fault::endpoint_lies:
         m_site.restartEndpoint(endpoint);
         break;
+    case fault::endpoint_pauses:
+        break;
     case fault::freeze_endpoint:
         m_site.process(endpoint).thaw();
         break;
@@ -474,30 +502,47 @@
     changeConfiguration(); // Silent connections to the store have to be found for it.
 }
 
-void soak_run::collectEndpoints()
+void soak_run::collectOutput(const std::string &process)
 {
-    std::vector<std::string> names = endpoints();
-    names.emplace_back(group);
-    for (const std::string &name : names) {
-        std::istringstream lines(m_site.output(name));
-        for (std::string line; std::getline(lines, line);) {
-            std::istringstream words(line);
-            std::string kind;
-            words >> kind;
-            if (kind == "run") {
-                run_record run;
-                words >> run.id >> run.account;
-                m_evidence.runs.push_back(run);
-            } else if (kind == "violation") {
-                std::int64_t at = 0;
-                endpoint_violation violation;
-                words >> at >> violation.kind >> violation.detail;
-                violation.endpoint = name;
-                violation.at = time_point(milliseconds(at));
-                m_evidence.violations.push_back(violation);
-            }
+    std::istringstream lines(m_site.output(process));
+    int number = 0; // Of the process among those that bear the name.
+    for (std::string line; std::getline(lines, line);) {
+        std::istringstream words(line);
+        std::string kind;
+        std::int64_t at = 0;
+        words >> kind;
+        if (kind == "ready") {
+            ++number;
+        } else if (kind == "run") {
+            run_record &run = m_evidence.runs.emplace_back();
+            words >> run.id >> run.account;
+        } else if (kind == "violation") {
+            endpoint_violation &violation = m_evidence.violations.emplace_back();
+            words >> at >> violation.kind >> violation.detail;
+            violation.endpoint = process;
+            violation.at = time_point(milliseconds(at));
+        } else if (kind == "stated") {
+            endpoint_saying &saying = m_evidence.sayings.emplace_back();
+            std::int64_t pause = 0;
+            words >> at >> saying.endpoint >> saying.id >> kind >> pause;
+            saying.at = time_point(milliseconds(at));
+            saying.run = number;
+            saying.pause = kind == "pause" ? std::optional(milliseconds(pause)) : std::nullopt;
+        } else if (kind == "arrival") {
+            endpoint_arrival &arrival = m_evidence.arrivals.emplace_back();
+            words >> at >> arrival.endpoint >> arrival.id;
+            arrival.at = time_point(milliseconds(at));
+            arrival.run = number;
         }
     }
+}
+
+void soak_run::collectEndpoints()
+{
+    for (const std::string &name : endpoints()) {
+        collectOutput(name);
+    }
+    collectOutput(group);
     const auto stats = m_site.stats(group);
     m_evidence.mapSwitches = stats.value("switches", 0);
     if (stats.value("mixed_passes", 1) != 0) {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -47,6 +47,7 @@
     void heal();
     void playCalm();
     void collectEndpoints();
+    void collectOutput(const std::string &process);
     void disturb(const std::string &part, time_point from);
     std::string gatewayOf(const planned_fault &fault) const;
     std::string endpointOf(const planned_fault &fault) const;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -120,6 +120,77 @@
                         each.violations.push_back({start + 5s, "office-0", "cold", "e"});
                     },
                     "endpoint office-0: cold"},
+        broken_row {"request_after_the_answer_that_says_leaving",
+                    [](soak_evidence &each) {
+                        each.calls[0].saidLeaving = true;
+                        each.sayings = {{start + 10ms, "office-0", 1, "a", {}}};
+                        each.arrivals = {{start + 1010ms, "office-0", 1, "b"}};
+                    },
+                    "request to an endpoint that said to leave: b"},
+        broken_row {"request_sent_before_that_answer_is_blamed",
+                    [](soak_evidence &each) {
+                        each.calls[1].saidLeaving = true;
+                        each.sayings = {{start + 1010ms, "office-0", 1, "b", {}}};
+                        each.arrivals = {{start + 2s, "office-0", 1, "a"}};
+                    },
+                    ""},
+        broken_row {"next_process_of_the_endpoint_is_blamed",
+                    [](soak_evidence &each) {
+                        each.calls[0].saidLeaving = true;
+                        each.sayings = {{start + 10ms, "office-0", 1, "a", {}}};
+                        each.arrivals = {{start + 1010ms, "office-0", 2, "b"}};
+                    },
+                    ""},
+        broken_row {"restarted_gateway_is_blamed_for_what_it_forgot",
+                    [](soak_evidence &each) {
+                        each.calls[0].saidLeaving = true;
+                        each.sayings = {{start + 10ms, "office-0", 1, "a", {}}};
+                        each.arrivals = {{start + 1010ms, "office-0", 1, "b"}};
+                        each.disturbances.push_back({"gateway-0.process", start + 100ms, start + 200ms});
+                    },
+                    ""},
+        broken_row {"gateway_out_of_touch_is_excused_from_what_it_heard",
+                    [](soak_evidence &each) {
+                        each.calls[0].saidLeaving = true;
+                        each.sayings = {{start + 10ms, "office-0", 1, "a", {}}};
+                        each.arrivals = {{start + 1010ms, "office-0", 1, "b"}};
+                        each.disturbances.push_back({"gateway-0", start + 100ms, start + 200ms});
+                    },
+                    "request to an endpoint that said to leave: b"},
+        broken_row {"another_gateway_is_blamed",
+                    [](soak_evidence &each) {
+                        each.calls[0].saidLeaving = true;
+                        each.calls[0].gateway = "gateway-1";
+                        each.sayings = {{start + 10ms, "office-0", 1, "a", {}}};
+                        each.arrivals = {{start + 1010ms, "office-0", 1, "b"}};
+                    },
+                    ""},
+        broken_row {"third_request_in_a_pause",
+                    [](soak_evidence &each) {
+                        each.sayings = {{start, "office-0", 1, "a", 9s}};
+                        each.arrivals = {{start + 1s, "office-0", 1, "b"},
+                                         {start + 2s, "office-0", 1, "c"},
+                                         {start + 9s, "office-0", 1, "d"}};
+                    },
+                    "3 requests in a pause: from gateway-0 to office-0"},
+        broken_row {"requests_beside_a_pause_are_counted",
+                    [](soak_evidence &each) {
+                        each.sayings = {{start, "office-0", 1, "a", 8s}};
+                        each.arrivals = {{start + 499ms, "office-0", 1, "a"},
+                                         {start + 1s, "office-0", 1, "b"},
+                                         {start + 2s, "office-0", 1, "c"},
+                                         {start + 9s, "office-0", 1, "d"}};
+                    },
+                    ""},
+        broken_row {"cut_endpoint_breaks_a_pause",
+                    [](soak_evidence &each) {
+                        each.sayings = {{start, "office-0", 1, "a", 9s}};
+                        each.arrivals = {{start + 1s, "office-0", 1, "b"},
+                                         {start + 2s, "office-0", 1, "c"},
+                                         {start + 3s, "office-0", 1, "d"}};
+                        each.disturbances.push_back({"office-0", start + 1s, start + 2s});
+                    },
+                    ""},
         broken_row {"pass_with_two_maps",
                     [](soak_evidence &each) {
                         each.violations.push_back({start + 5s, "models", "maps", ""});
--- a/tests/standins/endpoint_registration.cpp
+++ b/tests/standins/endpoint_registration.cpp
@@ -45,6 +45,7 @@
 
 void endpoint_registration::announceLeaving()
 {
+    m_endpoint.sayLeaving();
     {
         const std::scoped_lock lock(m_mutex);
         m_leaving = true;
--- a/tests/standins/endpoint_registration.h
+++ b/tests/standins/endpoint_registration.h
@@ -21,7 +21,8 @@
     endpoint_registration(const endpoint_registration &) = delete;
     endpoint_registration &operator=(const endpoint_registration &) = delete;
 
-    /** Says that the endpoint is leaving, as soon as the store takes it. */
+    /** Says that the endpoint is leaving: in its answers from now on, and in its entry as soon as the store takes it.
+     */
     void announceLeaving();
 
 private:
--- a/tests/standins/routed_endpoint.cpp
+++ b/tests/standins/routed_endpoint.cpp
@@ -32,9 +32,9 @@
     return head(status, fields + "Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
 }
 
-std::string notRun(int status, const std::string &id)
+std::string notRun(int status, const std::string &id, const std::string &fields = {})
 {
-    return whole(status, "X-Not-Executed: 1\r\nX-Attempt-Id: " + id + "\r\n", "");
+    return whole(status, "X-Not-Executed: 1\r\nX-Attempt-Id: " + id + "\r\n" + fields, "");
 }
 
 void writeLine(const std::string &line)
@@ -43,10 +43,20 @@
     std::fflush(stdout);
 }
 
+std::string timeText(time_point at)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count());
+}
+
 void writeViolation(time_point at, const char *kind, const std::string &id)
 {
-    const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch());
-    writeLine("violation " + std::to_string(time.count()) + " " + kind + " " + id);
+    writeLine("violation " + timeText(at) + " " + kind + " " + id);
+}
+
+std::string secondsText(std::chrono::milliseconds time)
+{
+    constexpr double perSecond = 1000.0;
+    return std::to_string(static_cast<double>(time.count()) / perSecond);
 }
 
 std::string chunk(const std::string &bytes)
@@ -83,6 +93,40 @@
     m_leftAt = boot_clock::now() + time;
 }
 
+void routed_endpoint::sayLeaving()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_saysLeaving = true;
+}
+
+void routed_endpoint::writeStatement(const std::string &id, const std::string &what)
+{
+    m_hasStated = true;
+    writeLine("stated " + timeText(boot_clock::now()) + " " + m_options.id + " " + id + " " + what);
+}
+
+std::string routed_endpoint::leavingField(const std::string &id)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (!m_saysLeaving) {
+        return {};
+    }
+    writeStatement(id, "leaving");
+    return "Server-Leaving: 1\r\n";
+}
+
+std::optional<std::chrono::milliseconds> routed_endpoint::takePause(const std::string &id)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(m_pauseEnd - boot_clock::now());
+    const std::chrono::milliseconds pause = std::max<std::chrono::milliseconds>(left, m_claimedPause);
+    if (pause.count() <= 0) {
+        return std::nullopt;
+    }
+    writeStatement(id, "pause " + std::to_string(pause.count()));
+    return pause;
+}
+
 bool routed_endpoint::happens(double share)
 {
     return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
@@ -109,8 +153,12 @@
             faults.refuse = 1;
         }
     }
+    if (const auto pause = takePause(id)) {
+        const std::string fields = leavingField(id) + "Retry-After: " + secondsText(*pause) + "\r\n";
+        return connection.send(notRun(statusServiceUnavailable, id, fields));
+    }
     if (faults.refuse == 1 || (m_group != nullptr && !m_group->open()) || !waitForSlot()) {
-        return connection.send(notRun(statusServiceUnavailable, id));
+        return connection.send(notRun(statusServiceUnavailable, id, leavingField(id)));
     }
     const bool streams = request.target.starts_with("/stream/");
     const bool kept = streams ? stream(request, connection, faults) : run(request, connection, faults);
@@ -123,6 +171,9 @@
 void routed_endpoint::noteArrival(const std::string &id)
 {
     const time_point now = boot_clock::now();
+    if (m_hasStated) {
+        writeLine("arrival " + timeText(now) + " " + m_options.id + " " + id);
+    }
     if (m_leftAt && now > *m_leftAt) {
         writeViolation(now, "left", id);
     }
@@ -176,7 +227,8 @@
     }
     std::this_thread::sleep_for(m_options.work);
     const std::string body = routedBody(id, request.target);
-    const std::string fields = "X-Attempt-Id: " + id + "\r\nX-Server-Signature: " + routedSignature(id) + "\r\n";
+    const std::string fields =
+        "X-Attempt-Id: " + id + "\r\nX-Server-Signature: " + routedSignature(id) + "\r\n" + leavingField(id);
     const std::string answer = fails ? whole(statusFailed, fields, "failed") : whole(statusOk, fields, body);
     if (loses) {
         return false;
@@ -208,7 +260,7 @@
     std::this_thread::sleep_for(m_options.work);
     if (!connection.send(head(statusOk,
                               "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Attempt-Id: " + id
-                                  + "\r\nX-Server-Signature: " + routedSignature(id) + "\r\n"))) {
+                                  + "\r\nX-Server-Signature: " + routedSignature(id) + "\r\n" + leavingField(id)))) {
         return false;
     }
     if (isDeadly(request.header("x-prompt-prefix"))) {
@@ -290,6 +342,11 @@
     m_faults.refuse = faults.value("refuse", m_faults.refuse);
     m_faults.lateOrders = faults.value("late_orders", m_faults.lateOrders);
     m_deadlyParts = faults.value("deadly_parts", m_deadlyParts);
+    m_saysLeaving = faults.value("say_leaving", m_saysLeaving);
+    m_claimedPause = std::chrono::seconds(faults.value("claim_pause_s", m_claimedPause.count()));
+    if (faults.contains("pause_ms")) {
+        m_pauseEnd = boot_clock::now() + std::chrono::milliseconds(faults.at("pause_ms").get<int>());
+    }
     if (faults.contains("cold_ms")) {
         m_coldUntil = boot_clock::now() + std::chrono::milliseconds(faults.at("cold_ms").get<int>());
     }
--- a/tests/standins/routed_endpoint.h
+++ b/tests/standins/routed_endpoint.h
@@ -28,11 +28,14 @@
  * an answer), `cut_answers` (cut in the middle), `garble` (bytes that are no answer), `fail` (status 500, run) and
  * `refuse` (status 503, not run); of the orders `late_orders` (carried out later and not answered); further
  * `deadly_parts` (an array; the process ends when it begins to answer a prompt with one), `break_group_ms`, `cold_ms`
- * and `leave_after_ms` (time after which a request counts as arriving too late). GET /standin/stats shows the runs by
- * request id.
+ * and `leave_after_ms` (time after which a request counts as arriving too late); `say_leaving`, `pause_ms` (requests
+ * are refused for so long, with the time that is left) and `claim_pause_s` (they are refused from now on, each time
+ * with this pause). GET /standin/stats shows the runs by request id.
  *
  * On standard output it writes a line "run ID ACCOUNT" for each run, and "violation MS KIND ID" when a request arrives
- * after the endpoint has left or beyond its rate while cold, with the time of boot_clock in milliseconds.
+ * after the endpoint has left or beyond its rate while cold, with the time of boot_clock in milliseconds. What an
+ * answer says about the endpoint is written as "stated MS ENDPOINT ID leaving" or "stated MS ENDPOINT ID pause MS",
+ * and each request from then on as "arrival MS ENDPOINT ID".
  */
 class routed_endpoint
 {
@@ -52,6 +55,9 @@
     /** Requests that arrive later than the time from now on are violations. */
     void leaveAfter(std::chrono::milliseconds time);
 
+    /** From now on, each answer says that the endpoint is leaving. */
+    void sayLeaving();
+
 private:
     struct fault_shares
     {
@@ -68,6 +74,11 @@
     bool serveRank(const scripted_request &request, raw_connection &connection);
     bool run(const scripted_request &request, raw_connection &connection, const fault_shares &faults);
     bool stream(const scripted_request &request, raw_connection &connection, const fault_shares &faults);
+    /** @returns the header field of an answer that says whether the endpoint leaves. */
+    std::string leavingField(const std::string &id);
+    /** @returns the pause that the answer to a request asks for, if it is refused with one. */
+    std::optional<std::chrono::milliseconds> takePause(const std::string &id);
+    void writeStatement(const std::string &id, const std::string &what);
     bool isDeadly(const std::string &prompt);
     bool waitForSlot();
     void noteArrival(const std::string &id);
@@ -88,6 +99,10 @@
     std::mt19937_64 m_random;
     time_point m_coldUntil;
     std::optional<time_point> m_leftAt;
+    bool m_saysLeaving = false;
+    time_point m_pauseEnd {};
+    std::chrono::seconds m_claimedPause {0}; ///< 0: none.
+    bool m_hasStated = false; ///< An answer has said something.
     std::deque<time_point> m_coldArrivals;
     std::map<std::string, int> m_runs; ///< By request id.
     std::vector<std::jthread> m_lateOrders;
