gateway, tool: explain where a request would go now

Cause: operators could see what had happened to a request, not what would happen to the next one, and of the costs by which endpoints are compared none was shown. Ruled out: a dry run through the dispatcher, whose placement changes budgets, forecasts and the draws of others. Change: the status listener answers GET /explain with route, account, queue, decision and, for each endpoint, the first obstacle, the probability and the cost by part; the verb explain asks for it. The decisions are those that requests go through (preview() beside submit(), lastViewsOf() beside viewsOf(), plan_demands for both).

--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -29,16 +29,16 @@
     return shortestMs;
 }
 
-double placementCost(const endpoint_view &endpoint, double shortestMs)
+placement_cost costOf(const endpoint_view &endpoint, double shortestMs)
 {
-    double cost = (static_cast<double>(endpoint.running + 1) + endpoint.extraWork) / endpoint.slots;
-    if (endpoint.gapMs > 0) {
-        cost += slowStreamWeight * (endpoint.gapMs / shortestMs - 1.0);
-    }
-    if (endpoint.memoryUse > highMemoryUse) {
-        cost += memoryPenalty;
-    }
-    return cost + (endpoint.suspect ? suspectPenalty : 0.0) + (endpoint.local ? 0.0 : remotePenalty);
+    placement_cost cost;
+    cost.utilization = static_cast<double>(endpoint.running + 1) / endpoint.slots;
+    cost.extraWork = endpoint.extraWork / endpoint.slots;
+    cost.slowStreams = endpoint.gapMs > 0 ? slowStreamWeight * (endpoint.gapMs / shortestMs - 1.0) : 0.0;
+    cost.memory = endpoint.memoryUse > highMemoryUse ? memoryPenalty : 0.0;
+    cost.suspect = endpoint.suspect ? suspectPenalty : 0.0;
+    cost.remote = endpoint.local ? 0.0 : remotePenalty;
+    return cost;
 }
 
 struct candidate
@@ -57,7 +57,7 @@
         const endpoint_view &endpoint = endpoints[index];
         if (endpoint.usable && endpoint.running < endpoint.slots + overcommit) {
             candidates.push_back(
-                {index, placementCost(endpoint, shortestMs), static_cast<double>(std::max(1, endpoint.slots))});
+                {index, costOf(endpoint, shortestMs).total(), static_cast<double>(std::max(1, endpoint.slots))});
         }
     }
     return candidates;
@@ -98,6 +98,17 @@
 
 } // namespace
 
+std::vector<placement_cost> placementCosts(std::span<const endpoint_view> endpoints)
+{
+    const double shortestMs = shortestGapMs(endpoints);
+    std::vector<placement_cost> costs;
+    costs.reserve(endpoints.size());
+    for (const endpoint_view &endpoint : endpoints) {
+        costs.push_back(costOf(endpoint, shortestMs));
+    }
+    return costs;
+}
+
 std::vector<double> placementShares(std::span<const endpoint_view> endpoints, int overcommit, double requests)
 {
     std::vector<double> shares(endpoints.size(), 0.0);
--- a/src/balance/placement.h
+++ b/src/balance/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balance/endpoint_view.h"
+#include "balance/placement_cost.h"
 
 #include <cstddef>
 #include <optional>
@@ -26,6 +27,9 @@
 std::optional<std::size_t> placeRequest(std::span<const endpoint_view> endpoints, int overcommit,
                                         std::mt19937_64 &random, double concurrent = 0);
 
+/** @returns the cost of a request at each endpoint, by which placeRequest() compares them. */
+std::vector<placement_cost> placementCosts(std::span<const endpoint_view> endpoints);
+
 /**
  * Divides requests over the endpoints so that the highest cost among those that get any is as low as possible.
  *
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -325,9 +325,10 @@
     }
 }
 
-double endpoint_table::concurrentPlacements(const std::string &service, time_point now)
+double endpoint_table::concurrentPlacements(const std::string &service, time_point now) const
 {
-    return m_forecasts[service].concurrent(workOf(service), now);
+    const auto forecast = m_forecasts.find(service);
+    return forecast == m_forecasts.end() ? 0.0 : forecast->second.concurrent(workOf(service), now);
 }
 
 const std::vector<gateway_endpoint_ptr> &endpoint_table::endpointsOf(const std::string &service) const
@@ -389,16 +390,54 @@
 
 bool endpoint_table::isInService(const gateway_endpoint &endpoint, time_point now) const
 {
-    if (!endpoint.listed || endpoint.record.leaving || endpoint.saysLeaving
-        || m_dataCentresOutOfService.contains(endpoint.record.dataCentre)) {
-        return false;
+    return !outOfServiceReason(endpoint, now);
+}
+
+std::optional<endpoint_obstacle> endpoint_table::outOfServiceReason(const gateway_endpoint &endpoint,
+                                                                    time_point now) const
+{
+    if (!endpoint.listed) {
+        return endpoint_obstacle::not_listed;
+    }
+    if (endpoint.record.leaving || endpoint.saysLeaving) {
+        return endpoint_obstacle::leaving;
+    }
+    if (m_dataCentresOutOfService.contains(endpoint.record.dataCentre)) {
+        return endpoint_obstacle::data_centre_out_of_service;
     }
     if (endpoint.group == nullptr) {
-        return true;
+        return std::nullopt;
     }
     const endpoint_group &group = *endpoint.group;
+    if (now < group.closedUntil) {
+        return endpoint_obstacle::group_closed;
+    }
+    if (now < group.refusedUntil) {
+        return endpoint_obstacle::group_refused;
+    }
     const bool stalls = group.ownRunning >= minDetectionSamples && now - group.progressAt > progressTimeout;
-    return now >= group.closedUntil && now >= group.refusedUntil && !stalls;
+    return stalls ? std::optional(endpoint_obstacle::group_stalls) : std::nullopt;
+}
+
+std::optional<endpoint_obstacle> endpoint_table::obstacleOf(const gateway_endpoint &endpoint, time_point now) const
+{
+    if (const auto reason = outOfServiceReason(endpoint, now)) {
+        return reason;
+    }
+    if (now < endpoint.pausedUntil) {
+        return endpoint_obstacle::paused;
+    }
+    if (now < endpoint.avoidedUntil) {
+        return endpoint_obstacle::slow;
+    }
+    if (!rateAllows(endpoint, now)) {
+        return endpoint_obstacle::cold_rate;
+    }
+    if (endpoint.group != nullptr && endpoint.group->atLimit) {
+        return endpoint_obstacle::group_at_limit;
+    }
+    const bool isFull = endpoint.ownRunning + endpoint.peersRunning >= endpoint.record.slots;
+    return isFull ? std::optional(endpoint_obstacle::no_free_slot) : std::nullopt;
 }
 
 void endpoint_table::recordEvent(gateway_endpoint &endpoint, std::optional<boot_clock::duration> gap, time_point now)
@@ -521,6 +560,13 @@
                                                    time_point now)
 {
     updateGroupLoads(service, now);
+    advanceForecast(service, now);
+    return lastViewsOf(service, tried, now);
+}
+
+std::vector<endpoint_view> endpoint_table::lastViewsOf(const std::string &service, std::span<const std::string> tried,
+                                                       time_point now) const
+{
     const auto &endpoints = endpointsOf(service);
     std::vector<endpoint_view> views;
     views.reserve(endpoints.size());
@@ -529,8 +575,9 @@
         view.usable = view.usable && (endpoint->group == nullptr || !endpoint->group->atLimit);
         views.push_back(view);
     }
-    advanceForecast(service, now);
-    m_forecasts[service].apply(views, workOf(service), now);
+    if (const auto forecast = m_forecasts.find(service); forecast != m_forecasts.end()) {
+        forecast->second.apply(views, workOf(service), now);
+    }
     return views;
 }
 
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -6,6 +6,7 @@
 #include "balance/load_forecast.h"
 #include "balance/pass_latency_model.h"
 #include "balance/stream_demand.h"
+#include "gateway/endpoint_obstacle.h"
 #include "gateway/endpoint_statement.h"
 #include "gateway/gateway_endpoint.h"
 #include "gateway/group_state.h"
@@ -88,7 +89,7 @@
     void recordReleased(const gateway_endpoint &endpoint, time_point now);
 
     /** @returns the requests among which the choice for one is drawn, see placeRequest(). */
-    double concurrentPlacements(const std::string &service, time_point now);
+    double concurrentPlacements(const std::string &service, time_point now) const;
 
     /**
      * Applies group states from the coordinator. The endpoints of a closed group get no requests until it is reported
@@ -145,6 +146,13 @@
      */
     std::vector<endpoint_view> viewsOf(const std::string &service, std::span<const std::string> tried, time_point now);
 
+    /** As viewsOf() without effect: group limits and forecasts are those of its last call. */
+    std::vector<endpoint_view> lastViewsOf(const std::string &service, std::span<const std::string> tried,
+                                           time_point now) const;
+
+    /** @returns the first reason for which the endpoint gets no request now; nothing if it may get one. */
+    std::optional<endpoint_obstacle> obstacleOf(const gateway_endpoint &endpoint, time_point now) const;
+
     /** @returns the view of one endpoint, without the concurrency limit of its group. */
     endpoint_view viewOf(const gateway_endpoint &endpoint, std::span<const std::string> tried, time_point now) const;
 
@@ -177,6 +185,8 @@
     bool acceptsRequests(const gateway_endpoint &endpoint, time_point now) const;
     /** As acceptsRequests(), without regard to a pause. */
     bool isInService(const gateway_endpoint &endpoint, time_point now) const;
+    /** @returns why the endpoint is not in service; nothing if it is. */
+    std::optional<endpoint_obstacle> outOfServiceReason(const gateway_endpoint &endpoint, time_point now) const;
 
     const std::string m_dataCentre;
     std::map<std::string, gateway_endpoint_ptr> m_endpoints;
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -1,9 +1,9 @@
 #include "gateway/gateway_exchange.h"
 
-#include "balance/start_deadlines.h"
 #include "gateway/attempt_headers.h"
 #include "gateway/endpoint_call.h"
 #include "gateway/message_head.h"
+#include "gateway/plan_demands.h"
 #include "http/http_status.h"
 #include "observe/log.h"
 
@@ -22,8 +22,6 @@
 constexpr std::int64_t answeredEvents = 2;
 // An idempotent request without a response after this multiple of its latency target is retried elsewhere.
 constexpr int idempotentTargetMultiple = 2;
-// Typical time from placement at an endpoint to the first event.
-constexpr std::chrono::milliseconds typicalFirstEventTime {220};
 constexpr std::chrono::milliseconds retryAfterFailure {100};
 // A request that may have crashed an endpoint is retried once the gateways have judged the crash.
 constexpr std::chrono::milliseconds crashJudgementTime {200};
@@ -31,8 +29,6 @@
 // A failed endpoint is avoided for this time, doubled with each consecutive failure.
 constexpr std::chrono::milliseconds suspectPeriod {250};
 constexpr int maxSuspectDoublings = 4;
-// Callers wait at most a third of their remaining time before a retry.
-constexpr int retryTimeDivisor = 3;
 constexpr std::size_t unsentLimitBytes = std::size_t {256} * 1024;
 constexpr std::size_t unsentLimitBytesWhenShort = std::size_t {16} * 1024;
 constexpr std::chrono::milliseconds memoryRetryInterval {20};
@@ -164,18 +160,8 @@
 {
     const time_point now = boot_clock::now();
     m_queuedAt = now;
-    waiting_request waiting;
-    waiting.priority = m_plan.priority;
-    waiting.account = m_plan.account;
-    waiting.arrivedAt = m_request.arrivedAt;
-    waiting.returned = m_plan.isCallerRetry || !m_tried.empty();
-    const std::chrono::milliseconds target = m_plan.matched->latencyTarget;
-    const std::chrono::milliseconds usual = streaming() ? typicalFirstEventTime : target / 2;
     const bool outage = !m_context.endpoints.anyUsable(m_plan.service, now);
-    const start_deadlines useful =
-        startDeadlines({m_request.arrivedAt, target, usual, m_plan.deadline, m_plan.isCallerRetry, outage}, now);
-    waiting.latestOnTimeStart = useful.latestOnTimeStart;
-    waiting.expiresAt = useful.expiresAt;
+    const waiting_request waiting = waitingRequestOf(m_plan, m_request.arrivedAt, !m_tried.empty(), outage, now);
     m_ticket = m_context.dispatcher.submit(m_plan.service, waiting, shared_from_this());
 }
 
@@ -191,14 +177,7 @@
 
 std::optional<stream_demand> gateway_exchange::demand() const
 {
-    const routed_service *service = m_plan.table->findService(m_plan.service);
-    const std::optional<int> tokens = m_plan.expectedAnswerTokens();
-    if (!streaming() || !tokens || service == nullptr || !service->engine) {
-        return std::nullopt;
-    }
-    // An engine produces one event in each pass.
-    const double events = static_cast<double>(*tokens) / std::max(1, service->engine->stepsPerPass);
-    return stream_demand {std::max(0.0, events - static_cast<double>(m_events.eventsRelayed())), m_plan.deadline};
+    return streamDemandOf(m_plan, static_cast<double>(m_events.eventsRelayed()));
 }
 
 void gateway_exchange::onPlaced(const gateway_endpoint_ptr &endpoint)
@@ -232,17 +211,15 @@
         fail(statusBadGateway, "unknown", retryAfterFailure);
         return;
     }
-    static constexpr std::array<const char *, 4> outcomes {"no_endpoint", "line_too_long", "cannot_complete",
-                                                           "waited_too_long"};
     const bool unavailable = reason == refusal::no_endpoint || reason == refusal::cannot_complete;
     const auto cause = unavailable ? refusal_cause::unavailable : refusal_cause::overloaded;
-    fail(statusServiceUnavailable, outcomes.at(static_cast<std::size_t>(reason)), retryAfterTime(cause, expectedWait));
+    fail(statusServiceUnavailable, bronzechute::nameOf(reason), retryAfterTime(cause, expectedWait));
 }
 
 std::chrono::milliseconds gateway_exchange::retryAfterTime(refusal_cause cause, boot_clock::duration expectedWait) const
 {
     const time_point now = boot_clock::now();
-    const auto latest = (m_plan.callerDeadline - now) / retryTimeDivisor;
+    const auto latest = retryTimeLimit(m_plan, now);
     if (m_context.redirect.active()) {
         return m_context.redirect.retryDelay(now, latest, m_context.dispatcher.random());
     }
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -5,8 +5,10 @@
 #include "base/process_memory.h"
 #include "base/request_id.h"
 #include "gateway/event_loop.h"
+#include "gateway/explain_query.h"
 #include "gateway/gateway_exchange.h"
 #include "gateway/message_head.h"
+#include "gateway/request_explainer.h"
 #include "gateway/request_matcher.h"
 #include "http/http_status.h"
 #include "observe/log.h"
@@ -348,12 +350,39 @@
     } else if (path == "/metrics") {
         response->respond({statusOk, reasonOf(statusOk), {{"Content-Type", "text/plain; version=0.0.4"}}},
                           m_role.m_registry.render());
+    } else if (path == explainPath) {
+        m_role.explain(std::string_view(request.target).substr(std::min(request.target.size(), path.size() + 1)),
+                       *response);
     } else {
         response->respond({statusNotFound, reasonOf(statusNotFound), {}}, {});
     }
     return nullptr;
 }
 
+void gateway_role::explain(std::string_view query, caller_response &response) const
+{
+    const auto answer = [&response](int status, const nlohmann::json &body) {
+        response.respond({status, reasonOf(status), {{"Content-Type", "application/json"}}}, body.dump() + "\n");
+    };
+    const time_point now = boot_clock::now();
+    const auto request = parseExplainQuery(query, now);
+    if (!request) {
+        answer(statusBadRequest, {{"error", {{"message", request.error().detail}}}});
+        return;
+    }
+    std::mt19937_64 random(std::random_device {}()); // The draws of callers' requests stay as they are.
+    const auto matched = matchRequest(request.value(), m_table, m_options.headers, random);
+    request_explanation explanation;
+    if (const auto *rejection = std::get_if<request_rejection>(&matched)) {
+        explanation.decision = "rejected";
+        explanation.status = rejection->status;
+        explanation.cause = rejection->cause;
+    } else {
+        explanation = request_explainer(m_context).explain(std::get<exchange_plan>(matched), now, now);
+    }
+    answer(statusOk, toJson(explanation));
+}
+
 bool gateway_role::ready() const
 {
     return m_table != nullptr && m_initialListComplete && !m_draining && !m_redirect.active();
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -79,6 +79,8 @@
     gateway_role(const daemon_settings &settings, gateway_options options);
     result<void> listen();
     bool ready() const;
+    /** Answers a question of what would be done with a request. @param query of the question */
+    void explain(std::string_view query, caller_response &response) const;
     void applyRoutingTable(std::shared_ptr<const routing_table> table);
     void updateGatewayShares();
     void updateFleet(time_point now);
--- a/src/gateway/placement_client.h
+++ b/src/gateway/placement_client.h
@@ -18,6 +18,9 @@
     queue_timeout, ///< It was queued until its latest start had passed.
 };
 
+/** @returns the name of a refusal as the log lines of requests have it. */
+const char *nameOf(refusal reason);
+
 /**
  * A request submitted to the dispatcher. Exactly one of onPlaced() and onRefused() is called, possibly before
  * request_dispatcher::submit() returns.
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -42,12 +42,8 @@
     if (!request.returned) {
         queue.arrivals.record(now);
     }
-    if (isTooSlow(service, *client, now)) {
-        client->onRefused(refusal::cannot_complete, {});
-        return std::nullopt;
-    }
-    if (const auto pauseEnd = pauseEndIfAllPause(service, now); pauseEnd && *pauseEnd > request.expiresAt) {
-        client->onRefused(refusal::no_endpoint, *pauseEnd - now);
+    if (const auto refused = refusedAtOnce(service, request, client->demand(), now)) {
+        client->onRefused(*refused->refused, refused->expectedWait);
         return std::nullopt;
     }
     request.ticket = m_nextTicket++;
@@ -58,13 +54,9 @@
             return std::nullopt;
         }
     }
-    const queue_state state {ahead, queue.completions.interval(now), queue.arrivals.interval(now),
-                             m_endpoints.anyUsable(service, now), ownSlots(service)};
-    const admission_decision decision = admit(state, request, now);
-    const boot_clock::duration rateWait = rateDelay(service, now);
-    if (!decision.admitted || now + rateWait > request.expiresAt) {
-        client->onRefused(state.anyUsable ? refusal::wait_too_long : refusal::no_endpoint,
-                          std::max(decision.expectedWait, rateWait));
+    const placement_preview admission = admissionOf(service, queue, request, ahead, now);
+    if (admission.refused) {
+        client->onRefused(*admission.refused, admission.expectedWait);
         return std::nullopt;
     }
     const std::uint64_t ticket = request.ticket;
@@ -74,6 +66,56 @@
     return ticket;
 }
 
+std::optional<placement_preview> request_dispatcher::refusedAtOnce(const std::string &service,
+                                                                   const waiting_request &request,
+                                                                   const std::optional<stream_demand> &demand,
+                                                                   time_point now) const
+{
+    if (isTooSlow(service, demand, now)) {
+        return placement_preview {refusal::cannot_complete, false, 0, {}};
+    }
+    if (const auto pauseEnd = pauseEndIfAllPause(service, now); pauseEnd && *pauseEnd > request.expiresAt) {
+        return placement_preview {refusal::no_endpoint, false, 0, *pauseEnd - now};
+    }
+    return std::nullopt;
+}
+
+placement_preview request_dispatcher::admissionOf(const std::string &service, const service_queue &queue,
+                                                  const waiting_request &request, std::size_t ahead,
+                                                  time_point now) const
+{
+    const queue_state state {ahead, queue.completions.interval(now), queue.arrivals.interval(now),
+                             m_endpoints.anyUsable(service, now), ownSlots(service)};
+    const admission_decision decision = admit(state, request, now);
+    const boot_clock::duration rateWait = rateDelay(service, now);
+    placement_preview preview {std::nullopt, true, ahead, std::max(decision.expectedWait, rateWait)};
+    if (!decision.admitted || now + rateWait > request.expiresAt) {
+        preview.refused = state.anyUsable ? refusal::wait_too_long : refusal::no_endpoint;
+        preview.isQueued = false;
+    }
+    return preview;
+}
+
+placement_preview request_dispatcher::preview(const std::string &service, waiting_request request,
+                                              const std::optional<stream_demand> &demand, bool hasRoom,
+                                              time_point now) const
+{
+    if (const auto refused = refusedAtOnce(service, request, demand, now)) {
+        return *refused;
+    }
+    request.ticket = m_nextTicket;
+    const auto found = m_queues.find(service);
+    const std::size_t ahead = found == m_queues.end() ? 0 : found->second.waiting.countAhead(request, now);
+    if (ahead == 0 && hasRoom) {
+        return {};
+    }
+    if (found == m_queues.end()) {
+        const service_queue none {{}, {}, {}, {}, windowed_retry_budget(m_limits)};
+        return admissionOf(service, none, request, ahead, now);
+    }
+    return admissionOf(service, found->second, request, ahead, now);
+}
+
 std::optional<time_point> request_dispatcher::pauseEndIfAllPause(const std::string &service, time_point now) const
 {
     return m_endpoints.anyUsable(service, now) ? std::nullopt : m_endpoints.firstPauseEnd(service, now);
@@ -102,9 +144,9 @@
     return index ? endpoints[*index] : nullptr;
 }
 
-bool request_dispatcher::isTooSlow(const std::string &service, const placement_client &client, time_point now) const
+bool request_dispatcher::isTooSlow(const std::string &service, const std::optional<stream_demand> &demand,
+                                   time_point now) const
 {
-    const auto demand = client.demand();
     return demand && m_endpoints.anyUsable(service, now) && !m_endpoints.anyUsable(service, now, demand);
 }
 
@@ -194,7 +236,7 @@
         const auto request = queue.waiting.pop(boot_clock::now());
         const auto found = queue.clients.find(request->ticket);
         const std::shared_ptr<placement_client> client = found->second;
-        if (isTooSlow(service, *client, boot_clock::now())) {
+        if (isTooSlow(service, client->demand(), boot_clock::now())) {
             queue.clients.erase(found);
             client->onRefused(refusal::cannot_complete, {});
             continue;
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -6,6 +6,7 @@
 #include "balance/windowed_retry_budget.h"
 #include "gateway/endpoint_table.h"
 #include "gateway/placement_client.h"
+#include "gateway/placement_preview.h"
 
 #include <utility>
 
@@ -38,6 +39,13 @@
     std::optional<std::uint64_t> submit(const std::string &service, waiting_request request,
                                         const std::shared_ptr<placement_client> &client);
 
+    /**
+     * Tells what submit() would do with a request now, without an effect.
+     * @param hasRoom whether an endpoint could take the request at once
+     */
+    placement_preview preview(const std::string &service, waiting_request request,
+                              const std::optional<stream_demand> &demand, bool hasRoom, time_point now) const;
+
     /** Removes a request from the queue. */
     void withdraw(const std::string &service, std::uint64_t ticket);
 
@@ -88,7 +96,13 @@
     std::optional<time_point> pauseEndIfAllPause(const std::string &service, time_point now) const;
     gateway_endpoint_ptr choose(const std::string &service, const placement_client &client);
     /** @returns whether the service works, but too slowly for the request. */
-    bool isTooSlow(const std::string &service, const placement_client &client, time_point now) const;
+    bool isTooSlow(const std::string &service, const std::optional<stream_demand> &demand, time_point now) const;
+    /** @returns the refusal of a request that need not come to a queue; nothing if it may. */
+    std::optional<placement_preview> refusedAtOnce(const std::string &service, const waiting_request &request,
+                                                   const std::optional<stream_demand> &demand, time_point now) const;
+    /** @returns whether a request that is not placed at once may wait, and for how long. */
+    placement_preview admissionOf(const std::string &service, const service_queue &queue,
+                                  const waiting_request &request, std::size_t ahead, time_point now) const;
     void place(const gateway_endpoint_ptr &endpoint, const std::shared_ptr<placement_client> &client);
     void serveQueue(const std::string &service, service_queue &queue);
     void expire(const std::string &service, service_queue &queue, time_point now);
--- a/src/tool/verb.h
+++ b/src/tool/verb.h
@@ -26,6 +26,7 @@
 exit_code runCheck(verb_context &context);
 exit_code runDiff(verb_context &context);
 exit_code runDrain(verb_context &context);
+exit_code runExplain(verb_context &context);
 exit_code runGet(verb_context &context);
 exit_code runHistory(verb_context &context);
 exit_code runLabel(verb_context &context);
