expert_map, gateway: maps of groups of any size follow shifts of demand

One rank's counts are a thin sample of 72, the cosine of nearly even demands exceeds the threshold of a shift, a load had to lower the norm by an amount that no load of 72 ranks reaches, moves were counted instead of differences, and the switch step lay two passes behind a margin for the oldest report.

Ruled out: reading all ranks (a pause of 2 ms each); unmixing old and new demand in one sample; foretelling the next shift.

Change: pauses count only from ranks with recent streams; step_time_trend notices longer passes, demand_sampler reads 4 to 8 ranks until one has counted a pass, demand_tracker pools them, demand_similarity compares less the variance of counting, placement_search continues a plan with more loads and map_change takes the size with the least work over a second.

--- a/src/expert_map/demand_tracker.cpp
+++ b/src/expert_map/demand_tracker.cpp
@@ -1,81 +1,117 @@
 #include "expert_map/demand_tracker.h"
 
-#include <cmath>
+#include "expert_map/demand_similarity.h"
+
+#include <algorithm>
 #include <numeric>
 
 namespace bronzechute {
 
 namespace {
 
-// Samples with fewer selections for each expert are too noisy.
-constexpr double minSelectionsPerExpert = 20;
-// Cosine similarity of two samples: noise alone stays above it, a shift of an eighth of the demand falls below.
+// Smaller samples say little about a shift, even with the variance of counting subtracted.
+constexpr double minSelectionsPerExpertOfSample = 4;
+// A map for fewer selections for each expert would fit their noise.
+constexpr double minSelectionsPerExpertOfDemand = 20;
+// Older selections lose weight beyond this, so that the estimate follows slow changes.
+constexpr double maxSelectionsPerExpert = 400;
+// Similarity of a sample and the pool: requests that differ stay above it, a shift of an eighth of the demand is below.
 constexpr double minSteadySimilarity = 0.88;
-constexpr double demandSmoothingWeight = 0.5;
-
-double cosineSimilarity(const load_matrix &left, const load_matrix &right)
-{
-    double product = 0;
-    double leftSquare = 0;
-    double rightSquare = 0;
-    for (std::size_t index = 0; index < left.tokens.size(); ++index) {
-        product += left.tokens[index] * right.tokens[index];
-        leftSquare += left.tokens[index] * left.tokens[index];
-        rightSquare += right.tokens[index] * right.tokens[index];
-    }
-    return product / std::sqrt(std::max(leftSquare * rightSquare, 1e-12));
-}
 
-/** @returns the counts, normalized so that the sums of the layers have a mean of 1. */
-load_matrix normalized(load_matrix counts)
+double sumOf(const load_matrix &counts)
 {
-    const double total = std::accumulate(counts.tokens.begin(), counts.tokens.end(), 0.0);
-    for (double &tokens : counts.tokens) {
-        tokens *= static_cast<double>(counts.layers) / total;
-    }
-    return counts;
+    return std::accumulate(counts.tokens.begin(), counts.tokens.end(), 0.0);
 }
 
 } // namespace
 
 void demand_tracker::restart()
 {
-    m_lastCounts.reset();
-    m_lastSample.reset();
+    m_lastCounts.clear();
+    m_pool.reset();
+    m_pooledSelections = 0;
     m_demand.reset();
 }
 
-demand_tracker::change demand_tracker::record(const std::string &source, const rank_counts &counts)
+double demand_tracker::selectionsPerExpert() const
 {
-    const bool continues = m_lastCounts && m_source == source && m_lastCounts->epoch == counts.epoch
-        && m_lastCounts->chosen.tokens.size() == counts.chosen.tokens.size();
-    if (!continues) {
-        m_source = source;
-        m_lastCounts = counts;
-        return change::unknown;
+    return m_pool ? m_pooledSelections / static_cast<double>(m_pool->tokens.size()) : 0.0;
+}
+
+std::optional<load_matrix> demand_tracker::takeSample(const std::string &source, const rank_counts &counts)
+{
+    const auto found = m_lastCounts.find(source);
+    if (found == m_lastCounts.end() || found->second.epoch != counts.epoch
+        || found->second.chosen.tokens.size() != counts.chosen.tokens.size()) {
+        m_lastCounts.insert_or_assign(source, counts);
+        return std::nullopt;
     }
     load_matrix sample = counts.chosen;
-    double total = 0;
     for (std::size_t index = 0; index < sample.tokens.size(); ++index) {
-        sample.tokens[index] -= m_lastCounts->chosen.tokens[index];
-        total += sample.tokens[index];
+        sample.tokens[index] -= found->second.chosen.tokens[index];
+        if (sample.tokens[index] < 0) {
+            found->second = counts; // The engine started again and counts from zero.
+            return std::nullopt;
+        }
     }
-    if (total < minSelectionsPerExpert * static_cast<double>(sample.tokens.size())) {
-        return change::unknown; // m_lastCounts is kept, so the next sample includes this period.
+    const double perExpert = sumOf(sample) / static_cast<double>(sample.tokens.size());
+    if (perExpert < minSelectionsPerExpertOfSample) {
+        return std::nullopt; // The counts before are kept, so the next sample includes this period.
     }
-    m_lastCounts = counts;
-    sample = normalized(std::move(sample));
-    const bool shifted = m_lastSample && cosineSimilarity(*m_lastSample, sample) < minSteadySimilarity;
-    if (shifted || !m_demand) {
-        m_demand = shifted ? std::nullopt : std::optional(sample);
-    } else {
-        for (std::size_t index = 0; index < sample.tokens.size(); ++index) {
-            double &tokens = m_demand->tokens[index];
-            tokens += demandSmoothingWeight * (sample.tokens[index] - tokens);
-        }
+    m_latestSelections = perExpert;
+    found->second = counts;
+    return sample;
+}
+
+void demand_tracker::pool(const load_matrix &sample)
+{
+    if (!m_pool || m_pool->tokens.size() != sample.tokens.size()) {
+        m_pool = load_matrix(sample.layers, sample.experts);
+        m_pooledSelections = 0;
+    }
+    const auto cells = static_cast<double>(sample.tokens.size());
+    const double kept = std::min(1.0, maxSelectionsPerExpert * cells / std::max(m_pooledSelections, 1.0));
+    for (std::size_t index = 0; index < sample.tokens.size(); ++index) {
+        m_pool->tokens[index] = kept * m_pool->tokens[index] + sample.tokens[index];
+    }
+    m_pooledSelections = kept * m_pooledSelections + sumOf(sample);
+    if (m_pooledSelections < minSelectionsPerExpertOfDemand * cells) {
+        return;
+    }
+    m_demand = m_pool;
+    for (double &tokens : m_demand->tokens) {
+        tokens *= static_cast<double>(sample.layers) / m_pooledSelections;
+    }
+}
+
+demand_tracker::change demand_tracker::record(const std::string &source, const rank_counts &counts)
+{
+    const std::optional<load_matrix> sample = takeSample(source, counts);
+    if (!sample) {
+        return change::unknown;
+    }
+    const bool comparable = m_pool && m_pool->tokens.size() == sample->tokens.size();
+    if (comparable && demandSimilarity(*m_pool, *sample) < minSteadySimilarity) {
+        // What the other sources counted since their last sample is a mixture as well.
+        m_lastCounts.clear();
+        m_lastCounts.emplace(source, counts);
+        m_pool.reset();
+        m_pooledSelections = 0;
+        m_demand.reset();
+        return change::shifted;
+    }
+    pool(*sample);
+    return change::steady;
+}
+
+demand_tracker::change demand_tracker::add(const std::string &source, const rank_counts &counts)
+{
+    const std::optional<load_matrix> sample = takeSample(source, counts);
+    if (!sample) {
+        return change::unknown;
     }
-    m_lastSample = std::move(sample);
-    return shifted ? change::shifted : change::steady;
+    pool(*sample);
+    return change::steady;
 }
 
 } // namespace bronzechute
--- a/src/expert_map/group_switch.cpp
+++ b/src/expert_map/group_switch.cpp
@@ -1,6 +1,9 @@
 #include "expert_map/group_switch.h"
 
 #include <algorithm>
+#include <functional>
+#include <numeric>
+#include <utility>
 
 namespace bronzechute {
 
@@ -8,10 +11,13 @@
 
 // Steps between the last known step and the switch step while the duration of a step is unknown.
 constexpr std::int64_t defaultStepMargin = 6;
-// Steps that begin within this time after the known one must not be chosen: reports are up to 200 ms old, and the
-// commands take a few ms for each rank.
+// Steps that begin within this time after the known one are not worth trying: reports are up to 200 ms old, and the
+// commands take a few ms for each rank. Until the switch step the group computes with the old map, and the engine
+// refuses a step that has begun, so that a step which is too early costs less than one which is too late.
 constexpr std::chrono::milliseconds stepMarginTime {260};
-constexpr std::int64_t maxStepMarginFactor = 16;
+// After so many refused steps in a row the step is read again: the group has gone on meanwhile.
+constexpr int holdsPerReading = 4;
+constexpr int maxRejectedHolds = 16;
 constexpr std::chrono::milliseconds armRetryInterval {40};
 // A command whose outcome is unknown is repeated after this time, doubled with each further one.
 constexpr std::chrono::milliseconds minLostRetryInterval {5};
@@ -25,15 +31,23 @@
     if (stepTime.count() <= 0) {
         return defaultStepMargin;
     }
-    return stepMarginTime / stepTime + 2; // One step more for the remainder, one for the step in progress.
+    return stepMarginTime / stepTime + 1; // One more for the step in progress.
 }
 
 } // namespace
 
 group_switch::group_switch(std::int64_t epoch, std::int64_t version, std::size_t ranks, boot_clock::duration copyTime,
                            time_point now)
-    : m_epoch(epoch), m_version(version), m_copyTime(copyTime), m_startedAt(now), m_ranks(ranks)
+    : m_epoch(epoch), m_version(version), m_copyTimes(ranks, copyTime), m_order(ranks), m_startedAt(now), m_ranks(ranks)
 {
+    std::iota(m_order.begin(), m_order.end(), std::size_t {0});
+}
+
+void group_switch::setCopyTimes(std::vector<boot_clock::duration> copyTimes)
+{
+    copyTimes.resize(m_ranks.size());
+    m_copyTimes = std::move(copyTimes);
+    std::ranges::stable_sort(m_order, std::ranges::greater {}, [this](std::size_t rank) { return m_copyTimes[rank]; });
 }
 
 group_switch group_switch::resume(std::int64_t epoch, std::int64_t version, std::size_t ranks, std::int64_t step,
@@ -68,7 +82,7 @@
     }
     if (m_phase == switch_phase::preparing || m_phase == switch_phase::arming) {
         const auto kind = m_phase == switch_phase::preparing ? rank_command_kind::prepare : rank_command_kind::arm;
-        for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
+        for (const std::size_t rank : m_order) {
             addDue(commands, rank, kind, now);
         }
     } else if (m_phase == switch_phase::holding) {
@@ -124,6 +138,9 @@
         return;
     }
     progress.confirmed = true;
+    if (m_phase == switch_phase::preparing) {
+        m_copyEndsAt = std::max(m_copyEndsAt, now + m_copyTimes[sent.rank]);
+    }
     if (m_phase == switch_phase::holding) {
         m_heldSince = now;
         enter(switch_phase::arming);
@@ -131,7 +148,6 @@
         enter(switch_phase::done);
     } else if (allConfirmed()) {
         if (m_phase == switch_phase::preparing) {
-            m_copyEndsAt = now + m_copyTime;
             enter(switch_phase::copying);
         } else {
             enter(switch_phase::releasing);
@@ -144,9 +160,14 @@
     if (m_phase == switch_phase::preparing) {
         enter(switch_phase::abandoned);
     } else if (m_phase == switch_phase::holding) {
-        // The step has already begun: retry with a later one.
-        m_stepMarginFactor *= 2;
-        enter(m_stepMarginFactor > maxStepMarginFactor ? switch_phase::abandoned : switch_phase::reading_step);
+        // The step has already begun: the next one is tried at once.
+        ++m_rejectedHolds;
+        ++m_step;
+        if (m_rejectedHolds >= maxRejectedHolds) {
+            enter(switch_phase::abandoned);
+        } else {
+            enter(m_rejectedHolds % holdsPerReading == 0 ? switch_phase::reading_step : switch_phase::holding);
+        }
     } else if (m_phase == switch_phase::arming) {
         m_ranks[rank].retryAt = now + armRetryInterval; // The rank is still copying.
     } else {
@@ -158,7 +179,7 @@
 {
     if (m_phase == switch_phase::reading_step) {
         enter(switch_phase::holding);
-        m_step = step + m_stepMarginFactor * stepMargin(stepTime);
+        m_step = step + stepMargin(stepTime);
     }
 }
 
--- a/src/expert_map/group_switch.h
+++ b/src/expert_map/group_switch.h
@@ -49,6 +49,12 @@
     group_switch(std::int64_t epoch, std::int64_t version, std::size_t ranks, boot_clock::duration copyTime,
                  time_point now);
 
+    /**
+     * Sets how long each rank loads, by rank. Ranks that load longer get their commands first, and the switch does not
+     * wait for the last command and the longest copy one after the other. Must be called before due().
+     */
+    void setCopyTimes(std::vector<boot_clock::duration> copyTimes);
+
     /** Continues a switch of a previous coordinator that left the group held before `step`. */
     static group_switch resume(std::int64_t epoch, std::int64_t version, std::size_t ranks, std::int64_t step,
                                time_point now);
@@ -98,6 +104,11 @@
         return m_step;
     }
 
+    time_point startedAt() const
+    {
+        return m_startedAt;
+    }
+
     /** @returns the time at which this switch learned that the group is held; set from the phase `arming` on. */
     time_point heldSince() const
     {
@@ -123,13 +134,14 @@
 
     std::int64_t m_epoch;
     std::int64_t m_version;
-    boot_clock::duration m_copyTime;
+    std::vector<boot_clock::duration> m_copyTimes; ///< By rank.
+    std::vector<std::size_t> m_order; ///< Ranks in the order in which they get commands.
     time_point m_startedAt;
     time_point m_copyEndsAt {};
     time_point m_heldSince {};
     switch_phase m_phase = switch_phase::preparing;
     std::int64_t m_step = 0;
-    std::int64_t m_stepMarginFactor = 1; ///< Doubled each time the chosen step had already begun.
+    int m_rejectedHolds = 0; ///< Times that the chosen step had already begun.
     std::vector<rank_progress> m_ranks;
 };
 
--- a/src/expert_map/layer_search.cpp
+++ b/src/expert_map/layer_search.cpp
@@ -1,6 +1,7 @@
 #include "expert_map/layer_search.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <numeric>
 
@@ -8,6 +9,15 @@
 
 namespace {
 
+// Ranks with the lowest loads that are tried first as the target of a move; most moves go there, and trying each rank
+// of a large group takes several times as long.
+constexpr std::size_t preferredTargets = 16;
+
+bool contains(const std::vector<std::uint16_t> &ranks, std::size_t rank)
+{
+    return std::find(ranks.begin(), ranks.end(), rank) != ranks.end();
+}
+
 /** @returns the 16th root; four square roots are several times faster than std::pow. */
 double normOf(double powerSum)
 {
@@ -17,11 +27,13 @@
 } // namespace
 
 layer_search::layer_search(const expert_map &map, const load_matrix &load, std::size_t layer,
-                           const std::vector<double> &speeds, std::size_t slots)
+                           const std::vector<double> &speeds, std::size_t slots, std::size_t maxNewExperts)
     : m_slots(slots)
     , m_load(map.experts)
     , m_speeds(speeds)
     , m_heldExperts(map.ranks)
+    , m_newExperts(map.ranks, 0)
+    , m_maxNewExperts(maxNewExperts)
     , m_excluded(map.ranks, false)
     , m_relativeLoads(map.ranks, 0.0)
 {
@@ -38,6 +50,7 @@
             m_relativeLoads[rank] += m_load[expert] / static_cast<double>(m_copies.back().size()) / speeds[rank];
         }
     }
+    m_currentCopies = m_copies;
     for (const double relative : m_relativeLoads) {
         m_powerSum += sixteenthPower(relative);
     }
@@ -65,8 +78,30 @@
 
 bool layer_search::holds(std::size_t expert, std::size_t rank) const
 {
-    const auto &copies = m_copies[expert];
-    return std::find(copies.begin(), copies.end(), rank) != copies.end();
+    return contains(m_copies[expert], rank);
+}
+
+int layer_search::newBy(std::size_t gained, std::optional<std::size_t> lost, std::size_t rank) const
+{
+    return (contains(m_currentCopies[gained], rank) ? 0 : 1)
+        - (lost && !contains(m_currentCopies[*lost], rank) ? 1 : 0);
+}
+
+int layer_search::newExpertsBy(const layer_move &move, std::size_t rank) const
+{
+    if (rank == move.to && move.toLoads()) {
+        return newBy(move.expert, move.evicted, rank);
+    }
+    return rank == move.from && move.fromLoads() ? newBy(*move.evicted, move.expert, rank) : 0;
+}
+
+bool layer_search::isAllowed(const layer_move &move) const
+{
+    return std::ranges::all_of(std::array {move.from, move.to}, [&](std::size_t rank) {
+        const int added = newExpertsBy(move, rank);
+        return added <= 0
+            || (!m_excluded[rank] && m_newExperts[rank] + static_cast<std::size_t>(added) <= m_maxNewExperts);
+    });
 }
 
 void layer_search::considerMove(std::optional<layer_move> &best, const layer_move &move, double powerChange) const
@@ -75,53 +110,69 @@
         return;
     }
     const double perLoad = normDecrease(powerChange) / (move.fromLoads() ? 2.0 : 1.0);
-    if (!best || perLoad > best->gainPerLoad) {
+    if ((!best || perLoad > best->gainPerLoad) && isAllowed(move)) {
         best = move;
         best->gainPerLoad = perLoad;
     }
 }
 
-void layer_search::considerExpert(std::optional<layer_move> &best, std::size_t expert, std::size_t from) const
+/** @returns the change of the power sum by the expert's present holders when one more rank holds it. */
+double layer_search::reliefByCopy(std::size_t expert) const
+{
+    const auto copies = static_cast<double>(m_copies[expert].size());
+    double relief = 0;
+    for (const auto rank : m_copies[expert]) {
+        relief += powerChangeOf(rank, m_load[expert] / (copies + 1) - m_load[expert] / copies);
+    }
+    return relief;
+}
+
+void layer_search::considerExpert(std::optional<layer_move> &best, std::size_t expert, std::size_t from, std::size_t to,
+                                  double relief) const
 {
     const auto copies = static_cast<double>(m_copies[expert].size());
     const double share = m_load[expert] / copies;
     const double shareWithOneMore = m_load[expert] / (copies + 1);
-    double relief = 0; // Change of the power sum from the current holders of the expert when one more rank holds it.
-    for (const auto rank : m_copies[expert]) {
-        relief += powerChangeOf(rank, shareWithOneMore - share);
+    if (m_heldExperts[to].size() < m_slots) {
+        considerMove(best, {move_kind::copy, expert, from, to, std::nullopt, 0},
+                     relief + powerChangeOf(to, shareWithOneMore));
+        considerMove(best, {move_kind::relocate, expert, from, to, std::nullopt, 0},
+                     powerChangeOf(from, -share) + powerChangeOf(to, share));
     }
-    for (std::size_t to = 0; to < m_heldExperts.size(); ++to) {
-        if (to == from || m_excluded[to] || holds(expert, to)) {
-            continue;
+    for (const auto evicted : m_heldExperts[to]) {
+        const auto evictedCopies = static_cast<double>(m_copies[evicted].size());
+        const double evictedShare = m_load[evicted] / evictedCopies;
+        if (!holds(evicted, from) && evictedShare < share) {
+            considerMove(best, {move_kind::exchange, expert, from, to, evicted, 0},
+                         powerChangeOf(from, evictedShare - share) + powerChangeOf(to, share - evictedShare));
         }
-        if (m_heldExperts[to].size() < m_slots) {
-            considerMove(best, {move_kind::copy, expert, from, to, std::nullopt, 0},
-                         relief + powerChangeOf(to, shareWithOneMore));
-            considerMove(best, {move_kind::relocate, expert, from, to, std::nullopt, 0},
-                         powerChangeOf(from, -share) + powerChangeOf(to, share));
+        if (evictedCopies < 2) {
+            continue;
         }
-        for (const auto evicted : m_heldExperts[to]) {
-            const auto evictedCopies = static_cast<double>(m_copies[evicted].size());
-            const double evictedShare = m_load[evicted] / evictedCopies;
-            if (!m_excluded[from] && !holds(evicted, from) && evictedShare < share) {
-                considerMove(best, {move_kind::exchange, expert, from, to, evicted, 0},
-                             powerChangeOf(from, evictedShare - share) + powerChangeOf(to, share - evictedShare));
-            }
-            if (evictedCopies < 2) {
-                continue;
+        // Ranks that hold both experts get both changes one after the other, which slightly overestimates the
+        // relief; apply() uses the exact loads.
+        double change = relief + powerChangeOf(to, shareWithOneMore - evictedShare);
+        const double more = m_load[evicted] / (evictedCopies - 1) - evictedShare;
+        for (const auto rank : m_copies[evicted]) {
+            if (rank != to) {
+                change += holds(expert, rank) ? powerChangeOf(rank, more + shareWithOneMore - share)
+                        - powerChangeOf(rank, shareWithOneMore - share)
+                                              : powerChangeOf(rank, more);
             }
-            // Ranks that hold both experts get both changes one after the other, which slightly overestimates the
-            // relief; apply() uses the exact loads.
-            double change = relief + powerChangeOf(to, shareWithOneMore - evictedShare);
-            const double more = m_load[evicted] / (evictedCopies - 1) - evictedShare;
-            for (const auto rank : m_copies[evicted]) {
-                if (rank != to) {
-                    change += holds(expert, rank) ? powerChangeOf(rank, more + shareWithOneMore - share)
-                            - powerChangeOf(rank, shareWithOneMore - share)
-                                                  : powerChangeOf(rank, more);
-                }
+        }
+        considerMove(best, {move_kind::copy, expert, from, to, evicted, 0}, change);
+    }
+}
+
+void layer_search::considerRanks(std::optional<layer_move> &best, std::size_t from,
+                                 std::span<const std::uint16_t> ranks) const
+{
+    for (const auto expert : m_heldExperts[from]) {
+        const double relief = reliefByCopy(expert);
+        for (const auto to : ranks) {
+            if (to != from && !holds(expert, to)) {
+                considerExpert(best, expert, from, to, relief);
             }
-            considerMove(best, {move_kind::copy, expert, from, to, evicted, 0}, change);
         }
     }
 }
@@ -145,11 +196,22 @@
 {
     const auto from = static_cast<std::size_t>(
         std::distance(m_relativeLoads.begin(), std::max_element(m_relativeLoads.begin(), m_relativeLoads.end())));
+    std::vector<std::uint16_t> targets(m_relativeLoads.size());
+    std::iota(targets.begin(), targets.end(), std::uint16_t {0});
+    const std::size_t preferred = std::min(preferredTargets, targets.size());
+    const auto lowestLoad = [this](std::uint16_t left, std::uint16_t right) {
+        return m_relativeLoads[left] < m_relativeLoads[right];
+    };
+    std::nth_element(targets.begin(), targets.begin() + static_cast<std::ptrdiff_t>(preferred - 1), targets.end(),
+                     lowestLoad);
     std::optional<layer_move> best;
     for (const auto expert : m_heldExperts[from]) {
-        considerExpert(best, expert, from);
         considerDrop(best, expert, from);
     }
+    considerRanks(best, from, std::span(targets).first(preferred));
+    if (!best) {
+        considerRanks(best, from, std::span(targets).subspan(preferred));
+    }
     return best;
 }
 
@@ -163,6 +225,7 @@
     m_relativeLoads[rank] += m_load[expert] / (before + 1) / m_speeds[rank];
     copies.insert(std::upper_bound(copies.begin(), copies.end(), rank), static_cast<std::uint16_t>(rank));
     m_heldExperts[rank].push_back(static_cast<std::uint16_t>(expert));
+    m_newExperts[rank] += contains(m_currentCopies[expert], rank) ? 0 : 1;
 }
 
 void layer_search::remove(std::size_t expert, std::size_t rank)
@@ -171,6 +234,7 @@
     const auto before = static_cast<double>(copies.size());
     std::erase(copies, static_cast<std::uint16_t>(rank));
     std::erase(m_heldExperts[rank], static_cast<std::uint16_t>(expert));
+    m_newExperts[rank] -= contains(m_currentCopies[expert], rank) ? 0 : 1;
     m_relativeLoads[rank] -= m_load[expert] / before / m_speeds[rank];
     for (const auto holder : copies) {
         m_relativeLoads[holder] += (m_load[expert] / (before - 1) - m_load[expert] / before) / m_speeds[holder];
@@ -204,4 +268,9 @@
     m_excluded[rank] = true;
 }
 
+void layer_search::includeAllRanks()
+{
+    m_excluded.assign(m_excluded.size(), false);
+}
+
 } // namespace bronzechute
--- a/src/expert_map/map_change.h
+++ b/src/expert_map/map_change.h
@@ -17,6 +17,7 @@
     expert_map map;
     std::size_t loads = 0; ///< Number of experts to load, over all ranks.
     boot_clock::duration copyTime {}; ///< Expected loading time of the rank that loads most experts.
+    std::vector<boot_clock::duration> copyTimes; ///< Expected loading time, by rank.
     double skewBefore = 1; ///< loadSkew() of the current map.
     double skewAfter = 1; ///< loadSkew() of the new map.
 
@@ -24,6 +25,9 @@
 };
 
 /**
+ * Plans a change whose size follows from what the loads cost: while the ranks load, the group computes with the present
+ * map and more slowly.
+ *
  * @param speeds relative speed of each rank; 1 is normal
  * @returns a map whose gain outweighs the cost of the change, or nothing if none was found
  */
--- a/src/gateway/gateway_endpoint.h
+++ b/src/gateway/gateway_endpoint.h
@@ -31,8 +31,10 @@
     bool saysLeaving = false; ///< It has said so in a response; holds for this run of it, whatever the directory says.
     time_point pausedUntil {}; ///< It has asked this gateway for no requests until then.
     bool hasInvalidPause = false; ///< It has sent a pause that was ignored.
-    double longestGapMs = 0; ///< Peak time between events of its recent streams; decays slowly.
+    double longestGapMs = 0; ///< Peak time between events of its recent streams; decays with each event.
     double gapMs = 0; ///< Moving average of the time between events; 0 before the first.
+    double lastGapMs = 0; ///< Time between the latest two events of one of its streams; 0 before the first.
+    time_point lastGapAt {}; ///< When lastGapMs was measured.
     endpoint_warmth warmth;
     bool mayWarm = true; ///< Whether this gateway may send to the endpoint while it is not known to be warm.
     token_bucket coldRate; ///< This gateway's share of the rate limit while the endpoint is not known to be warm.
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -412,6 +412,8 @@
         m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
         double &smoothed = m_endpoint->gapMs;
         smoothed = smoothed == 0 ? gap : smoothed + gapSmoothing * (gap - smoothed);
+        m_endpoint->lastGapMs = gap;
+        m_endpoint->lastGapAt = now;
         double &longest = m_endpoint->longestGapMs;
         longest = std::max(gap, longest + longestGapDecay * (gap - longest));
     }
--- a/src/gateway/map_coordinator.cpp
+++ b/src/gateway/map_coordinator.cpp
@@ -1,6 +1,5 @@
 #include "gateway/map_coordinator.h"
 
-#include "expert_map/map_change.h"
 #include "observe/log.h"
 
 #include <algorithm>
@@ -12,22 +11,14 @@
 constexpr std::chrono::milliseconds tickInterval {20};
 // Interval while this gateway is not the coordinator.
 constexpr std::chrono::milliseconds followerTickInterval {100};
-constexpr std::chrono::milliseconds countsInterval {200};
-// After a shift, a short sample covers only the new demand.
-constexpr std::chrono::milliseconds shiftedCountsInterval {100};
 constexpr std::chrono::milliseconds discoveryInterval {500};
 // Reports are some 100 ms old when they are read, so more frequent requests would gain little.
 constexpr std::chrono::milliseconds settledGroupReportInterval {500};
 // Interval while the group is closed, is held or has not begun the step of its last switch.
 constexpr std::chrono::milliseconds unsettledGroupReportInterval {150};
-// After the failure of a group, the last known demand is assumed to hold for this long.
-constexpr std::chrono::seconds demandLifetime {10};
-constexpr std::chrono::milliseconds minSwitchInterval {600};
 // Exceeds the age of a report, which may still show a hold that was released since.
 constexpr std::chrono::milliseconds heldGroupTimeout {400};
 constexpr std::chrono::milliseconds switchCheckInterval {300};
-// Longer samples mix the demand before and after a shift.
-constexpr std::chrono::milliseconds maxSampleDuration {1000};
 // Map versions reserved for each term. Terms are store revisions, so a later term issues higher versions.
 constexpr std::int64_t versionsPerTerm = 10000;
 // Fraction of the target time between events from which on a new map is worth its cost.
@@ -126,12 +117,12 @@
         return;
     }
     discoverEngines(now);
-    for (auto &[service, state] : m_services) {
-        readDemand(service, state, now);
+    for (const auto &[service, demand] : m_services) {
+        readDemand(service, *demand, now);
     }
     for (auto &[key, group] : m_groups) {
         if (!group.mapSwitch && !m_stopping) {
-            planSwitch(group, m_services[group.service], now);
+            planSwitch(group, *m_services.at(group.service), now);
         }
     }
 }
@@ -157,6 +148,7 @@
 void map_coordinator::discoverEngines(time_point now)
 {
     for (auto &[key, group] : m_groups) {
+        group.stepTimes.update(group.meanStepTime(now));
         pollReport(group, now);
         readSpeeds(group, now);
     }
@@ -196,7 +188,7 @@
 
 void map_coordinator::readSpeeds(rank_group &group, time_point now)
 {
-    if (!group.open || !group.complete() || !group.speeds.isDue(isSlow(group), group.longestStepTime(), now)) {
+    if (!group.open || !group.complete() || !group.speeds.isDue(isSlow(group, now), group.longestStepTime(now), now)) {
         return;
     }
     for (const gateway_endpoint_ptr &rank : group.ranks) {
@@ -228,7 +220,10 @@
     rank_group &group = m_groups[key];
     group.name = report.group;
     group.service = endpoint->record.service;
-    m_services.try_emplace(group.service);
+    auto &demand = m_services[group.service];
+    if (demand == nullptr) {
+        demand = std::make_shared<service_demand>(group.service, m_endpoints, m_engines);
+    }
     group.ranks.resize(std::max(group.ranks.size(), report.ranks));
     if (group.ranks[report.rank] != endpoint) {
         group.ranks[report.rank] = endpoint;
@@ -355,112 +350,78 @@
     group.checkedAt = now;
 }
 
-void map_coordinator::readDemand(const std::string &service, service_state &state, time_point now)
+void map_coordinator::readDemand(const std::string &service, service_demand &demand, time_point now)
 {
     const engine_profile *profile = profileOf(service);
-    if (profile == nullptr || state.countsRequested || now < state.countsDueAt || !needsDemand(service)) {
-        return;
-    }
-    const bool restarts = now - state.countsReadAt > maxSampleDuration;
-    if (restarts) {
-        state.demand.restart();
-    }
-    state.countsReadAt = now;
-    gateway_endpoint_ptr source;
-    for (const gateway_endpoint_ptr &endpoint : m_endpoints.endpointsOf(service)) {
-        const endpoint_view view = m_endpoints.viewOf(*endpoint, {}, now);
-        if (!view.usable || view.suspect || !m_groupOfEndpoint.contains(endpoint->record.id)) {
-            continue;
-        }
-        if (source == nullptr || endpoint->record.id == state.countsSource) {
-            source = endpoint;
-        }
-    }
-    if (source == nullptr) {
-        return;
-    }
-    state.countsSource = source->record.id;
-    state.countsRequested = true;
-    m_engines.readCounts(
-        source, profile->expertLayers,
-        [this, service, restarts, id = source->record.id, term = m_term](const result<rank_counts> &counts) {
-            if (term != m_term || m_term == 0) {
-                return;
-            }
-            service_state &updated = m_services[service];
-            updated.countsRequested = false;
-            auto next = restarts ? shiftedCountsInterval : countsInterval;
-            if (!counts) {
-                updated.countsSource.clear();
-            } else if (updated.demand.record(id, counts.value()) == demand_tracker::change::shifted) {
-                logLine(log_level::info, "coordinator", "expert demand shifted",
-                        {{"service", service}, {"endpoint", id}, {"step", counts.value().step}});
-                next = shiftedCountsInterval;
-                updated.shiftedAt = boot_clock::now();
-            }
-            if (updated.demand.demand()) {
-                updated.lastDemand = updated.demand.demand();
-                updated.lastDemandAt = boot_clock::now();
-            }
-            updated.countsDueAt = boot_clock::now() + next;
+    if (profile != nullptr && needsDemand(service, now)) {
+        const bool slowed = std::ranges::any_of(m_groups, [&](const auto &entry) {
+            return entry.second.service == service && entry.second.stepTimes.hasSlowed();
         });
+        demand.read(
+            profile->expertLayers, [this](const std::string &id) { return m_groupOfEndpoint.contains(id); }, slowed,
+            now);
+    }
 }
 
-void map_coordinator::planSwitch(rank_group &group, const service_state &state, time_point now)
+void map_coordinator::planSwitch(rank_group &group, const service_demand &demand, time_point now)
 {
-    const bool knowsDemand = state.demand.demand().has_value();
-    // A group that formed again starts with the initial map, which does not fit the demand before its failure either.
-    const bool reformedWithDemand = group.reformed && state.lastDemand && now - state.lastDemandAt < demandLifetime;
     const engine_profile *profile = profileOf(group.service);
-    const bool plannable = group.map && profile != nullptr && group.complete() && group.open && group.switchBegun();
-    if (!plannable || !(knowsDemand || reformedWithDemand)) {
+    if (!group.map || profile == nullptr || !group.complete() || !group.open || !group.switchBegun()) {
         return;
     }
-    // After a shift, or when a rank has become slow, each pass with the old map may delay all streams of the group, so
-    // the switch starts at once.
-    const bool shifted = knowsDemand && std::max(state.shiftedAt, group.speeds.changedAt()) > group.changedAt;
-    // The initial map fits no demand, so that waiting for slow streams would only make the first callers late.
-    const bool unadapted = knowsDemand && group.hasInitialMap() && now - group.changedAt >= minSwitchInterval;
-    if (!reformedWithDemand && !shifted && !unadapted
-        && (now - group.changedAt < minSwitchInterval || !isSlow(group))) {
+    const load_matrix *known = demand.current(now);
+    // A group that formed again starts with the initial map, which does not fit the demand before its failure either.
+    const load_matrix *assumed = group.reformed ? demand.assumed(now) : nullptr;
+    const switch_occasion occasion {known != nullptr, assumed != nullptr, group.hasInitialMap(), isSlow(group, now),
+                                    std::max(demand.changedAt(), group.speeds.changedAt())};
+    if (!group.schedule.isDue(occasion, now)) {
         return;
     }
     group.reformed = false;
-    const load_matrix &demand = knowsDemand ? *state.demand.demand() : *state.lastDemand;
     const std::vector<double> speeds = group.speeds.speeds(group.ranks.size());
-    std::optional<map_change> change = planMapChange(*group.map, demand, speeds, *profile);
-    group.changedAt = now;
-    if (!change) {
-        return;
+    std::optional<map_change> change =
+        planMapChange(*group.map, known != nullptr ? *known : *assumed, speeds, *profile);
+    group.schedule.onPlanned(change.has_value(), now);
+    if (change) {
+        startSwitch(group, std::move(*change), demand.selectionsPerExpert(), now);
     }
+}
+
+void map_coordinator::startSwitch(rank_group &group, map_change change, double selectionsPerExpert, time_point now)
+{
     const std::int64_t version = m_term * versionsPerTerm + ++m_versionsIssued;
+    const std::vector<double> speeds = group.speeds.speeds(group.ranks.size());
+    using milliseconds = std::chrono::duration<double, std::milli>;
     logLine(log_level::info, "coordinator", "expert map switch started",
             {{"group", group.name},
              {"epoch", group.epoch},
              {"version", version},
-             {"loads", change->loads},
-             {"copy_ms", std::chrono::duration<double, std::milli>(change->copyTime).count()},
+             {"loads", change.loads},
+             {"copy_ms", milliseconds(change.copyTime).count()},
              {"slow_ranks", std::ranges::count_if(speeds, [](double speed) { return speed < 1.0; })},
-             {"skew_before", change->skewBefore},
-             {"skew_after", change->skewAfter}});
-    group.pendingMap = std::move(change->map);
+             {"selections", selectionsPerExpert},
+             {"plan_ms", milliseconds(boot_clock::now() - now).count()},
+             {"skew_before", change.skewBefore},
+             {"skew_after", change.skewAfter}});
+    group.pendingMap = std::move(change.map);
     group.stepRequested = false;
-    group.mapSwitch.emplace(group.epoch, version, group.ranks.size(), change->copyTime, now);
+    group.mapSwitch.emplace(group.epoch, version, group.ranks.size(), change.copyTime, now);
+    group.mapSwitch->setCopyTimes(std::move(change.copyTimes));
 }
 
-bool map_coordinator::needsDemand(const std::string &service) const
+bool map_coordinator::needsDemand(const std::string &service, time_point now) const
 {
     return std::ranges::any_of(m_groups, [&](const auto &entry) {
         const rank_group &group = entry.second;
-        return group.service == service && group.complete() && (isSlow(group) || group.hasInitialMap());
+        return group.service == service && group.complete() && (isSlow(group, now) || group.hasInitialMap());
     });
 }
 
-bool map_coordinator::isSlow(const rank_group &group) const
+bool map_coordinator::isSlow(const rank_group &group, time_point now) const
 {
     const auto declared = m_table->gapTargetOf(group.service);
     const auto target = declared.count() == 0 ? defaultGapTarget : declared;
-    return group.longestStepTime() > slowGapShare * std::chrono::duration<double, std::milli>(target);
+    return group.longestStepTime(now) > slowGapShare * std::chrono::duration<double, std::milli>(target);
 }
 
 rank_group *map_coordinator::groupWithSwitch(const std::string &key, std::int64_t version)
@@ -551,7 +512,7 @@
                                  located->mapSwitch->onNewEpoch();
                                  return;
                              }
-                             located->mapSwitch->onStep(report.value().step, located->meanStepTime());
+                             located->mapSwitch->onStep(report.value().step, located->meanStepTime(boot_clock::now()));
                              located->checkedAt = boot_clock::now();
                              advanceSwitch(*located, boot_clock::now());
                          });
@@ -562,12 +523,14 @@
     const bool done = group.mapSwitch->phase() == switch_phase::done;
     const time_point heldSince = group.mapSwitch->heldSince();
     const auto heldTime = heldSince == time_point {} ? boot_clock::duration {} : now - heldSince;
-    logLine(log_level::info, "coordinator", done ? "expert map switch completed" : "expert map switch aborted",
-            {{"group", group.name},
-             {"epoch", group.epoch},
-             {"version", group.mapSwitch->version()},
-             {"step", group.mapSwitch->step()},
-             {"held_ms", std::chrono::duration_cast<std::chrono::milliseconds>(heldTime).count()}});
+    logLine(
+        log_level::info, "coordinator", done ? "expert map switch completed" : "expert map switch aborted",
+        {{"group", group.name},
+         {"epoch", group.epoch},
+         {"version", group.mapSwitch->version()},
+         {"step", group.mapSwitch->step()},
+         {"took_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - group.mapSwitch->startedAt()).count()},
+         {"held_ms", std::chrono::duration_cast<std::chrono::milliseconds>(heldTime).count()}});
     if (done) {
         group.switchStep = group.mapSwitch->step();
     }
@@ -579,7 +542,7 @@
     }
     group.pendingMap.reset();
     group.mapSwitch.reset();
-    group.changedAt = now;
+    group.schedule.onEnded(now);
 }
 
 } // namespace bronzechute
--- a/src/gateway/map_coordinator.h
+++ b/src/gateway/map_coordinator.h
@@ -1,11 +1,12 @@
 #pragma once
 
-#include "expert_map/demand_tracker.h"
+#include "expert_map/map_change.h"
 #include "gateway/coordinator_term.h"
 #include "gateway/endpoint_table.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/rank_engine_client.h"
 #include "gateway/rank_group.h"
+#include "gateway/service_demand.h"
 
 #include <utility>
 
@@ -51,18 +52,6 @@
     void setGroupsListener(std::function<void()> onGroups);
 
 private:
-    struct service_state
-    {
-        demand_tracker demand;
-        std::string countsSource; ///< Id of the endpoint whose expert counts are read.
-        time_point countsDueAt {};
-        time_point countsReadAt {};
-        bool countsRequested = false;
-        std::optional<load_matrix> lastDemand; ///< Latest demand; kept while the tracker restarts.
-        time_point lastDemandAt {};
-        time_point shiftedAt {}; ///< When the demand last shifted.
-    };
-
     void schedule();
     void applyTerm(std::int64_t term, time_point now);
     void discoverEngines(time_point now);
@@ -73,17 +62,18 @@
     void applyEpoch(rank_group &group, const rank_report &report);
     void readMap(rank_group &group);
     void onExperts(const std::string &name, std::int64_t epoch, std::size_t rank, const result<rank_experts> &experts);
-    void readDemand(const std::string &service, service_state &state, time_point now);
-    void planSwitch(rank_group &group, const service_state &state, time_point now);
+    void readDemand(const std::string &service, service_demand &demand, time_point now);
+    void planSwitch(rank_group &group, const service_demand &demand, time_point now);
+    void startSwitch(rank_group &group, map_change change, double selectionsPerExpert, time_point now);
     /** @returns whether the time between events comes near the target of the route. */
-    bool isSlow(const rank_group &group) const;
+    bool isSlow(const rank_group &group, time_point now) const;
     /** @returns the group if its switch to this version is still in progress; null otherwise. */
     rank_group *groupWithSwitch(const std::string &key, std::int64_t version);
     void advanceSwitch(rank_group &group, time_point now);
     void readSwitchStep(rank_group &group);
     void checkHeldSwitch(rank_group &group, time_point now);
     /** @returns whether a group of the service may need another map. */
-    bool needsDemand(const std::string &service) const;
+    bool needsDemand(const std::string &service, time_point now) const;
     void finishSwitch(rank_group &group, time_point now);
     void recoverHeldGroup(rank_group &group, const rank_report &report);
     const engine_profile *profileOf(const std::string &service) const;
@@ -95,7 +85,7 @@
     const coordinator_term &m_coordinatorTerm;
     std::shared_ptr<const routing_table> m_table;
     std::map<std::string, rank_group> m_groups;
-    std::map<std::string, service_state> m_services;
+    std::map<std::string, std::shared_ptr<service_demand>> m_services;
     std::map<std::string, std::string> m_groupOfEndpoint; ///< By endpoint id.
     time_point m_discoverAt {};
     std::int64_t m_term = 0;
--- a/src/gateway/rank_group.h
+++ b/src/gateway/rank_group.h
@@ -4,6 +4,8 @@
 #include "expert_map/expert_map.h"
 #include "expert_map/group_switch.h"
 #include "expert_map/rank_speed_tracker.h"
+#include "expert_map/step_time_trend.h"
+#include "expert_map/switch_schedule.h"
 #include "gateway/gateway_endpoint.h"
 
 #include <cstdint>
@@ -33,7 +35,8 @@
     std::int64_t switchStep = 0; ///< Step from which on the map in use applies; its ranks are armed until then.
     rank_speed_tracker speeds;
     bool stepRequested = false;
-    time_point changedAt {}; ///< When the last switch ended or was last planned.
+    switch_schedule schedule;
+    step_time_trend stepTimes;
     time_point checkedAt {}; ///< When an engine was last asked why a switch makes no progress, or the hold began.
     std::size_t checkedRank = 0; ///< Rank that is asked.
     std::int64_t heldStep = 0; ///< Step of a hold that was reported while no switch was in progress.
@@ -52,10 +55,10 @@
     }
 
     /** @returns the recent duration of a step, from the streams of this gateway; zero when unknown. */
-    boot_clock::duration meanStepTime() const;
+    boot_clock::duration meanStepTime(time_point now) const;
 
-    /** @returns the duration of the longest recent steps, as a mean over the ranks, all of which have to be known. */
-    boot_clock::duration longestStepTime() const;
+    /** @returns the duration of the longest recent steps, from the streams of this gateway; zero when unknown. */
+    boot_clock::duration longestStepTime(time_point now) const;
 
     /** @returns whether the group uses the map with which it formed. */
     bool hasInitialMap() const
--- a/tests/gateway/map_coordinator_test.cpp
+++ b/tests/gateway/map_coordinator_test.cpp
@@ -196,6 +196,21 @@
     EXPECT_TRUE(runUntil([this] { return !m_engines.sent.empty(); })) << "nothing but the fast streams held it back";
 }
 
+// In a large group, a gateway has streams at few ranks, and has seen none at most of the others for a long time.
+TEST_F(coordinated_group, followsDemandWithStreamsAtOneOfItsRanks)
+{
+    m_engines.map = 5; // A map that was planned before.
+    gateway_endpoint &used = *m_endpoints.all().at("e0");
+    gateway_endpoint &unused = *m_endpoints.all().at("e1");
+    unused.longestGapMs = 30;
+    unused.lastGapAt = boot_clock::now() - 10s;
+    used.lastGapMs = 110;
+    EXPECT_TRUE(runUntil([&] {
+        used.lastGapAt = boot_clock::now();
+        return !m_engines.sent.empty();
+    })) << "ranks without streams made the passes of the others look short";
+}
+
 TEST_F(coordinated_group, getsAMapBeforeItsStreamsAreLate)
 {
     for (const auto &[id, endpoint] : m_endpoints.all()) {
