platform: a watch relies on a recovering hub until that has recovered too

Ruled out: shorter requests of the hub while it recovers, which still end after the member's recovery.

Change: for 1.3 s after its own recovery a member goes on relying on a hub that is still recovering.

--- a/tests/gateway/simulated_watch.cpp
+++ b/tests/gateway/simulated_watch.cpp
@@ -98,7 +98,7 @@
         return;
     }
     m_retryAt = now;
-    while (const auto changes = m_relay->next(m_revision, !m_reachable || now < m_settledAt, now)) {
+    while (const auto changes = m_relay->next(m_revision, !m_reachable || now < m_settledAt + 1300ms, now)) {
         m_followed = true;
         if (!std::exchange(m_reachable, true)) {
             m_settledAt = now + 2s;
