--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -223,7 +223,7 @@
     if (m_context.redirect.active()) {
         return m_context.redirect.retryDelay(now, latest, m_context.dispatcher.random());
     }
-    return retryDelay(cause, expectedWait, latest, m_context.dispatcher.random());
+    return m_context.dispatcher.promiseReturn(m_plan.service, {cause, expectedWait, latest, m_plan.isCallerRetry});
 }
 
 void gateway_exchange::send()
--- a/src/gateway/known_tables.cpp
+++ b/src/gateway/known_tables.cpp
@@ -9,24 +9,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds tableTimeout {3000};
+constexpr std::chrono::milliseconds tableQueuesTimeout {1000}; ///< Queues change within a second.
 constexpr std::size_t maxSentReports = 80; ///< Those of some 4 s, longer than a hub keeps a report.
 // Several hubs of a data centre may send for a while; datagrams with invented senders must not take more memory.
 constexpr std::size_t maxTables = 256;
 
-void subtract(queue_summary &sum, const queue_summary &part)
-{
-    sum.waiting = std::max(0, sum.waiting - part.waiting);
-    sum.waitingTokens = std::max<std::int64_t>(0, sum.waitingTokens - part.waitingTokens);
-    sum.startsPerSecond = std::max(0.0, sum.startsPerSecond - part.startsPerSecond);
-    sum.refusalsPerSecond = std::max(0.0, sum.refusalsPerSecond - part.refusalsPerSecond);
-    sum.promisedReturns = std::max(0, sum.promisedReturns - part.promisedReturns);
-    for (const auto &[account, tokens] : part.tokensByAccount) {
-        if (const auto found = sum.tokensByAccount.find(account); found != sum.tokensByAccount.end()) {
-            found->second = std::max<std::int64_t>(0, found->second - tokens);
-        }
-    }
-}
-
 bool isHeard(const kept_table &kept, time_point now)
 {
     return kept.receivedAt != time_point {} && now - kept.receivedAt <= hub_rule::hubTimeout;
@@ -222,12 +209,15 @@
 {
     auto total = peers.queues(coveredBy(tables), now);
     for (const kept_table *kept : tables) {
+        if (now - kept->receivedAt > tableQueuesTimeout) {
+            continue;
+        }
         const sent_report *own = kept->table.ofAll ? sentReport(kept->table.included) : nullptr;
         for (const auto &[service, queue] : kept->queues) {
             queue_summary others = queue;
             if (own != nullptr) {
                 if (const auto found = own->queues.find(service); found != own->queues.end()) {
-                    subtract(others, found->second);
+                    others -= found->second;
                 }
             }
             total[service] += others;
