--- a/src/balance/admission.cpp
+++ b/src/balance/admission.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-// Minimum share of the starts that late requests are assumed to get: the difference of the two measured rates is
-// unreliable, because both are measured over few requests.
-constexpr double minLateStartShare = 0.25;
+// A wait that no request is admitted for.
+constexpr std::chrono::minutes endlessWait {1};
 
 /** @returns the expected wait of a late request, which first attempts overtake. */
 boot_clock::duration expectedLateWait(const queue_state &queue)
@@ -19,10 +18,13 @@
     }
     const double startsPerSecond = 1.0 / std::chrono::duration<double>(queue.startInterval).count();
     const double firstAttemptsPerSecond = 1.0 / std::chrono::duration<double>(queue.arrivalInterval).count();
-    const double lateStartsPerSecond =
-        std::max(startsPerSecond - firstAttemptsPerSecond, minLateStartShare * startsPerSecond);
-    return std::chrono::duration_cast<boot_clock::duration>(
-        std::chrono::duration<double>(static_cast<double>(ahead) / lateStartsPerSecond));
+    const double lateStartsPerSecond = std::max(startsPerSecond - firstAttemptsPerSecond - queue.returnsPerSecond,
+                                                queue.leastLateShare * startsPerSecond);
+    if (lateStartsPerSecond <= 0) {
+        return endlessWait;
+    }
+    const std::chrono::duration<double> wait(static_cast<double>(ahead) / lateStartsPerSecond);
+    return std::chrono::duration_cast<boot_clock::duration>(std::min<std::chrono::duration<double>>(wait, endlessWait));
 }
 
 } // namespace
--- a/src/balance/admission.h
+++ b/src/balance/admission.h
@@ -14,6 +14,12 @@
     boot_clock::duration arrivalInterval {}; ///< Mean time between two arrivals of first attempts; zero when unknown.
     bool anyUsable = true; ///< Whether the service has an endpoint that accepts requests.
     std::size_t ownSlots = 0; ///< This gateway's share of all slots of the service.
+    /**
+     * Share of the starts that late requests are assumed to get at least: the difference of the two measured rates is
+     * unreliable, because both are measured over few requests.
+     */
+    double leastLateShare = 0.25;
+    double returnsPerSecond = 0; ///< Expected callers that come back to a place, which late requests wait for.
 
     friend bool operator==(const queue_state &, const queue_state &) = default;
 };
--- a/src/balance/waiting_request.h
+++ b/src/balance/waiting_request.h
@@ -3,6 +3,7 @@
 #include "base/boot_clock.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace bronzechute {
@@ -17,6 +18,10 @@
     time_point latestOnTimeStart {}; ///< Latest start with which the response meets its latency target.
     time_point expiresAt {}; ///< Latest start at all; the request expires then.
     bool returned = false; ///< Refused before, by a gateway or by an endpoint.
+    bool cameBack = false; ///< Its caller was refused before by a gateway.
+    std::int64_t tokens = 0; ///< That it asks for, of its prompt and its response; 0 if they are not known.
+    /** Set for a caller that has found its place: from then on it goes before all others of its priority. */
+    std::optional<time_point> placeDeadline;
 
     friend bool operator==(const waiting_request &, const waiting_request &) = default;
 };
--- a/src/gateway/exchange_node.cpp
+++ b/src/gateway/exchange_node.cpp
@@ -25,6 +25,7 @@
 // Mean time from a change at one gateway until another one has it: a report, and the table of a hub or two.
 constexpr std::chrono::milliseconds hubLoadAge {110};
 constexpr std::chrono::milliseconds queuesInterval {500};
+constexpr std::chrono::milliseconds queuesTimeout {1000};
 // States of groups that accept requests everywhere do not expire; gateways that start need them.
 constexpr std::chrono::seconds openGroupsInterval {2};
 constexpr int evidenceRepetitions = 1;
@@ -76,20 +77,6 @@
     return newest;
 }
 
-void subtract(queue_summary &sum, const queue_summary &part)
-{
-    sum.waiting = std::max(0, sum.waiting - part.waiting);
-    sum.waitingTokens = std::max<std::int64_t>(0, sum.waitingTokens - part.waitingTokens);
-    sum.startsPerSecond = std::max(0.0, sum.startsPerSecond - part.startsPerSecond);
-    sum.refusalsPerSecond = std::max(0.0, sum.refusalsPerSecond - part.refusalsPerSecond);
-    sum.promisedReturns = std::max(0, sum.promisedReturns - part.promisedReturns);
-    for (const auto &[account, tokens] : part.tokensByAccount) {
-        if (const auto found = sum.tokensByAccount.find(account); found != sum.tokensByAccount.end()) {
-            found->second = std::max<std::int64_t>(0, found->second - tokens);
-        }
-    }
-}
-
 } // namespace
 
 exchange_node::exchange_node(std::string self, std::string node, std::string dataCentre, std::uint64_t incarnation,
@@ -663,12 +650,15 @@
 {
     auto total = m_peers.queues(coveredBy(tables), now);
     for (const kept_table *kept : tables) {
+        if (now - kept->receivedAt > queuesTimeout) {
+            continue;
+        }
         const sent_report *own = kept->table.ofAll ? sentReport(kept->table.included) : nullptr;
         for (const auto &[service, queue] : kept->queues) {
             queue_summary others = queue;
             if (own != nullptr) {
                 if (const auto found = own->queues.find(service); found != own->queues.end()) {
-                    subtract(others, found->second);
+                    others -= found->second;
                 }
             }
             total[service] += others;
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -169,6 +169,7 @@
     waiting.account = m_plan.account;
     waiting.arrivedAt = m_request.arrivedAt;
     waiting.returned = m_plan.isCallerRetry || !m_tried.empty();
+    waiting.cameBack = m_plan.isCallerRetry;
     const std::chrono::milliseconds target = m_plan.matched->latencyTarget;
     const std::chrono::milliseconds usual = streaming() ? typicalFirstEventTime : target / 2;
     const bool outage = !m_context.endpoints.anyUsable(m_plan.service, now);
@@ -246,7 +247,7 @@
     if (m_context.redirect.active()) {
         return m_context.redirect.retryDelay(now, latest, m_context.dispatcher.random());
     }
-    return retryDelay(cause, expectedWait, latest, m_context.dispatcher.random());
+    return m_context.dispatcher.promiseReturn(m_plan.service, {cause, expectedWait, latest, m_plan.isCallerRetry});
 }
 
 void gateway_exchange::send()
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -132,6 +132,8 @@
                                  m_quarantineRecord->save(m_guard.evidence());
                              }
                          });
+    m_dispatcher.setFleetView(&m_loadExchange);
+    m_loadExchange.setQueueSource([this] { return m_dispatcher.summaries(); });
     registerGauges();
 }
 
@@ -173,6 +175,20 @@
     const auto add = [this](const std::string &name, const std::string &help, auto read) {
         m_registry.gauge("bronzechute_gateway_" + name, "", help, [read] { return static_cast<double>(read()); });
     };
+    add("callers_back", "Requests of callers that were refused before.",
+        [this] { return m_dispatcher.shareCounts().cameBack; });
+    add("refused_again", "Requests refused of callers that were refused before.",
+        [this] { return m_dispatcher.shareCounts().refusedAgain; });
+    add("places_kept", "Requests of callers that were refused before, started from the place kept for them.",
+        [this] { return m_dispatcher.shareCounts().places; });
+    add("order_inversions", "Requests started while one at another gateway had waited longer.",
+        [this] { return m_dispatcher.shareCounts().inversions; });
+    add("priority_turns", "Requests started before more urgent ones that waited, as it was their turn.",
+        [this] { return m_dispatcher.shareCounts().turns; });
+    add("accounts_over_share", "Accounts that have had more than their share of too little room.",
+        [this] { return m_dispatcher.accountsOverShare(); });
+    add("fairness", "Jain's index of the accounts' served share of what they asked for, of the least fair service.",
+        [this] { return m_dispatcher.fairness(); });
     add("held_bytes", "Bytes held for callers and endpoints.", [this] { return m_memory.used(); });
     add("held_bytes_limit", "Limit of the bytes held for callers and endpoints.", [this] { return m_memory.limit(); });
     add("memory_refusals", "Requests refused, since memory was short.", [this] { return m_memory.refused(); });
--- a/src/gateway/message_codec.cpp
+++ b/src/gateway/message_codec.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::size_t avoidedIndex = 3; ///< In the state of a group; earlier program versions lack it.
 constexpr std::size_t maxServices = 16; ///< In one message.
+constexpr std::size_t wholeSummarySize = 11; ///< Fields of a queue_summary; earlier program versions send seven.
 constexpr int maxNesting = 16; ///< Of arrays and objects in a message.
 
 /** Visitor of a MessagePack message that ends the visit at the first value that is nested too deeply. */
@@ -64,9 +65,13 @@
 
 void limitAccounts(queue_summary &summary)
 {
-    while (summary.tokensByAccount.size() > maxSummaryAccounts) {
-        summary.tokensByAccount.erase(
-            std::ranges::min_element(summary.tokensByAccount, {}, [](const auto &entry) { return entry.second; }));
+    while (summary.waitingByRank.size() > maxSummaryRanks) {
+        summary.waitingByRank.erase(std::prev(summary.waitingByRank.end()));
+    }
+    for (auto *const work : {&summary.tokensByAccount, &summary.refusedByAccount}) {
+        while (work->size() > maxSummaryAccounts) {
+            work->erase(std::ranges::min_element(*work, {}, [](const auto &entry) { return entry.second; }));
+        }
     }
 }
 
@@ -79,9 +84,17 @@
         }
         queue_summary limited = queue;
         limitAccounts(limited);
-        value[service] = {limited.waiting,         limited.waitingTokens,     limited.longestWaitMs,
-                          limited.startsPerSecond, limited.refusalsPerSecond, limited.promisedReturns,
-                          limited.tokensByAccount};
+        value[service] = {limited.waiting,
+                          limited.waitingTokens,
+                          limited.longestWaitMs,
+                          limited.startsPerSecond,
+                          limited.refusalsPerSecond,
+                          limited.promisedReturns,
+                          limited.tokensByAccount,
+                          limited.arrivalsPerSecond,
+                          limited.laterReturns,
+                          limited.refusedByAccount,
+                          std::vector(limited.waitingByRank.begin(), limited.waitingByRank.end())};
     }
     return value;
 }
@@ -101,6 +114,14 @@
         queue.at(4).get_to(summary.refusalsPerSecond);
         queue.at(5).get_to(summary.promisedReturns);
         queue.at(6).get_to(summary.tokensByAccount);
+        if (queue.size() >= wholeSummarySize) {
+            queue.at(7).get_to(summary.arrivalsPerSecond);
+            queue.at(8).get_to(summary.laterReturns);
+            queue.at(9).get_to(summary.refusedByAccount);
+            for (const json &entry : queue.at(10)) {
+                summary.waitingByRank.emplace(entry.at(0), entry.at(1));
+            }
+        }
         limitAccounts(summary);
     }
     return queues;
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -10,6 +10,8 @@
 
 // A gateway that is silent for longer is stopped or partitioned; its requests end or time out.
 constexpr std::chrono::milliseconds peerTimeout {3000};
+// Queues change within a second. Gateways report several times in this time, so that one that does not has stopped.
+constexpr std::chrono::milliseconds queuesTimeout {1000};
 // Reports are sent to a silent host for this long after a seed list or a peer last named it.
 constexpr std::chrono::seconds candidateTimeout {30};
 // Spans several reports. It only delays campaigns: the lease alone decides who is the coordinator.
@@ -157,7 +159,7 @@
 {
     std::map<std::string, queue_summary> total;
     for (const auto &[host, known] : m_peers) {
-        if (!reports(known, now) || excluded.contains(host)) {
+        if (!reports(known, now) || now - known.directAt > queuesTimeout || excluded.contains(host)) {
             continue;
         }
         for (const auto &[service, queue] : known.queues) {
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -1,8 +1,8 @@
 #include "gateway/request_dispatcher.h"
 
-#include "balance/admission.h"
 #include "balance/cold_permits.h"
 #include "balance/placement.h"
+#include "observe/log.h"
 
 #include <algorithm>
 #include <vector>
@@ -15,6 +15,9 @@
 constexpr std::chrono::milliseconds queueCheckInterval {10};
 // An endpoint gets no requests beyond its slots: in the queue, the first free slot of any endpoint can serve them.
 constexpr int overcommit = 0;
+// The summaries of the other gateways arrive less often.
+constexpr std::chrono::milliseconds othersInterval {100};
+constexpr std::chrono::seconds countsLogInterval {2};
 
 } // namespace
 
@@ -30,7 +33,7 @@
     if (found != m_queues.end()) {
         return found->second;
     }
-    service_queue queue {{}, {}, {}, {}, windowed_retry_budget(ownRetryLimits(service))};
+    service_queue queue {{}, {}, {}, windowed_retry_budget(ownRetryLimits(service)), {}, {}};
     return m_queues.emplace(service, std::move(queue)).first->second;
 }
 
@@ -39,32 +42,30 @@
 {
     service_queue &queue = queueOf(service);
     const time_point now = boot_clock::now();
-    if (!request.returned) {
-        queue.arrivals.record(now);
-    }
+    request.ticket = m_nextTicket++;
+    request.tokens = client->tokens();
+    updateOthers(service, queue, now);
+    queue.waiting.recordArrival(request, now);
     if (isTooSlow(service, *client, now)) {
-        client->onRefused(refusal::cannot_complete, {});
+        refuse(service, queue, request, client, refusal::cannot_complete, {});
         return std::nullopt;
     }
     if (const auto pauseEnd = pauseEndIfAllPause(service, now); pauseEnd && *pauseEnd > request.expiresAt) {
-        client->onRefused(refusal::no_endpoint, *pauseEnd - now);
+        refuse(service, queue, request, client, refusal::no_endpoint, *pauseEnd - now);
         return std::nullopt;
     }
-    request.ticket = m_nextTicket++;
-    const std::size_t ahead = queue.waiting.countAhead(request, now);
-    if (ahead == 0) {
-        if (const gateway_endpoint_ptr endpoint = choose(service, *client)) {
-            place(endpoint, client);
+    if (queue.waiting.countAhead(request, now) == 0) {
+        if (const gateway_endpoint_ptr endpoint = choose(service, queue, request, *client)) {
+            place(queue, request, endpoint, client);
             return std::nullopt;
         }
     }
-    const queue_state state {ahead, queue.completions.interval(now), queue.arrivals.interval(now),
-                             m_endpoints.anyUsable(service, now), ownSlots(service)};
-    const admission_decision decision = admit(state, request, now);
+    const bool anyUsable = m_endpoints.anyUsable(service, now);
+    const admission_decision decision = queue.waiting.admit(request, anyUsable, ownSlots(service), now);
     const boot_clock::duration rateWait = rateDelay(service, now);
     if (!decision.admitted || now + rateWait > request.expiresAt) {
-        client->onRefused(state.anyUsable ? refusal::wait_too_long : refusal::no_endpoint,
-                          std::max(decision.expectedWait, rateWait));
+        refuse(service, queue, request, client, anyUsable ? refusal::wait_too_long : refusal::no_endpoint,
+               std::max(decision.expectedWait, rateWait));
         return std::nullopt;
     }
     const std::uint64_t ticket = request.ticket;
@@ -74,6 +75,45 @@
     return ticket;
 }
 
+void request_dispatcher::updateOthers(const std::string &service, service_queue &queue, time_point now)
+{
+    if (m_fleetView != nullptr && now - queue.othersAt >= othersInterval) {
+        queue.othersAt = now;
+        queue.waiting.setOthers(m_fleetView->othersQueues(service, now), static_cast<int>(m_fleet.members.size()));
+    }
+}
+
+void request_dispatcher::refuse(const std::string &service, service_queue &queue, const waiting_request &request,
+                                const std::shared_ptr<placement_client> &client, refusal reason,
+                                boot_clock::duration expectedWait)
+{
+    const time_point now = boot_clock::now();
+    queue.waiting.recordRefusal(request, reason == refusal::wait_too_long || reason == refusal::queue_timeout, now);
+    logCounts(service, queue, now);
+    client->onRefused(reason, expectedWait);
+}
+
+void request_dispatcher::logCounts(const std::string &service, service_queue &queue, time_point now)
+{
+    if (now - queue.reportedAt < countsLogInterval) {
+        return;
+    }
+    queue.reportedAt = now;
+    const share_counts &counts = queue.waiting.counts();
+    logLine(log_level::info, "gateway", "requests refused for lack of room",
+            {{"service", service},
+             {"waiting", queue.waiting.size()},
+             {"waiting_elsewhere", queue.waiting.waitingElsewhere()},
+             {"refused", counts.refused},
+             {"came_back", counts.cameBack},
+             {"refused_again", counts.refusedAgain},
+             {"started_from_place", counts.places},
+             {"order_inversions", counts.inversions},
+             {"priority_turns", counts.turns},
+             {"accounts_over_share", queue.waiting.accountsOverShare().size()},
+             {"fairness", queue.waiting.fairness(now)}});
+}
+
 std::optional<time_point> request_dispatcher::pauseEndIfAllPause(const std::string &service, time_point now) const
 {
     return m_endpoints.anyUsable(service, now) ? std::nullopt : m_endpoints.firstPauseEnd(service, now);
@@ -88,7 +128,8 @@
     return slots / static_cast<std::size_t>(std::max(1, m_gatewayCount));
 }
 
-gateway_endpoint_ptr request_dispatcher::choose(const std::string &service, const placement_client &client)
+gateway_endpoint_ptr request_dispatcher::choose(const std::string &service, service_queue &queue,
+                                                const waiting_request &request, const placement_client &client)
 {
     const time_point now = boot_clock::now();
     std::vector<endpoint_view> views = m_endpoints.viewsOf(service, client.tried(), now);
@@ -99,7 +140,15 @@
         }
     }
     const auto index = placeRequest(views, overcommit, m_random, m_endpoints.concurrentPlacements(service, now));
-    return index ? endpoints[*index] : nullptr;
+    if (!index) {
+        return nullptr;
+    }
+    double room = 0;
+    for (const endpoint_view &view : views) {
+        room += view.usable ? std::max(0, view.slots - view.running) : 0;
+    }
+    const bool mayTake = queue.room.allows(queue.waiting.roomState(room, request), now, m_random);
+    return mayTake ? endpoints[*index] : nullptr;
 }
 
 bool request_dispatcher::isTooSlow(const std::string &service, const placement_client &client, time_point now) const
@@ -108,11 +157,14 @@
     return demand && m_endpoints.anyUsable(service, now) && !m_endpoints.anyUsable(service, now, demand);
 }
 
-void request_dispatcher::place(const gateway_endpoint_ptr &endpoint, const std::shared_ptr<placement_client> &client)
+void request_dispatcher::place(service_queue &queue, const waiting_request &request,
+                               const gateway_endpoint_ptr &endpoint, const std::shared_ptr<placement_client> &client)
 {
     ++endpoint->ownRunning;
     endpoint->ownTokens += client->tokens();
     const time_point now = boot_clock::now();
+    queue.room.recordTaken();
+    queue.waiting.recordStart(request, now);
     endpoint_table::recordSent(*endpoint, now);
     m_endpoints.recordPlaced(*endpoint, client->tokens(), now);
     client->onPlaced(endpoint);
@@ -132,7 +184,8 @@
     const time_point now = boot_clock::now();
     m_endpoints.recordReleased(*endpoint, now);
     service_queue &queue = queueOf(endpoint->record.service);
-    queue.completions.record(now);
+    queue.waiting.recordCompletion(now);
+    queue.room.recordFreed();
     if (!queue.waiting.empty()) {
         serveQueue(endpoint->record.service, queue);
     }
@@ -189,23 +242,25 @@
 
 void request_dispatcher::serveQueue(const std::string &service, service_queue &queue)
 {
-    expire(service, queue, boot_clock::now());
+    const time_point now = boot_clock::now();
+    updateOthers(service, queue, now);
+    expire(service, queue, now);
     while (!queue.waiting.empty()) {
         const auto request = queue.waiting.pop(boot_clock::now());
         const auto found = queue.clients.find(request->ticket);
         const std::shared_ptr<placement_client> client = found->second;
         if (isTooSlow(service, *client, boot_clock::now())) {
             queue.clients.erase(found);
-            client->onRefused(refusal::cannot_complete, {});
+            refuse(service, queue, *request, client, refusal::cannot_complete, {});
             continue;
         }
-        const gateway_endpoint_ptr endpoint = choose(service, *client);
+        const gateway_endpoint_ptr endpoint = choose(service, queue, *request, *client);
         if (endpoint == nullptr) {
             queue.waiting.push(*request);
             return;
         }
         queue.clients.erase(found);
-        place(endpoint, client);
+        place(queue, *request, endpoint, client);
     }
 }
 
@@ -219,16 +274,66 @@
     const refusal reason = anyUsable ? refusal::queue_timeout : refusal::no_endpoint;
     const auto pauseEnd = pauseEndIfAllPause(service, now);
     const boot_clock::duration untilPauseEnd = pauseEnd ? *pauseEnd - now : boot_clock::duration {};
-    const boot_clock::duration knownWait = anyUsable ? queue.completions.interval(now) : untilPauseEnd;
+    const boot_clock::duration knownWait = anyUsable ? queue.waiting.completionInterval(now) : untilPauseEnd;
     const boot_clock::duration expectedWait = std::max(knownWait, rateDelay(service, now));
     for (const waiting_request &request : expired) {
         const auto found = queue.clients.find(request.ticket);
         const std::shared_ptr<placement_client> client = found->second;
         queue.clients.erase(found);
-        client->onRefused(reason, expectedWait);
+        refuse(service, queue, request, client, reason, expectedWait);
     }
 }
 
+void request_dispatcher::setFleetView(const fleet_view *view)
+{
+    m_fleetView = view;
+}
+
+std::chrono::milliseconds request_dispatcher::promiseReturn(const std::string &service, const return_terms &terms)
+{
+    return queueOf(service).waiting.promiseReturn(terms, boot_clock::now(), m_random);
+}
+
+std::map<std::string, queue_summary> request_dispatcher::summaries() const
+{
+    const time_point now = boot_clock::now();
+    std::map<std::string, queue_summary> summaries;
+    for (const auto &[service, queue] : m_queues) {
+        if (queue_summary summary = queue.waiting.summary(now); summary != queue_summary {}) {
+            summaries.emplace(service, std::move(summary));
+        }
+    }
+    return summaries;
+}
+
+share_counts request_dispatcher::shareCounts() const
+{
+    share_counts sum;
+    for (const auto &[service, queue] : m_queues) {
+        sum += queue.waiting.counts();
+    }
+    return sum;
+}
+
+double request_dispatcher::fairness() const
+{
+    const time_point now = boot_clock::now();
+    double lowest = 1;
+    for (const auto &[service, queue] : m_queues) {
+        lowest = std::min(lowest, queue.waiting.fairness(now));
+    }
+    return lowest;
+}
+
+std::size_t request_dispatcher::accountsOverShare() const
+{
+    std::size_t count = 0;
+    for (const auto &[service, queue] : m_queues) {
+        count += queue.waiting.accountsOverShare().size();
+    }
+    return count;
+}
+
 void request_dispatcher::scheduleCheck()
 {
     if (m_checkScheduled) {
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include "balance/completion_rate.h"
 #include "balance/retry_limits.h"
-#include "balance/wait_queue.h"
+#include "balance/room_share.h"
+#include "balance/shared_queue.h"
 #include "balance/windowed_retry_budget.h"
 #include "gateway/endpoint_table.h"
+#include "gateway/fleet_view.h"
 #include "gateway/placement_client.h"
 
 #include <utility>
@@ -61,6 +62,24 @@
 
     void setRetryLimits(const retry_limits &limits);
 
+    /** Sets where the queues of the other gateways are known; null if nowhere. It must outlive this object. */
+    void setFleetView(const fleet_view *view);
+
+    /** Chooses when a caller that is refused should come back. The other gateways are told how many will. */
+    std::chrono::milliseconds promiseReturn(const std::string &service, const return_terms &terms);
+
+    /** @returns what the other gateways need to know of the queues, by service. */
+    std::map<std::string, queue_summary> summaries() const;
+
+    /** @returns the sum over all services. */
+    share_counts shareCounts() const;
+
+    /** @returns Jain's index over the accounts of the service in which it is lowest; see shared_queue::fairness(). */
+    double fairness() const;
+
+    /** @returns the number of accounts that have had more than their share, over all services. */
+    std::size_t accountsOverShare() const;
+
     /** Serves the queues of all services; called when endpoints have become usable or free. */
     void serveQueues();
 
@@ -74,11 +93,12 @@
 private:
     struct service_queue
     {
-        wait_queue waiting;
-        completion_rate completions;
-        completion_rate arrivals; ///< First attempts of callers, without their retries.
+        shared_queue waiting;
+        room_share room;
         std::map<std::uint64_t, std::shared_ptr<placement_client>> clients; ///< By ticket.
         windowed_retry_budget budget;
+        time_point othersAt {}; ///< When the queues of the other gateways were read.
+        time_point reportedAt {}; ///< When its counts were logged.
     };
 
     service_queue &queueOf(const std::string &service);
@@ -86,10 +106,16 @@
     std::size_t ownSlots(const std::string &service) const;
     /** @returns when the first endpoint of a service ends its pause, if no endpoint can be used until then. */
     std::optional<time_point> pauseEndIfAllPause(const std::string &service, time_point now) const;
-    gateway_endpoint_ptr choose(const std::string &service, const placement_client &client);
+    void updateOthers(const std::string &service, service_queue &queue, time_point now);
+    gateway_endpoint_ptr choose(const std::string &service, service_queue &queue, const waiting_request &request,
+                                const placement_client &client);
     /** @returns whether the service works, but too slowly for the request. */
     bool isTooSlow(const std::string &service, const placement_client &client, time_point now) const;
-    void place(const gateway_endpoint_ptr &endpoint, const std::shared_ptr<placement_client> &client);
+    void place(service_queue &queue, const waiting_request &request, const gateway_endpoint_ptr &endpoint,
+               const std::shared_ptr<placement_client> &client);
+    void refuse(const std::string &service, service_queue &queue, const waiting_request &request,
+                const std::shared_ptr<placement_client> &client, refusal reason, boot_clock::duration expectedWait);
+    static void logCounts(const std::string &service, service_queue &queue, time_point now);
     void serveQueue(const std::string &service, service_queue &queue);
     void expire(const std::string &service, service_queue &queue, time_point now);
     /** @returns the time until the rate limits of cold endpoints allow a request; zero if none accepts requests. */
@@ -98,6 +124,7 @@
 
     boost::asio::steady_timer m_timer;
     endpoint_table &m_endpoints;
+    const fleet_view *m_fleetView = nullptr;
     retry_limits m_limits;
     std::map<std::string, service_queue> m_queues;
     std::uint64_t m_nextTicket = 1;
--- a/tests/balance/load_replay_test.cpp
+++ b/tests/balance/load_replay_test.cpp
@@ -76,6 +76,56 @@
     EXPECT_GE(result.inTimeUrgent, 0.9);
 }
 
+class flooded_pattern : public testing::TestWithParam<std::string>
+{
+};
+
+// Guards against accounts that send little and are refused for one that sends more than all endpoints can serve.
+TEST_P(flooded_pattern, leavesTheOtherAccountsServedAsInCalm)
+{
+    const replay_result result = replayLoad(patternNamed(GetParam()), replay_policy::bronzechute, seed);
+    EXPECT_GE(result.leastUnflooded, 0.95);
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, flooded_pattern, testing::Values("flood", "flood_at_12_gateways"),
+                         [](const auto &row) { return row.param; });
+
+class prioritized_pattern : public testing::TestWithParam<std::string>
+{
+};
+
+// Guards against an urgent kind that is refused more often than a less urgent one.
+TEST_P(prioritized_pattern, servesUrgentRequestsAtLeastAsOften)
+{
+    const replay_result result = replayLoad(patternNamed(GetParam()), replay_policy::bronzechute, seed);
+    EXPECT_GE(result.servedUrgent, result.servedOthers - 0.05);
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, prioritized_pattern, testing::Values("priorities", "mostly_urgent", "urgent_and_others"),
+                         [](const auto &row) { return row.param; });
+
+// Guards against the least urgent kind that starves. It is sure of a twelfth of the starts and asks for a fifth.
+TEST(load_replay, leastUrgentRequestsGetTheirPart)
+{
+    const replay_result result = replayLoad(patternNamed("mostly_urgent"), replay_policy::bronzechute, seed);
+    EXPECT_GE(result.servedOthers, 0.4);
+}
+
+// Guards against callers that come back when they are told to and are refused, while the load is below the capacity on
+// average.
+TEST(load_replay, callersThatComeBackOutlastAWave)
+{
+    const replay_pattern &pattern = patternNamed("waves_at_12_gateways");
+    double callers = 0;
+    int refusedAgain = 0;
+    for (const std::uint64_t each : {1, 2, 3}) {
+        const replay_result result = replayLoad(pattern, replay_policy::bronzechute, each);
+        callers += 12 * result.offered;
+        refusedAgain += result.refusedAgain;
+    }
+    EXPECT_LE(refusedAgain, callers / 100);
+}
+
 struct outage_row
 {
     const char *name; ///< Failure that the row guards against.
--- a/tests/balance/wait_queue_test.cpp
+++ b/tests/balance/wait_queue_test.cpp
@@ -35,6 +35,12 @@
     return waiting;
 }
 
+waiting_request withPlace(waiting_request waiting, std::chrono::milliseconds deadline)
+{
+    waiting.placeDeadline = start + deadline;
+    return returned(waiting);
+}
+
 struct order_case
 {
     std::string name;
@@ -70,11 +76,44 @@
         order_case {"late_return_makes_others_late_too",
                     {returned(request(1, 0ms, 0ms)), request(2, 100ms, 350ms), request(3, 110ms, 360ms)},
                     {2, 3, 1}},
+        order_case {"place_of_a_caller_that_came_back_taken_by_newcomers",
+                    {withPlace(request(1, 0ms, 0ms), 150ms), request(2, 100ms, 350ms), request(3, 0ms, 100ms)},
+                    {1, 2, 3}},
+        order_case {"newcomer_late_for_one_that_can_wait",
+                    {withPlace(request(1, 0ms, 0ms), 900ms), request(2, 100ms, 350ms), request(3, 0ms, 100ms)},
+                    {2, 1, 3}},
         order_case {"caller_without_a_further_try_refused_again",
                     {request(1, 0ms, 150ms), returned(request(2, 100ms, 100ms))},
                     {2, 1}}),
     [](const auto &row) { return row.param.name; });
 
+// Guards against a flooding account whose requests delay the others, in time or late.
+TEST(wait_queue, servesAccountsOverTheirShareLast)
+{
+    wait_queue line;
+    line.setAccountsOverShare({"flooding"});
+    waiting_request flood = request(1, 0ms, 300ms);
+    flood.account = "flooding";
+    line.push(flood);
+    line.push(request(2, 0ms, 400ms));
+    line.push(withPriority(request(3, 0ms, 400ms), 1));
+    EXPECT_EQ(line.countAhead(request(4, 0ms, 400ms), start), 1U);
+    EXPECT_EQ(line.pop(start + 200ms)->ticket, 2U);
+    EXPECT_EQ(line.pop(start + 200ms)->ticket, 1U) << "a less urgent kind is served before a more urgent one";
+}
+
+// Guards against turns that also serve a kind whose turn it is not.
+TEST(wait_queue, servesAPriorityWhoseTurnItIs)
+{
+    wait_queue line;
+    line.push(request(1, 0ms, 300ms));
+    line.push(withPriority(request(2, 0ms, 300ms), 1));
+    line.push(withPriority(request(3, 0ms, 300ms), 2));
+    EXPECT_EQ(line.countAhead(withPriority(request(4, 0ms, 400ms), 2), start, {2}), 1U);
+    EXPECT_EQ(line.pop(start, {2})->ticket, 3U);
+    EXPECT_EQ(line.pop(start, {2})->ticket, 1U);
+}
+
 TEST(wait_queue, removesExpiredRequests)
 {
     wait_queue line;
--- a/tests/gateway/exchange_node_test.cpp
+++ b/tests/gateway/exchange_node_test.cpp
@@ -339,6 +339,47 @@
     }
 }
 
+struct stopped_row
+{
+    std::string name;
+    int size;
+    bool isFrozen;
+};
+
+class stopped_gateway : public testing::TestWithParam<stopped_row>
+{
+};
+
+// Its queue would take room from the others that nobody uses.
+TEST_P(stopped_gateway, isLeftOutOfTheQueues)
+{
+    simulated_fleet fleet(GetParam().size, 2);
+    for (const auto &gateway : fleet.gateways) {
+        gateway->queues["models"].waiting = 10;
+    }
+    fleet.run(5s);
+    simulated_gateway &stopped = *fleet.gateways.front();
+    if (GetParam().isFrozen) {
+        stopped.frozenUntil = fleet.now() + 1min;
+    } else {
+        stopped.isRunning = false;
+    }
+    fleet.run(2500ms);
+    for (const auto &gateway : fleet.gateways) {
+        if (gateway.get() != &stopped) {
+            const auto others = gateway->node->othersQueues(fleet.now());
+            EXPECT_EQ(others.at("models").waiting, 10 * (GetParam().size - 2)) << gateway->host;
+        }
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, stopped_gateway,
+                         testing::Values(stopped_row {"queue_of_a_killed_gateway_counted", 4, false},
+                                         stopped_row {"queue_of_a_frozen_gateway_counted", 4, true},
+                                         stopped_row {"queue_of_a_killed_hub_counted", 20, false},
+                                         stopped_row {"queue_of_a_frozen_hub_counted", 20, true}),
+                         [](const auto &row) { return row.param.name; });
+
 // Datagrams from any sender that end or mislead the process.
 TEST(hub_message, isNotReadFromOtherBytes)
 {
--- a/tests/gateway/request_dispatcher_test.cpp
+++ b/tests/gateway/request_dispatcher_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace bronzechute {
@@ -203,6 +204,132 @@
     EXPECT_EQ(takeTheLessLoaded({}, 1), 60);
 }
 
+/** What the other gateways report, without a network. */
+class scripted_fleet : public fleet_view
+{
+public:
+    std::string self() const override
+    {
+        return "10.0.0.1";
+    }
+
+    std::vector<std::string> members(time_point) const override
+    {
+        return {"10.0.0.1", "10.0.0.2"};
+    }
+
+    bool isDiscovered(time_point) const override
+    {
+        return true;
+    }
+
+    queue_summary othersQueues(const std::string &, time_point) const override
+    {
+        return others;
+    }
+
+    queue_summary others;
+};
+
+/** Endpoints with one slot each, and requests of some priority. */
+class shared_room : public testing::Test
+{
+protected:
+    void addEndpoints(int count)
+    {
+        for (int number = 0; number < count; ++number) {
+            endpoint_record record;
+            record.id = "e" + std::to_string(number);
+            record.service = "models";
+            record.slots = 1;
+            m_endpoints.update(record);
+        }
+        m_dispatcher.setFleetView(&m_fleet);
+        m_dispatcher.setFleet({"10.0.0.1", {"10.0.0.1", "10.0.0.2"}, 2, true});
+    }
+
+    std::shared_ptr<recorded_client> submit(int priority = 0)
+    {
+        const time_point now = boot_clock::now();
+        auto client = std::make_shared<recorded_client>(std::nullopt);
+        waiting_request request;
+        request.priority = priority;
+        request.arrivedAt = now;
+        request.latestOnTimeStart = now + 10s;
+        request.expiresAt = now + 20s;
+        m_dispatcher.submit("models", request, client);
+        return client;
+    }
+
+    int placed(int requests)
+    {
+        int count = 0;
+        for (int number = 0; number < requests; ++number) {
+            count += submit()->endpoint != nullptr ? 1 : 0;
+        }
+        return count;
+    }
+
+    boost::asio::io_context m_loop;
+    endpoint_table m_endpoints {"here"};
+    request_dispatcher m_dispatcher {m_loop, m_endpoints, {}, 1};
+    scripted_fleet m_fleet;
+};
+
+// Guards against the same free slots that are taken by all gateways at once.
+TEST_F(shared_room, isLeftToGatewaysWhereMoreWait)
+{
+    m_fleet.others.waiting = 40;
+    m_fleet.others.waitingByRank = {{0, 40}};
+    addEndpoints(12);
+    EXPECT_LE(placed(4), 2);
+}
+
+// Guards against urgent requests that are held back for less urgent ones elsewhere.
+TEST_F(shared_room, isNotLeftToLessUrgentRequests)
+{
+    m_fleet.others.waiting = 40;
+    m_fleet.others.waitingByRank = {{orderRank(1, false), 40}};
+    addEndpoints(12);
+    EXPECT_EQ(placed(12), 12);
+}
+
+// Guards against limits that hold after the others have fallen silent, or for others of an earlier version.
+TEST_F(shared_room, isTakenWholeWhenNothingIsHeardOfTheOthers)
+{
+    addEndpoints(12);
+    EXPECT_EQ(placed(12), 12);
+}
+
+// Guards against a configuration that takes the place of requests that wait.
+TEST_F(shared_room, servesThoseThatWaitAfterAChangeOfPriorities)
+{
+    addEndpoints(1);
+    const auto running = submit(1);
+    const auto before = submit(1);
+    const auto after = submit(0);
+    ASSERT_NE(running->endpoint, nullptr);
+    m_dispatcher.release(running->endpoint);
+    EXPECT_NE(after->endpoint, nullptr);
+    EXPECT_EQ(before->endpoint, nullptr);
+    m_dispatcher.release(after->endpoint);
+    EXPECT_NE(before->endpoint, nullptr);
+    EXPECT_FALSE(before->refused);
+}
+
+// Guards against gateways that know nothing of what waits and was promised here.
+TEST_F(shared_room, isReportedToTheOthers)
+{
+    addEndpoints(1);
+    submit();
+    submit();
+    EXPECT_EQ(m_dispatcher.promiseReturn("models", {refusal_cause::unavailable, 0ms, 900ms}) <= 900ms, true);
+    const queue_summary summary = m_dispatcher.summaries().at("models");
+    EXPECT_EQ(summary.waiting, 1);
+    EXPECT_EQ(summary.promisedReturns + summary.laterReturns[0], 1);
+    EXPECT_EQ(summary.startsPerSecond, 1);
+}
+
 } // namespace
 
 } // namespace bronzechute
--- a/tests/standins/load_replay.cpp
+++ b/tests/standins/load_replay.cpp
@@ -1,15 +1,16 @@
 #include "standins/load_replay.h"
 
-#include "balance/admission.h"
-#include "balance/completion_rate.h"
 #include "balance/placement.h"
 #include "balance/retry_delay.h"
+#include "balance/room_share.h"
+#include "balance/shared_queue.h"
 #include "balance/start_deadlines.h"
-#include "balance/wait_queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <functional>
+#include <numbers>
 #include <optional>
 #include <queue>
 #include <random>
@@ -21,11 +22,13 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
-constexpr std::size_t gateways = 4;
 constexpr std::size_t endpointCount = 8;
 constexpr int slots = 12;
 constexpr int accounts = 10;
+constexpr int floodingAccount = 0;
+constexpr std::size_t crowdedPart = 4;
 constexpr milliseconds length = 12s;
+constexpr milliseconds wavePeriod = 6s;
 constexpr milliseconds outageStart = 3s;
 constexpr milliseconds usualPrompt = 40ms; ///< Time until the first event of a request that runs.
 constexpr int largeFactor = 8;
@@ -36,6 +39,7 @@
 constexpr milliseconds callerDeadline = 8s;
 constexpr milliseconds reportDelay = 40ms; ///< Between gateways.
 constexpr milliseconds checkInterval = 10ms;
+constexpr milliseconds summaryInterval = 250ms;
 constexpr int returnShare = 3; ///< Callers use a third of their time at most until they return.
 
 /** A caller's request over all its tries. */
@@ -55,6 +59,24 @@
     bool done = false;
 };
 
+/** Requests, and those among them that got something. */
+struct share_of
+{
+    double whole = 0;
+    double part = 0;
+
+    void add(bool counts)
+    {
+        whole += 1;
+        part += counts ? 1 : 0;
+    }
+
+    double value() const
+    {
+        return whole == 0 ? 0 : part / whole;
+    }
+};
+
 struct emulated_endpoint
 {
     int running = 0;
@@ -66,9 +88,9 @@
 /** One gateway's own view. */
 struct emulated_gateway
 {
-    wait_queue line;
-    completion_rate rate;
-    completion_rate arrivals; ///< First tries.
+    shared_queue line;
+    room_share room;
+    queue_summary summary; ///< As the others know it.
     std::map<std::uint64_t, std::size_t> waiting; ///< Caller by ticket.
     std::vector<int> own = std::vector<int>(endpointCount); ///< Requests under way.
     std::vector<int> reported = std::vector<int>(endpointCount); ///< As the others know them.
@@ -80,7 +102,7 @@
 {
 public:
     replay(const replay_pattern &pattern, replay_policy policy, std::uint64_t seed)
-        : m_pattern(pattern), m_policy(policy), m_random(seed), m_endpoints(endpointCount), m_gateways(gateways)
+        : m_pattern(pattern), m_policy(policy), m_random(seed), m_endpoints(endpointCount), m_gateways(pattern.gateways)
     {
     }
 
@@ -104,14 +126,17 @@
 
     void arrive(double rate, time_point until, int account);
     void submit(std::size_t id);
-    void refuse(std::size_t id, refusal_cause cause, boot_clock::duration wait, const char *reason);
-    std::optional<std::size_t> choose(emulated_gateway &gateway);
+    void refuse(const waiting_request &request, std::size_t id, refusal_cause cause, boot_clock::duration wait,
+                const char *reason);
+    std::optional<std::size_t> choose(emulated_gateway &gateway, const waiting_request &request);
+    void start(const waiting_request &request, std::size_t id, std::size_t endpoint);
     void place(std::size_t id, std::size_t endpoint);
     void begin(std::size_t id, std::size_t endpoint, int attempt);
     void release(std::size_t gateway, std::size_t endpoint);
     void serveLine(std::size_t gateway);
     void check(std::size_t gateway);
     void report(std::size_t gateway);
+    void exchangeSummaries();
     replay_result summarize() const;
 
     struct event
@@ -140,6 +165,8 @@
     std::vector<caller> m_callers;
     std::map<std::size_t, milliseconds> m_firstEvents; ///< Of answered callers, from their first try on.
     std::map<std::string, int> m_refusals;
+    int m_cameBack = 0;
+    int m_refusedAgain = 0;
 };
 
 double replay::capacity() const
@@ -171,13 +198,14 @@
         at(third, [=, this] { arrive(perSecond * (m_pattern.burstLoad - m_pattern.load), secondThird, -1); });
     }
     if (m_pattern.floodShare > 0) {
-        at(m_start, [=, this] { arrive(perSecond * m_pattern.floodShare, m_start + length, 0); });
+        at(m_start, [=, this] { arrive(perSecond * m_pattern.floodShare, m_start + length, floodingAccount); });
     }
     for (int index = 0; index < m_pattern.goneEndpoints; ++index) {
         emulated_endpoint &endpoint = m_endpoints[endpointCount - 1 - static_cast<std::size_t>(index)];
         at(third, [&endpoint] { endpoint.gone = true; });
         at(secondThird, [&endpoint] { endpoint.gone = false; });
     }
+    at(m_start, [this] { exchangeSummaries(); });
     while (!m_events.empty()) {
         const event next = m_events.top();
         m_events.pop();
@@ -202,7 +230,9 @@
     next.triesLeft = next.impatient ? 3 : 1;
     m_callers.push_back(next);
     submit(m_callers.size() - 1);
-    const double pause = std::exponential_distribution<double>(rate)(m_random);
+    const double periods = std::chrono::duration<double>(m_now - m_start) / std::chrono::duration<double>(wavePeriod);
+    const double present = rate * (1 + m_pattern.waveSwing * std::sin(2 * std::numbers::pi * periods));
+    const double pause = std::exponential_distribution<double>(present)(m_random);
     at(m_now + std::chrono::duration_cast<boot_clock::duration>(std::chrono::duration<double>(pause)),
        [=, this] { arrive(rate, until, account); });
 }
@@ -214,7 +244,10 @@
     ++each.attempt;
     each.triedAt = m_now;
     each.placed = false;
-    each.gateway = m_random() % gateways;
+    each.gateway = m_random() % m_gateways.size();
+    if (chance(m_pattern.crowdedShare)) {
+        each.gateway %= std::max<std::size_t>(1, m_gateways.size() / crowdedPart);
+    }
     // The caller gives up without a first event, or leaves earlier.
     at(m_now + (each.leaves ? milliseconds(m_random() % 500) : callerPatience), [=, this, attempt = each.attempt] {
         caller &left = m_callers[id];
@@ -224,11 +257,8 @@
         }
     });
     emulated_gateway &gateway = m_gateways[each.gateway];
-    if (!returned) {
-        gateway.arrivals.record(m_now);
-    }
     if (m_policy == replay_policy::least_requests) {
-        place(id, *choose(gateway));
+        place(id, *choose(gateway, {}));
         return;
     }
     waiting_request request;
@@ -237,6 +267,8 @@
     request.account = std::to_string(each.account);
     request.arrivedAt = m_now;
     request.returned = returned;
+    request.cameBack = returned;
+    request.tokens = each.large ? largeFactor : 1;
     const start_deadlines useful = startDeadlines({returned ? m_now : each.firstTry, firstEventTarget, usualFirstEvent,
                                                    each.firstTry + callerDeadline, returned, m_closed},
                                                   m_now);
@@ -244,25 +276,25 @@
     request.expiresAt = useful.expiresAt;
     if (m_policy == replay_policy::fifo) {
         request.returned = false;
+        request.cameBack = false;
         request.latestOnTimeStart = {};
         request.expiresAt = m_now + callerDeadline;
     }
+    gateway.line.recordArrival(request, m_now);
     if (m_policy == replay_policy::refuse_in_outage && m_closed && !returned) {
-        refuse(id, refusal_cause::unavailable, {}, "no_endpoint");
+        refuse(request, id, refusal_cause::unavailable, {}, "no_endpoint");
         return;
     }
-    const std::size_t ahead = gateway.line.countAhead(request, m_now);
-    if (ahead == 0) {
-        if (const auto endpoint = choose(gateway)) {
-            place(id, *endpoint);
+    if (gateway.line.countAhead(request, m_now) == 0) {
+        if (const auto endpoint = choose(gateway, request)) {
+            start(request, id, *endpoint);
             return;
         }
     }
-    const queue_state state {ahead, gateway.rate.interval(m_now), gateway.arrivals.interval(m_now), !m_closed,
-                             endpointCount * slots / gateways};
-    const admission_decision decision = admit(state, request, m_now);
+    const admission_decision decision =
+        gateway.line.admit(request, !m_closed, endpointCount * slots / m_gateways.size(), m_now);
     if (usesBalance() && !decision.admitted) {
-        refuse(id, m_closed ? refusal_cause::unavailable : refusal_cause::overloaded, decision.expectedWait,
+        refuse(request, id, m_closed ? refusal_cause::unavailable : refusal_cause::overloaded, decision.expectedWait,
                "line_too_long");
         return;
     }
@@ -271,10 +303,14 @@
     check(each.gateway);
 }
 
-void replay::refuse(std::size_t id, refusal_cause cause, boot_clock::duration wait, const char *reason)
+void replay::refuse(const waiting_request &request, std::size_t id, refusal_cause cause, boot_clock::duration wait,
+                    const char *reason)
 {
     caller &each = m_callers[id];
+    shared_queue &line = m_gateways[each.gateway].line;
+    line.recordRefusal(request, cause == refusal_cause::overloaded, m_now);
     ++m_refusals[reason];
+    m_refusedAgain += each.attempt > 1 ? 1 : 0;
     ++each.attempt;
     const auto left = each.firstTry + callerDeadline - m_now;
     if (each.triesLeft == 0 || left < callerPatience) {
@@ -282,15 +318,16 @@
         return;
     }
     --each.triesLeft;
-    const milliseconds told = retryDelay(cause, wait, left / returnShare, m_random);
+    const milliseconds told = line.promiseReturn({cause, wait, left / returnShare, request.cameBack}, m_now, m_random);
     at(m_now + (each.impatient ? milliseconds(20) : told), [=, this] {
         if (!m_callers[id].done) {
+            ++m_cameBack;
             submit(id);
         }
     });
 }
 
-std::optional<std::size_t> replay::choose(emulated_gateway &gateway)
+std::optional<std::size_t> replay::choose(emulated_gateway &gateway, const waiting_request &request)
 {
     std::vector<endpoint_view> views(endpointCount);
     for (std::size_t index = 0; index < endpointCount; ++index) {
@@ -308,7 +345,23 @@
         }
     }
     constexpr int anyNumber = 1000000;
-    return placeRequest(views, m_policy == replay_policy::least_requests ? anyNumber : 0, m_random);
+    const auto chosen = placeRequest(views, m_policy == replay_policy::least_requests ? anyNumber : 0, m_random);
+    double room = 0;
+    for (const endpoint_view &view : views) {
+        room += view.usable ? std::max(0, view.slots - view.running) : 0;
+    }
+    if (usesBalance() && !gateway.room.allows(gateway.line.roomState(room, request), m_now, m_random)) {
+        return std::nullopt;
+    }
+    return chosen;
+}
+
+void replay::start(const waiting_request &request, std::size_t id, std::size_t endpoint)
+{
+    emulated_gateway &gateway = m_gateways[m_callers[id].gateway];
+    gateway.room.recordTaken();
+    gateway.line.recordStart(request, m_now);
+    place(id, endpoint);
 }
 
 void replay::place(std::size_t id, std::size_t endpoint)
@@ -367,7 +420,9 @@
 void replay::release(std::size_t gateway, std::size_t endpoint)
 {
     --m_gateways[gateway].own[endpoint];
-    m_gateways[gateway].rate.record(m_now);
+    emulated_gateway &own = m_gateways[gateway];
+    own.line.recordCompletion(m_now);
+    own.room.recordFreed();
     report(gateway);
     emulated_endpoint &target = m_endpoints[endpoint];
     while (!target.queue.empty() && target.running < slots) {
@@ -390,7 +445,8 @@
         const std::size_t id = gateway.waiting.at(expired.ticket);
         gateway.waiting.erase(expired.ticket);
         if (!m_callers[id].done) {
-            refuse(id, m_closed ? refusal_cause::unavailable : refusal_cause::overloaded, {}, "waited_too_long");
+            refuse(expired, id, m_closed ? refusal_cause::unavailable : refusal_cause::overloaded, {},
+                   "waited_too_long");
         }
     }
     while (!gateway.line.empty()) {
@@ -400,13 +456,13 @@
             gateway.waiting.erase(request->ticket);
             continue;
         }
-        const auto endpoint = choose(gateway);
+        const auto endpoint = choose(gateway, *request);
         if (!endpoint) {
             gateway.line.push(*request);
             return;
         }
         gateway.waiting.erase(request->ticket);
-        place(id, *endpoint);
+        start(*request, id, *endpoint);
     }
 }
 
@@ -431,54 +487,89 @@
     at(m_now + reportDelay, [=, this] { m_gateways[index].reported = m_gateways[index].own; });
 }
 
+void replay::exchangeSummaries()
+{
+    queue_summary all;
+    for (const emulated_gateway &gateway : m_gateways) {
+        all += gateway.summary;
+    }
+    for (emulated_gateway &gateway : m_gateways) {
+        queue_summary others = all;
+        others -= gateway.summary;
+        gateway.line.setOthers(std::move(others), static_cast<int>(m_gateways.size()));
+    }
+    for (emulated_gateway &gateway : m_gateways) {
+        gateway.summary = gateway.line.summary(m_now);
+    }
+    if (usesBalance() && m_now < m_start + length + callerDeadline) {
+        at(m_now + summaryInterval, [this] { exchangeSummaries(); });
+    }
+}
+
 replay_result replay::summarize() const
 {
     replay_result result;
     result.capacity = capacity();
     result.refusals = m_refusals;
+    result.cameBack = m_cameBack;
+    result.refusedAgain = m_refusedAgain;
     const double seconds = std::chrono::duration<double>(length).count();
-    std::vector<int> asked(accounts);
-    std::vector<int> served(accounts);
-    int inTime = 0;
-    int owed = 0;
-    int urgent = 0;
-    int urgentInTime = 0;
-    int large = 0;
-    int largeServed = 0;
+    std::vector<share_of> byAccount(accounts);
+    share_of all;
+    share_of inTime;
+    share_of urgent;
+    share_of urgentInTime;
+    share_of others;
+    share_of large;
+    share_of unflooded;
     std::vector<milliseconds> times;
     for (std::size_t id = 0; id < m_callers.size(); ++id) {
         const caller &each = m_callers[id];
+        if (each.leaves) {
+            continue;
+        }
         const auto first = m_firstEvents.find(id);
         const bool answered = first != m_firstEvents.end();
         const bool timely = answered && first->second <= firstEventTarget;
-        if (each.leaves) {
-            continue;
+        all.add(answered);
+        inTime.add(timely);
+        (each.urgent ? urgent : others).add(answered);
+        if (each.urgent) {
+            urgentInTime.add(timely);
         }
-        ++owed;
-        inTime += timely ? 1 : 0;
-        urgent += each.urgent ? 1 : 0;
-        urgentInTime += each.urgent && timely ? 1 : 0;
-        large += each.large ? 1 : 0;
-        largeServed += each.large && answered ? 1 : 0;
-        ++asked[static_cast<std::size_t>(each.account)];
-        served[static_cast<std::size_t>(each.account)] += answered ? 1 : 0;
+        if (each.large) {
+            large.add(answered);
+        }
+        if (each.account != floodingAccount) {
+            unflooded.add(timely);
+        }
+        byAccount[static_cast<std::size_t>(each.account)].add(answered);
         if (answered) {
             times.push_back(first->second);
         }
     }
     std::ranges::sort(times);
-    const auto share = [](int part, int whole) {
-        return whole == 0 ? 0.0 : static_cast<double>(part) / whole;
-    };
     result.offered = static_cast<double>(m_callers.size()) / seconds;
-    result.goodput = inTime / seconds / result.capacity;
-    result.served = share(static_cast<int>(times.size()), owed);
-    result.inTimeUrgent = share(urgentInTime, urgent);
-    result.servedLarge = share(largeServed, large);
-    result.leastAccount = 1;
-    for (std::size_t account = 0; account < asked.size(); ++account) {
-        result.leastAccount = std::min(result.leastAccount, share(served[account], asked[account]));
+    result.goodput = inTime.part / seconds / result.capacity;
+    result.served = all.value();
+    result.servedUrgent = urgent.value();
+    result.servedOthers = others.value();
+    result.inTimeUrgent = urgentInTime.value();
+    result.servedLarge = large.value();
+    result.unfloodedInTime = unflooded.value();
+    result.leastUnflooded = 1;
+    double sum = 0;
+    double squares = 0;
+    for (std::size_t account = 0; account < byAccount.size(); ++account) {
+        const double share = byAccount[account].value();
+        if (static_cast<int>(account) != floodingAccount) {
+            result.leastUnflooded = std::min(result.leastUnflooded, share);
+        }
+        sum += share;
+        squares += share * share;
     }
+    result.leastAccount = std::min(result.leastUnflooded, byAccount[floodingAccount].value());
+    result.fairness = squares > 0 ? sum * sum / (accounts * squares) : 0;
     if (!times.empty()) {
         result.firstEventMedian = times[times.size() / 2];
         result.firstEventP99 = times[times.size() * 99 / 100];
@@ -503,6 +594,13 @@
         {.name = "priorities", .load = 2, .urgentShare = 0.3},
         {.name = "slow_endpoints", .load = 0.9, .slowEndpoints = 3},
         {.name = "third_gone", .load = 0.8, .goneEndpoints = 3},
+        {.name = "burst_at_12_gateways", .load = 0.7, .burstLoad = 1.7, .gateways = 12},
+        {.name = "waves_at_12_gateways", .load = 0.95, .gateways = 12, .waveSwing = 0.55},
+        {.name = "waves_at_44_gateways", .load = 0.95, .gateways = 44, .waveSwing = 0.55},
+        {.name = "flood_at_12_gateways", .load = 0.7, .floodShare = 1.0, .gateways = 12},
+        {.name = "crowded_gateways", .load = 1.3, .gateways = 12, .crowdedShare = 0.5},
+        {.name = "mostly_urgent", .load = 2, .urgentShare = 0.9, .gateways = 12},
+        {.name = "urgent_and_others", .load = 1.3, .urgentShare = 0.5, .gateways = 12},
     };
     return patterns;
 }
--- a/tests/standins/load_replay.h
+++ b/tests/standins/load_replay.h
@@ -30,6 +30,9 @@
     int slowEndpoints = 0; ///< Work at half the speed.
     std::chrono::milliseconds outage {0}; ///< Time for which no endpoint takes new requests.
     int goneEndpoints = 0; ///< Stop working in the middle third.
+    std::size_t gateways = 4;
+    double crowdedShare = 0; ///< Of the requests, that all reach the first quarter of the gateways.
+    double waveSwing = 0; ///< The load swings by this share of itself.
 };
 
 /** What the callers of a replay got. */
@@ -41,6 +44,13 @@
     double served = 0; ///< Share of the requests that were answered whole, also late.
     double inTimeUrgent = 0; ///< Share of the urgent requests that were answered in time.
     double leastAccount = 0; ///< Share that was served of the requests of the account that was served least.
+    double servedUrgent = 0; ///< Share of the urgent requests that were answered, also late.
+    double servedOthers = 0; ///< Share of the other requests that were answered, also late.
+    double leastUnflooded = 0; ///< As leastAccount, without the account that floods.
+    double unfloodedInTime = 0; ///< Share that was answered in time of the requests of accounts that do not flood.
+    double fairness = 0; ///< Jain's index of the accounts' served shares of what they asked for.
+    int cameBack = 0; ///< Callers that came back after a refusal.
+    int refusedAgain = 0; ///< Callers that came back and were refused.
     double servedLarge = 0; ///< Share that was served of the requests with large prompts.
     std::chrono::milliseconds firstEventMedian {0}; ///< Of the requests that were answered, from the first try on.
     std::chrono::milliseconds firstEventP99 {0};
