--- a/src/expert_map/map_change.cpp
+++ b/src/expert_map/map_change.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 // Minimum decrease of the critical load that outweighs the cost of the loads and commands of a change.
-constexpr double minMapChangeGainShare = 0.08;
+constexpr double minMapChangeGainShare = 0.12;
 // Limits the search; how many loads are worth their time is decided by comparing plans of different sizes.
 constexpr double minMapChangeGainPerLoad = 0.001;
 constexpr double copyTimeMarginFactor = 1.1;
