--- a/src/gateway/endpoint_group.h
+++ b/src/gateway/endpoint_group.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "balance/group_room_share.h"
 #include "balance/pass_latency_limiter.h"
 #include "balance/recent_minimum.h"
-#include "balance/group_room_share.h"
 #include "base/boot_clock.h"
 
 #include <string>
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -49,6 +49,12 @@
     return model;
 }
 
+/** @returns whether a rank group takes requests of any urgency now. */
+bool takesAny(const endpoint_group &group)
+{
+    return group.takes.empty() || std::ranges::find(group.takes, true) != group.takes.end();
+}
+
 /** @returns the share of an average request's part in a step that grows with its tokens. */
 double tokenWeightOf(const engine_profile &engine)
 {
@@ -83,10 +89,12 @@
     std::vector<endpoint_run> ended;
     if (known != nullptr) {
         known->listed = false;
+        m_unlistedStatements.keep(*known, now);
         ended.push_back({known->record.id, known->record.startedAtMs});
     }
     known = std::make_shared<gateway_endpoint>();
     known->record = record;
+    m_unlistedStatements.restore(*known);
     if (!m_initialListComplete && ended.empty() && record.coldRemaining.count() == 0) {
         known->warmth.setWarm();
     } else {
@@ -116,6 +124,7 @@
     logLine(log_level::info, "gateway", "endpoint removed",
             {{"endpoint", id}, {"service", found->second->record.service}});
     found->second->listed = false;
+    m_unlistedStatements.keep(*found->second, boot_clock::now());
     found->second->idleConnections.clear();
     m_endpoints.erase(found);
     rebuild();
@@ -340,9 +349,10 @@
     }
 }
 
-double endpoint_table::concurrentPlacements(const std::string &service, time_point now)
+double endpoint_table::concurrentPlacements(const std::string &service, time_point now) const
 {
-    return m_forecasts[service].concurrent(workOf(service), now);
+    const auto forecast = m_forecasts.find(service);
+    return forecast == m_forecasts.end() ? 0.0 : forecast->second.concurrent(workOf(service), now);
 }
 
 const std::vector<gateway_endpoint_ptr> &endpoint_table::endpointsOf(const std::string &service) const
@@ -381,15 +391,18 @@
     return !interval || canComplete(demand, *interval, now);
 }
 
-bool endpoint_table::completes(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now) const
+bool endpoint_table::isTakenByGroup(const gateway_endpoint &endpoint, const stream_demand &demand) const
 {
-    if (endpoint.group != nullptr && !endpoint.group->takes.empty()) {
-        const std::size_t level = levelOf(endpoint.record.service, demand);
-        if (!endpoint.group->takes[std::min(level, endpoint.group->takes.size() - 1)]) {
-            return false;
-        }
+    if (endpoint.group == nullptr || endpoint.group->takes.empty()) {
+        return true;
     }
-    return isFastEnough(endpoint, demand, now);
+    const std::size_t level = levelOf(endpoint.record.service, demand);
+    return endpoint.group->takes[std::min(level, endpoint.group->takes.size() - 1)];
+}
+
+bool endpoint_table::completes(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now) const
+{
+    return isTakenByGroup(endpoint, demand) && isFastEnough(endpoint, demand, now);
 }
 
 std::size_t endpoint_table::levelOf(const std::string &service, const stream_demand &demand) const
@@ -414,29 +427,73 @@
     return !endpoint.saysLeaving && now >= endpoint.pausedUntil;
 }
 
-std::optional<time_point> endpoint_table::firstPauseEnd(const std::string &service, time_point now) const
+time_point endpoint_table::earliestRoom(const std::string &service, time_point now) const
 {
-    std::optional<time_point> first;
+    std::optional<time_point> earliest;
     for (const gateway_endpoint_ptr &endpoint : endpointsOf(service)) {
-        if (now < endpoint->pausedUntil && isInService(*endpoint, now)) {
-            first = std::min(first.value_or(endpoint->pausedUntil), endpoint->pausedUntil);
+        if (!endpoint->listed || m_dataCentresOutOfService.contains(endpoint->record.dataCentre)) {
+            continue;
+        }
+        const bool leaves = endpoint->record.leaving || endpoint->saysLeaving;
+        const time_point roomAt = leaves ? time_point::max() : std::max(now, endpoint->pausedUntil);
+        earliest = std::min(earliest.value_or(roomAt), roomAt);
+        if (*earliest == now) {
+            break;
         }
     }
-    return first;
+    return earliest.value_or(now);
 }
 
 bool endpoint_table::isInService(const gateway_endpoint &endpoint, time_point now) const
 {
-    if (!endpoint.listed || endpoint.record.leaving || endpoint.saysLeaving
-        || m_dataCentresOutOfService.contains(endpoint.record.dataCentre)) {
-        return false;
+    return !outOfServiceReason(endpoint, now);
+}
+
+std::optional<endpoint_obstacle> endpoint_table::outOfServiceReason(const gateway_endpoint &endpoint,
+                                                                    time_point now) const
+{
+    if (!endpoint.listed) {
+        return endpoint_obstacle::not_listed;
+    }
+    if (endpoint.record.leaving || endpoint.saysLeaving) {
+        return endpoint_obstacle::leaving;
+    }
+    if (m_dataCentresOutOfService.contains(endpoint.record.dataCentre)) {
+        return endpoint_obstacle::data_centre_out_of_service;
     }
     if (endpoint.group == nullptr) {
-        return true;
+        return std::nullopt;
     }
     const endpoint_group &group = *endpoint.group;
+    if (now < group.closedUntil) {
+        return endpoint_obstacle::group_closed;
+    }
+    if (now < group.refusedUntil) {
+        return endpoint_obstacle::group_refused;
+    }
     const bool stalls = group.ownRunning >= minDetectionSamples && now - group.progressAt > progressTimeout;
-    return now >= group.closedUntil && now >= group.refusedUntil && !stalls;
+    return stalls ? std::optional(endpoint_obstacle::group_stalls) : std::nullopt;
+}
+
+std::optional<endpoint_obstacle> endpoint_table::obstacleOf(const gateway_endpoint &endpoint, time_point now) const
+{
+    if (const auto reason = outOfServiceReason(endpoint, now)) {
+        return reason;
+    }
+    if (now < endpoint.pausedUntil) {
+        return endpoint_obstacle::paused;
+    }
+    if (now < endpoint.avoidedUntil) {
+        return endpoint_obstacle::slow;
+    }
+    if (!rateAllows(endpoint, now)) {
+        return endpoint_obstacle::cold_rate;
+    }
+    if (endpoint.group != nullptr && !takesAny(*endpoint.group)) {
+        return endpoint_obstacle::group_at_limit;
+    }
+    const bool isFull = endpoint.ownRunning + endpoint.peersRunning >= endpoint.record.slots;
+    return isFull ? std::optional(endpoint_obstacle::no_free_slot) : std::nullopt;
 }
 
 void endpoint_table::recordEvent(gateway_endpoint &endpoint, std::optional<boot_clock::duration> gap, time_point now)
@@ -481,7 +538,8 @@
         logLine(log_level::info, "gateway", "endpoint asks for a pause",
                 {{"endpoint", endpoint.record.id},
                  {"service", endpoint.record.service},
-                 {"pause_ms", statement.pause->count()}});
+                 {"pause_ms", statement.pause->count()},
+                 {"cut_short", *statement.pause == maxEndpointPause}});
     }
     const std::chrono::milliseconds spread = std::min(*statement.pause / pauseSpreadDivisor, maxPauseSpread);
     const std::chrono::milliseconds later(std::uniform_int_distribution<std::int64_t>(0, spread.count())(random));
@@ -585,21 +643,29 @@
                                                    time_point now)
 {
     const std::vector<endpoint_group *> groups = updateGroupLoads(service, now);
+    std::vector<endpoint_view> views;
+    for (const gateway_endpoint_ptr &endpoint : endpointsOf(service)) {
+        views.push_back(viewOf(*endpoint, tried, now));
+    }
+    assignGroups(service, groups, views, now);
+    advanceForecast(service, now);
+    return lastViewsOf(service, tried, now);
+}
+
+std::vector<endpoint_view> endpoint_table::lastViewsOf(const std::string &service, std::span<const std::string> tried,
+                                                       time_point now) const
+{
     const auto &endpoints = endpointsOf(service);
     std::vector<endpoint_view> views;
     views.reserve(endpoints.size());
     for (const gateway_endpoint_ptr &endpoint : endpoints) {
-        views.push_back(viewOf(*endpoint, tried, now));
+        endpoint_view view = viewOf(*endpoint, tried, now);
+        view.usable = view.usable && (endpoint->group == nullptr || takesAny(*endpoint->group));
+        views.push_back(view);
     }
-    assignGroups(service, groups, views, now);
-    for (std::size_t index = 0; index < endpoints.size(); ++index) {
-        if (const endpoint_group *const group = endpoints[index]->group.get()) {
-            const bool takesAny = group->takes.empty() || std::ranges::find(group->takes, true) != group->takes.end();
-            views[index].usable = views[index].usable && takesAny;
-        }
+    if (const auto forecast = m_forecasts.find(service); forecast != m_forecasts.end()) {
+        forecast->second.apply(views, workOf(service), now);
     }
-    advanceForecast(service, now);
-    m_forecasts[service].apply(views, workOf(service), now);
     return views;
 }
 
@@ -611,7 +677,7 @@
             group = std::make_shared<endpoint_group>();
             group->name = state.name;
             group->room = group_room_share(std::hash<std::string>()(m_fleet.self + state.name)
-                                     ^ static_cast<std::uint64_t>(now.time_since_epoch().count()));
+                                           ^ static_cast<std::uint64_t>(now.time_since_epoch().count()));
             group->progressAt = now;
         }
         for (const std::string &id : state.endpoints) {
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -6,10 +6,12 @@
 #include "balance/load_forecast.h"
 #include "balance/pass_latency_model.h"
 #include "balance/stream_demand.h"
+#include "gateway/endpoint_obstacle.h"
 #include "gateway/endpoint_statement.h"
 #include "gateway/gateway_endpoint.h"
 #include "gateway/group_state.h"
 #include "gateway/service_health.h"
+#include "gateway/unlisted_statements.h"
 #include "quarantine/endpoint_run.h"
 #include "routing/routing_table.h"
 
@@ -88,7 +90,7 @@
     void recordReleased(const gateway_endpoint &endpoint, time_point now);
 
     /** @returns the requests among which the choice for one is drawn, see placeRequest(). */
-    double concurrentPlacements(const std::string &service, time_point now);
+    double concurrentPlacements(const std::string &service, time_point now) const;
 
     /**
      * Applies group states from the coordinator. The endpoints of a closed group get no requests until it is reported
@@ -123,8 +125,12 @@
     /** @returns whether the endpoint has said nothing that forbids a request now. */
     static bool wantsRequests(const gateway_endpoint &endpoint, time_point now);
 
-    /** @returns the end of the first pause of the endpoints that would otherwise accept requests; nothing if none. */
-    std::optional<time_point> firstPauseEnd(const std::string &service, time_point now) const;
+    /**
+     * @returns the earliest time at which an endpoint of a service may accept a request, by what endpoints have said
+     * and by their entries: `now` unless all pause or leave, time_point::max() if all leave. Endpoints of data centres
+     * out of service do not count.
+     */
+    time_point earliestRoom(const std::string &service, time_point now) const;
 
     /** Records an attempt that ended without a response. */
     void recordFailure(const gateway_endpoint &endpoint);
@@ -138,6 +144,9 @@
      */
     bool completes(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now) const;
 
+    /** @returns whether the endpoint's rank group takes streams of this urgency, according to the last viewsOf(). */
+    bool isTakenByGroup(const gateway_endpoint &endpoint, const stream_demand &demand) const;
+
     /** @returns whether any service is failing. */
     bool anyServiceFailing(time_point now) const;
 
@@ -148,6 +157,13 @@
      */
     std::vector<endpoint_view> viewsOf(const std::string &service, std::span<const std::string> tried, time_point now);
 
+    /** As viewsOf() without effect: group limits and forecasts are those of its last call. */
+    std::vector<endpoint_view> lastViewsOf(const std::string &service, std::span<const std::string> tried,
+                                           time_point now) const;
+
+    /** @returns the first reason for which the endpoint gets no request now; nothing if it may get one. */
+    std::optional<endpoint_obstacle> obstacleOf(const gateway_endpoint &endpoint, time_point now) const;
+
     /** @returns the view of one endpoint, without the concurrency limit of its group. */
     endpoint_view viewOf(const gateway_endpoint &endpoint, std::span<const std::string> tried, time_point now) const;
 
@@ -188,6 +204,8 @@
     bool acceptsRequests(const gateway_endpoint &endpoint, time_point now) const;
     /** As acceptsRequests(), without regard to a pause. */
     bool isInService(const gateway_endpoint &endpoint, time_point now) const;
+    /** @returns why the endpoint is not in service; nothing if it is. */
+    std::optional<endpoint_obstacle> outOfServiceReason(const gateway_endpoint &endpoint, time_point now) const;
 
     const std::string m_dataCentre;
     std::map<std::string, gateway_endpoint_ptr> m_endpoints;
@@ -202,6 +220,7 @@
     std::map<std::string, double> m_coldRates; ///< Requests per second that a cold endpoint tolerates, by service.
     std::map<std::string, std::chrono::milliseconds> m_longestCold; ///< That was reported, by service.
     gateway_fleet m_fleet;
+    unlisted_statements m_unlistedStatements;
     int m_gateways = 1; ///< Number of gateways that share the rate limits of warm endpoints.
     bool m_initialListComplete = false;
 };
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -5,8 +5,10 @@
 #include "base/process_memory.h"
 #include "base/request_id.h"
 #include "gateway/event_loop.h"
+#include "gateway/explain_query.h"
 #include "gateway/gateway_exchange.h"
 #include "gateway/message_head.h"
+#include "gateway/request_explainer.h"
 #include "gateway/request_matcher.h"
 #include "http/http_status.h"
 #include "observe/log.h"
@@ -102,7 +104,7 @@
     role->startCoordinator();
     role->monitorReachability();
     role->monitorMemory();
-    role->m_source = role->m_options.openSource(*role);
+    role->m_source = role->m_options.openSource(*role, role->m_storeRelay);
     role->m_thread = std::thread([loop = &role->m_loop] { runEventLoop(*loop); });
     return role;
 }
@@ -117,6 +119,7 @@
     , m_dispatcher(m_loop, m_endpoints, settings.gateway.repeats, std::random_device()())
     , m_guard(m_loop, m_metrics)
     , m_context {m_loop, m_options.headers, m_endpoints, m_dispatcher, m_metrics, m_redirect, m_guard, m_memory}
+    , m_storeRelay(m_dispatcher.random()())
     , m_loadExchange(m_loop, settings.listen.peers.host, settings.listen.peers.port, settings.node, settings.dataCentre,
                      hostsOf(settings.gateway.seeds), m_endpoints, m_guard, [this] { updateGatewayShares(); })
     , m_status(*this)
@@ -132,7 +135,12 @@
                                  m_quarantineRecord->save(m_guard.evidence());
                              }
                          });
+    m_loadExchange.setStoreRelay(m_storeRelay);
+    m_storeRelay.setWake([this] { asio::post(m_loop, [this] { m_loadExchange.sendReport(); }); });
+    m_dispatcher.setFleetView(&m_loadExchange);
+    m_loadExchange.setQueueSource([this] { return m_dispatcher.summaries(); });
     registerGauges();
+    registerStoreGauges();
 }
 
 gateway_role::~gateway_role()
@@ -173,6 +181,20 @@
     const auto add = [this](const std::string &name, const std::string &help, auto read) {
         m_registry.gauge("bronzechute_gateway_" + name, "", help, [read] { return static_cast<double>(read()); });
     };
+    add("callers_back", "Requests of callers that were refused before.",
+        [this] { return m_dispatcher.shareCounts().cameBack; });
+    add("refused_again", "Requests refused of callers that were refused before.",
+        [this] { return m_dispatcher.shareCounts().refusedAgain; });
+    add("places_kept", "Requests of callers that were refused before, started from the place kept for them.",
+        [this] { return m_dispatcher.shareCounts().places; });
+    add("order_inversions", "Requests started while one at another gateway had waited longer.",
+        [this] { return m_dispatcher.shareCounts().inversions; });
+    add("priority_turns", "Requests started before more urgent ones that waited, as it was their turn.",
+        [this] { return m_dispatcher.shareCounts().turns; });
+    add("accounts_over_share", "Accounts that have had more than their share of too little room.",
+        [this] { return m_dispatcher.accountsOverShare(); });
+    add("fairness", "Jain's index of the accounts' served share of what they asked for, of the least fair service.",
+        [this] { return m_dispatcher.fairness(); });
     add("held_bytes", "Bytes held for callers and endpoints.", [this] { return m_memory.used(); });
     add("held_bytes_limit", "Limit of the bytes held for callers and endpoints.", [this] { return m_memory.limit(); });
     add("memory_refusals", "Requests refused, since memory was short.", [this] { return m_memory.refused(); });
@@ -182,6 +204,24 @@
         [this] { return m_callers.displaced() + m_statusListener.displaced(); });
 }
 
+void gateway_role::registerStoreGauges()
+{
+    const auto add = [this](const std::string &name, const std::string &help, auto read) {
+        m_registry.gauge("bronzechute_gateway_store_" + name, "", help,
+                         [this, read] { return static_cast<double>(read(m_storeRelay.counts())); });
+    };
+    add("reads", "Answers of the store to the gateway's own watch.",
+        [](const store_relay_counts &counts) { return counts.ownReads; });
+    add("relayed_changes", "Messages with changes of the store that came from another gateway.",
+        [](const store_relay_counts &counts) { return counts.relayed; });
+    add("relay_gaps", "Times that changes were missing, so that the gateway read the store once.",
+        [](const store_relay_counts &counts) { return counts.gaps; });
+    add("relay_losses", "Times that no other gateway watched the store for this one any more.",
+        [](const store_relay_counts &counts) { return counts.losses; });
+    add("relayed", "Whether another gateway watches the store for this one.",
+        [](const store_relay_counts &counts) { return counts.isFollowing; });
+}
+
 void gateway_role::monitorMemory()
 {
     m_memoryTimer.expires_after(memoryCheckInterval);
@@ -348,12 +388,39 @@
     } else if (path == "/metrics") {
         response->respond({statusOk, reasonOf(statusOk), {{"Content-Type", "text/plain; version=0.0.4"}}},
                           m_role.m_registry.render());
+    } else if (path == explainPath) {
+        m_role.explain(std::string_view(request.target).substr(std::min(request.target.size(), path.size() + 1)),
+                       *response);
     } else {
         response->respond({statusNotFound, reasonOf(statusNotFound), {}}, {});
     }
     return nullptr;
 }
 
+void gateway_role::explain(std::string_view query, caller_response &response) const
+{
+    const auto answer = [&response](int status, const nlohmann::json &body) {
+        response.respond({status, reasonOf(status), {{"Content-Type", "application/json"}}}, body.dump() + "\n");
+    };
+    const time_point now = boot_clock::now();
+    const auto request = parseExplainQuery(query, now);
+    if (!request) {
+        answer(statusBadRequest, {{"error", {{"message", request.error().detail}}}});
+        return;
+    }
+    std::mt19937_64 random(std::random_device {}()); // The draws of callers' requests stay as they are.
+    const auto matched = matchRequest(request.value(), m_table, m_options.headers, random);
+    request_explanation explanation;
+    if (const auto *rejection = std::get_if<request_rejection>(&matched)) {
+        explanation.decision = "rejected";
+        explanation.status = rejection->status;
+        explanation.cause = rejection->cause;
+    } else {
+        explanation = request_explainer(m_context).explain(std::get<exchange_plan>(matched), now, now);
+    }
+    answer(statusOk, toJson(explanation));
+}
+
 bool gateway_role::ready() const
 {
     return m_table != nullptr && m_initialListComplete && !m_draining && !m_redirect.active();
--- a/src/gateway/peer_loads.cpp
+++ b/src/gateway/peer_loads.cpp
@@ -10,6 +10,8 @@
 
 // A gateway that is silent for longer is stopped or partitioned; its requests end or time out.
 constexpr std::chrono::milliseconds peerTimeout {3000};
+// Queues change within a second. Gateways report several times in this time, so that one that does not has stopped.
+constexpr std::chrono::milliseconds queuesTimeout {1000};
 // Reports are sent to a silent host for this long after a seed list or a peer last named it.
 constexpr std::chrono::seconds candidateTimeout {30};
 // Spans several reports. It only delays campaigns: the lease alone decides who is the coordinator.
@@ -28,7 +30,7 @@
 template<typename Report>
 peer_loads::peer *peer_loads::accept(const std::string &host, const Report &report, time_point now, bool &isNew)
 {
-    if (host == m_self) {
+    if (host == m_self || (!m_peers.contains(host) && m_peers.size() >= maxHosts)) {
         return nullptr;
     }
     peer &known = m_peers[host];
@@ -41,6 +43,7 @@
     if (isNew) {
         known.formerIncarnation = known.incarnation;
         known.queues.clear();
+        known.followsStore = false;
     }
     known.incarnation = report.incarnation;
     known.sequence = report.sequence;
@@ -86,6 +89,7 @@
     }
     peer &known = *accepted;
     known.knowsHubs = true;
+    known.followsStore = report.followsStore;
     known.loads = report.loads;
     if (report.queues) {
         known.queues = *report.queues;
@@ -128,6 +132,11 @@
     }
 }
 
+bool peer_loads::isMember(const peer &known, time_point now)
+{
+    return known.heardAt != time_point {} && now - known.namedAt <= candidateTimeout;
+}
+
 bool peer_loads::isAlive(const peer &known, time_point now)
 {
     return known.heardAt != time_point {} && now - known.heardAt <= peerTimeout;
@@ -157,7 +166,7 @@
 {
     std::map<std::string, queue_summary> total;
     for (const auto &[host, known] : m_peers) {
-        if (!reports(known, now) || excluded.contains(host)) {
+        if (!reports(known, now) || now - known.directAt > queuesTimeout || excluded.contains(host)) {
             continue;
         }
         for (const auto &[service, queue] : known.queues) {
@@ -171,13 +180,19 @@
 {
     std::vector<std::string> hosts;
     for (const auto &[host, known] : m_peers) {
-        if (known.heardAt != time_point {} && now - known.namedAt <= candidateTimeout) {
+        if (isMember(known, now)) {
             hosts.push_back(host);
         }
     }
     return hosts;
 }
 
+int peer_loads::memberCount(time_point now) const
+{
+    return static_cast<int>(
+        std::ranges::count_if(m_peers, [now](const auto &entry) { return isMember(entry.second, now); }));
+}
+
 int peer_loads::alive(time_point now) const
 {
     return static_cast<int>(
--- a/src/gateway/peer_loads.h
+++ b/src/gateway/peer_loads.h
@@ -29,6 +29,7 @@
         std::string dataCentre;
         bool isCoordinator = false;
         bool knowsHubs = false; ///< False for a process of an earlier version, or one that was never heard.
+        bool followsStore = false; ///< Whether it understands store_message.
         std::map<std::uint32_t, endpoint_load> loads; ///< By endpointKey().
         std::map<std::string, queue_summary> queues; ///< By service.
     };
@@ -71,6 +72,9 @@
     /** @returns the hosts of the peers that were heard or named lately, so that they may still be running. */
     std::vector<std::string> members(time_point now) const;
 
+    /** @returns the number of members(). */
+    int memberCount(time_point now) const;
+
     /** @returns the number of live peers. */
     int alive(time_point now) const;
 
@@ -102,6 +106,9 @@
     static bool reports(const peer &known, time_point now);
 
 private:
+    /** @returns whether the peer was heard or named lately, so that it may still be running. */
+    static bool isMember(const peer &known, time_point now);
+
     /**
      * Records the sender of a report of either kind.
      * @param isNew set if the report is the first of a process
--- a/tests/standins/load_replay.h
+++ b/tests/standins/load_replay.h
@@ -30,6 +30,12 @@
     int slowEndpoints = 0; ///< Work at half the speed.
     std::chrono::milliseconds outage {0}; ///< Time for which no endpoint takes new requests.
     int goneEndpoints = 0; ///< Stop working in the middle third.
+    int pausingEndpoints = 0; ///< Refuse all requests for a second in each three, and say for how long they will.
+    bool pauseTogether = false; ///< At the same time, not one after the other.
+    bool readsPauses = true; ///< Whether gateways act on what the refusals say.
+    std::size_t gateways = 4;
+    double crowdedShare = 0; ///< Of the requests, that all reach the first quarter of the gateways.
+    double waveSwing = 0; ///< The load swings by this share of itself.
 };
 
 /** What the callers of a replay got. */
@@ -41,10 +47,22 @@
     double served = 0; ///< Share of the requests that were answered whole, also late.
     double inTimeUrgent = 0; ///< Share of the urgent requests that were answered in time.
     double leastAccount = 0; ///< Share that was served of the requests of the account that was served least.
+    double servedUrgent = 0; ///< Share of the urgent requests that were answered, also late.
+    double servedOthers = 0; ///< Share of the other requests that were answered, also late.
+    double leastUnflooded = 0; ///< As leastAccount, without the account that floods.
+    double unfloodedInTime = 0; ///< Share that was answered in time of the requests of accounts that do not flood.
+    double fairness = 0; ///< Jain's index of the accounts' served shares of what they asked for.
+    int cameBack = 0; ///< Callers that came back after a refusal.
+    int refusedAgain = 0; ///< Callers that came back and were refused.
     double servedLarge = 0; ///< Share that was served of the requests with large prompts.
     std::chrono::milliseconds firstEventMedian {0}; ///< Of the requests that were answered, from the first try on.
     std::chrono::milliseconds firstEventP99 {0};
     std::map<std::string, int> refusals; ///< By reason.
+    double inAim = 0; ///< Share of the requests with the first event within the target.
+    double worth = 0; ///< Of the answers, over that of all requests in time; a late one is worth half.
+    int turnedAway = 0; ///< Requests that endpoints refused.
+    int unwanted = 0; ///< Of these, beyond two of a gateway from half a second after its refusal to the pause's end.
+    int firstAfterPause = 0; ///< Most requests that reached all endpoints in the first 100 ms after a pause.
 };
 
 /** The patterns that the users' worst loads consist of. */
--- a/tests/standins/pass_replay.cpp
+++ b/tests/standins/pass_replay.cpp
@@ -3,9 +3,9 @@
 #include "balance/admission.h"
 #include "balance/completion_rate.h"
 #include "balance/group_choice.h"
+#include "balance/group_room_share.h"
 #include "balance/pass_latency_limiter.h"
 #include "balance/retry_delay.h"
-#include "balance/group_room_share.h"
 #include "balance/start_deadlines.h"
 #include "balance/wait_queue.h"
 
