review: what readers of the merged parts found

Cause: four readers who had not written the parts found faults by reading. A sampler named a removed endpoint and the exception ended the coordinator's ticks for good; map versions could be issued twice in a term that came back; a hold without the lease went on to later steps; a request without room in its rank group blocked more urgent ones behind it; the own part was taken from another sum of queues than the one that held it, so that work waited elsewhere that did not; the slot that an own request leaves was lost; two divisions of the same room multiplied; the late level of many priorities had no room at all; account priorities were no levels; callers without an account counted as one; summaries were not bounded; explain ended with an exception for bytes that are no text and left out two refusals. Change: as named, each where it stood.

--- a/src/balance/account_shares.cpp
+++ b/src/balance/account_shares.cpp
@@ -135,7 +135,8 @@
     std::set<std::string> over;
     std::size_t askForMore = 0;
     for (const auto &[account, work] : all) {
-        if (work.asked <= (1 + askedTolerance) * level) {
+        // Callers without an account are many, not one.
+        if (account.empty() || work.asked <= (1 + askedTolerance) * level) {
             continue;
         }
         ++askForMore;
--- a/src/balance/group_choice.cpp
+++ b/src/balance/group_choice.cpp
@@ -9,13 +9,14 @@
 // Share of a group's limit that a level leaves to the more urgent ones. It covers what these send until the gateways
 // have heard of each other's requests.
 constexpr double reservedShare = 0.1;
+constexpr double maxReservedShare = 0.3;
 
 bool hasRoomInTime(const group_room &group, std::size_t level)
 {
     if (!group.canBeInTime || !group.hasFreeSlot) {
         return false;
     }
-    const double left = 1 - reservedShare * static_cast<double>(level);
+    const double left = 1 - std::min(maxReservedShare, reservedShare * static_cast<double>(level));
     return !group.limit || (group.mayFill && group.running < *group.limit * left);
 }
 
--- a/src/balance/placement.cpp
+++ b/src/balance/placement.cpp
@@ -1,6 +1,7 @@
 #include "balance/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace bronzechute {
@@ -34,7 +35,8 @@
     placement_cost cost;
     cost.utilization = static_cast<double>(endpoint.running + 1) / endpoint.slots;
     cost.extraWork = endpoint.extraWork / endpoint.slots;
-    cost.slowStreams = endpoint.gapMs > 0 ? slowStreamWeight * (endpoint.gapMs / shortestMs - 1.0) : 0.0;
+    const bool isComparable = endpoint.gapMs > 0 && std::isfinite(shortestMs);
+    cost.slowStreams = isComparable ? slowStreamWeight * (endpoint.gapMs / shortestMs - 1.0) : 0.0;
     cost.memory = endpoint.memoryUse > highMemoryUse ? memoryPenalty : 0.0;
     cost.suspect = endpoint.suspect ? suspectPenalty : 0.0;
     cost.remote = endpoint.local ? 0.0 : remotePenalty;
--- a/src/balance/shared_queue.cpp
+++ b/src/balance/shared_queue.cpp
@@ -42,7 +42,7 @@
     m_turns.try_emplace(request.priority, priorityTurnInterval).first->second.recordDemand(now);
     updateShares(now);
     if (request.cameBack) {
-        ++m_counts.cameBack;
+        m_counts.cameBack += request.repeated ? 0 : 1;
         m_returnTurns.recordDemand(now);
         if (!m_overShare.contains(request.account) && request.expiresAt > now) {
             // The second half of its time is for a slot to become free.
@@ -179,7 +179,9 @@
 void shared_queue::recordStart(const waiting_request &request, time_point now)
 {
     m_starts.record(now);
-    m_shares.recordStarted(request.account, request.tokens, now);
+    if (!request.repeated) {
+        m_shares.recordStarted(request.account, request.tokens, now);
+    }
     m_returnTurns.recordStart(request.cameBack, now);
     for (auto &[priority, turns] : m_turns) {
         if (priority >= request.priority) {
--- a/src/balance/waiting_request.h
+++ b/src/balance/waiting_request.h
@@ -19,6 +19,7 @@
     time_point expiresAt {}; ///< Latest start at all; the request expires then.
     bool returned = false; ///< Refused before, by a gateway or by an endpoint.
     bool cameBack = false; ///< Its caller was refused before by a gateway.
+    bool repeated = false; ///< An endpoint was tried already.
     std::int64_t tokens = 0; ///< That it asks for, of its prompt and its response; 0 if they are not known.
     /** Set for a caller that has found its place: from then on it goes before all others of its priority. */
     std::optional<time_point> placeDeadline;
--- a/src/expert_map/demand_sampler.cpp
+++ b/src/expert_map/demand_sampler.cpp
@@ -109,6 +109,13 @@
     if (ranks.empty() || answersOutstanding(now)) {
         return {};
     }
+    const auto isGone = [&ranks](const std::string &rank) {
+        return std::ranges::find(ranks, rank) == ranks.end();
+    };
+    std::erase_if(m_collected, isGone);
+    if (m_phase == phase::collecting && isGone(m_watched)) {
+        m_phase = phase::starting; // The first collected rank is the watched one.
+    }
     if (now - m_readAt > maxSampleDuration) {
         m_tracker.restart();
         beginCollection(now);
@@ -156,8 +163,9 @@
     case phase::watching:
         break;
     }
-    if (std::ranges::find(ranks, m_watched) == ranks.end()) {
+    if (isGone(m_watched)) {
         m_watched = ranks[m_firstRank % ranks.size()];
+        ++m_firstRank;
     }
     return read({m_watched}, watchInterval, now);
 }
--- a/src/expert_map/group_switch.cpp
+++ b/src/expert_map/group_switch.cpp
@@ -160,9 +160,9 @@
     if (m_phase == switch_phase::preparing) {
         enter(switch_phase::abandoned);
     } else if (m_phase == switch_phase::holding) {
-        // The step has already begun: the next one is tried at once.
+        // The step has already begun: a later one is tried at once, further ahead the more were refused.
         ++m_rejectedHolds;
-        ++m_step;
+        m_step += std::int64_t {1} << (m_rejectedHolds / holdsPerReading);
         if (m_rejectedHolds >= maxRejectedHolds) {
             enter(switch_phase::abandoned);
         } else {
@@ -175,11 +175,18 @@
     }
 }
 
+void group_switch::abandonHold()
+{
+    if (m_phase == switch_phase::holding) {
+        enter(switch_phase::abandoned);
+    }
+}
+
 void group_switch::onStep(std::int64_t step, boot_clock::duration stepTime)
 {
     if (m_phase == switch_phase::reading_step) {
         enter(switch_phase::holding);
-        m_step = step + stepMargin(stepTime);
+        m_step = std::max(m_step, step + stepMargin(stepTime));
     }
 }
 
--- a/src/expert_map/group_switch.h
+++ b/src/expert_map/group_switch.h
@@ -87,6 +87,9 @@
         return m_phase == switch_phase::done || m_phase == switch_phase::abandoned;
     }
 
+    /** A hold was refused, and no other step may be tried, as this process is no longer the coordinator. */
+    void abandonHold();
+
     /** @returns whether this switch may be holding the group. */
     bool mayHold() const
     {
--- a/src/gateway/endpoint_group.h
+++ b/src/gateway/endpoint_group.h
@@ -26,6 +26,7 @@
     int ownRunning = 0; ///< Requests of this gateway.
     group_room_share room; ///< Of what it may run beyond `running` and below its limit.
     std::vector<bool> takes; ///< Levels of urgency whose requests it takes now; empty: all.
+    bool isLimited = false; ///< Whether a limit is in force, so that the gateways share the room below it.
     pass_limit reported; ///< Limit as last written to the log.
     bool reportedBeyond = false; ///< Whether it ran more, as last written to the log.
     time_point reportedAt {}; ///< Time of that log line.
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -204,6 +204,14 @@
             m_priorities[share.service].insert(declared.priority);
         }
     }
+    for (const keyed_account &account : table.document().accounts) {
+        if (!account.priority) {
+            continue;
+        }
+        for (auto &[service, priorities] : m_priorities) {
+            priorities.insert(*account.priority); // It takes precedence over that of the route.
+        }
+    }
     for (const routed_service &service : table.document().services) {
         if (service.engine) {
             m_paceModels.emplace(service.name, paceModelOf(*service.engine, table.gapTargetOf(service.name)));
@@ -400,6 +408,18 @@
     return endpoint.group->takes[std::min(level, endpoint.group->takes.size() - 1)];
 }
 
+bool endpoint_table::hasGroupLimits(const std::string &service) const
+{
+    return std::ranges::any_of(endpointsOf(service), [](const gateway_endpoint_ptr &endpoint) {
+        return endpoint->group != nullptr && !endpoint->group->takes.empty();
+    });
+}
+
+bool endpoint_table::dividesRoom(const gateway_endpoint &endpoint)
+{
+    return endpoint.group != nullptr && endpoint.group->isLimited;
+}
+
 bool endpoint_table::completes(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now) const
 {
     return isTakenByGroup(endpoint, demand) && isFastEnough(endpoint, demand, now);
@@ -619,6 +639,7 @@
     if (model == m_paceModels.end() || model->second.gapTarget.count() == 0) {
         for (endpoint_group *const group : groups) {
             group->takes.clear();
+            group->isLimited = false;
         }
         return;
     }
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -147,6 +147,12 @@
     /** @returns whether the endpoint's rank group takes streams of this urgency, according to the last viewsOf(). */
     bool isTakenByGroup(const gateway_endpoint &endpoint, const stream_demand &demand) const;
 
+    /** @returns whether rank groups of a service take requests by their urgency, so that room differs among them. */
+    bool hasGroupLimits(const std::string &service) const;
+
+    /** @returns whether the gateways share the room of the endpoint's rank group below a limit. */
+    static bool dividesRoom(const gateway_endpoint &endpoint);
+
     /** @returns whether any service is failing. */
     bool anyServiceFailing(time_point now) const;
 
--- a/src/gateway/explain_query.cpp
+++ b/src/gateway/explain_query.cpp
@@ -2,6 +2,8 @@
 
 #include "base/percent_encoding.h"
 
+#include <algorithm>
+
 namespace bronzechute {
 
 namespace {
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -400,7 +400,8 @@
 void gateway_role::explain(std::string_view query, caller_response &response) const
 {
     const auto answer = [&response](int status, const nlohmann::json &body) {
-        response.respond({status, reasonOf(status), {{"Content-Type", "application/json"}}}, body.dump() + "\n");
+        response.respond({status, reasonOf(status), {{"Content-Type", "application/json"}}},
+                         body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n");
     };
     const time_point now = boot_clock::now();
     const auto request = parseExplainQuery(query, now);
@@ -409,7 +410,11 @@
         return;
     }
     std::mt19937_64 random(std::random_device {}()); // The draws of callers' requests stay as they are.
-    const auto matched = matchRequest(request.value(), m_table, m_options.headers, random);
+    auto matched = matchRequest(request.value(), m_table, m_options.headers, random);
+    if (const auto *plan = std::get_if<exchange_plan>(&matched);
+        plan != nullptr && !canFinishBeforeShutdown(*plan, now)) {
+        matched = request_rejection {statusServiceUnavailable, "gateway is shutting down"};
+    }
     request_explanation explanation;
     if (const auto *rejection = std::get_if<request_rejection>(&matched)) {
         explanation.decision = "rejected";
--- a/src/gateway/group_assignment.cpp
+++ b/src/gateway/group_assignment.cpp
@@ -15,6 +15,10 @@
 
 // A change of what a rank group takes is logged this often at most.
 constexpr std::chrono::seconds limitLogInterval {2};
+// With more of its limit left, a rank group is not filled before the gateways hear of each other's requests.
+constexpr double ampleShare = 0.5;
+// Of the slots, which a service with a single rank group uses however long its passes are: nothing else serves it.
+constexpr double leastShareOfOnlyGroup = 0.35;
 
 /** Writes the limit of a rank group to the log, when it has changed by a request per engine. */
 void reportLimit(endpoint_group &group, const pass_limit &limit, time_point now)
@@ -40,14 +44,19 @@
     group.reportedAt = now;
 }
 
-group_room roomOf(endpoint_group &group, const pass_latency_model &model, double share, time_point now)
+/** @param isOnly whether no other rank group serves the service */
+group_room roomOf(endpoint_group &group, const pass_latency_model &model, double share, bool isOnly, time_point now)
 {
     const pass_limit &limit = group.pace.limit(model, now);
     reportLimit(group, limit, now);
+    group.isLimited = limit.reason != pass_limit_reason::none;
     group_room room {static_cast<double>(group.running), std::nullopt, limit.canBeInTime(), false, false, true};
-    if (limit.reason != pass_limit_reason::none) {
-        room.limit = limit.requests * group.endpoints;
-        room.mayFill = group.room.allows(*room.limit - room.running, share, now);
+    if (group.isLimited) {
+        const double least = isOnly ? leastShareOfOnlyGroup * model.slots : 0.0;
+        room.limit = std::max(limit.requests, least) * group.endpoints;
+        const double left = *room.limit - room.running;
+        const bool hasShare = group.room.allows(left, share, now);
+        room.mayFill = hasShare || left > ampleShare * *room.limit;
     }
     return room;
 }
@@ -60,7 +69,7 @@
     std::vector<group_room> rooms;
     rooms.reserve(groups.size());
     for (endpoint_group *const group : groups) {
-        rooms.push_back(roomOf(*group, model, share, now));
+        rooms.push_back(roomOf(*group, model, share, groups.size() == 1, now));
     }
     for (const group_member &member : members) {
         const auto found = std::ranges::find(groups, member.group);
--- a/src/gateway/kept_table.h
+++ b/src/gateway/kept_table.h
@@ -17,6 +17,8 @@
     load_table table; ///< Without list and queues.
     table_list list; ///< That the values of the table belong to.
     std::map<std::string, queue_summary> queues; ///< By service.
+    std::uint64_t queuesIncluded = 0; ///< load_table::included of the table that brought them.
+    time_point queuesAt {}; ///< When they came.
     std::uint64_t formerIncarnation = 0;
     time_point receivedAt {}; ///< The epoch while no table with a known list has arrived.
 };
--- a/src/gateway/known_tables.cpp
+++ b/src/gateway/known_tables.cpp
@@ -82,6 +82,8 @@
     }
     if (table.queues) {
         kept.queues = std::move(*table.queues);
+        kept.queuesIncluded = table.included;
+        kept.queuesAt = now;
         table.queues.reset();
     }
     kept.host = host;
@@ -209,16 +211,15 @@
 {
     auto total = peers.queues(coveredBy(tables), now);
     for (const kept_table *kept : tables) {
-        if (now - kept->receivedAt > tableQueuesTimeout) {
+        const sent_report *own = kept->table.ofAll ? sentReport(kept->queuesIncluded) : nullptr;
+        const bool isOwnPartUnknown = kept->table.ofAll && own == nullptr;
+        if (isOwnPartUnknown || now - kept->queuesAt > tableQueuesTimeout) {
             continue;
         }
-        const sent_report *own = kept->table.ofAll ? sentReport(kept->table.included) : nullptr;
         for (const auto &[service, queue] : kept->queues) {
             queue_summary others = queue;
-            if (own != nullptr) {
-                if (const auto found = own->queues.find(service); found != own->queues.end()) {
-                    others -= found->second;
-                }
+            if (own != nullptr && own->queues.contains(service)) {
+                others -= own->queues.at(service);
             }
             total[service] += others;
         }
--- a/src/gateway/map_coordinator.cpp
+++ b/src/gateway/map_coordinator.cpp
@@ -98,8 +98,8 @@
     m_timer.expires_after(m_term == 0 ? followerTickInterval : tickInterval);
     m_timer.async_wait([this](const boost::system::error_code &code) {
         if (!code) {
+            schedule(); // First, as an exception in tick() must not end the ticks.
             tick();
-            schedule();
         }
     });
 }
@@ -121,8 +121,9 @@
         readDemand(service, *demand, now);
     }
     for (auto &[key, group] : m_groups) {
-        if (!group.mapSwitch && !m_stopping) {
-            planSwitch(group, *m_services.at(group.service), now);
+        const auto demand = m_services.find(group.service);
+        if (!group.mapSwitch && !m_stopping && demand != m_services.end()) {
+            planSwitch(group, *demand->second, now);
         }
     }
 }
@@ -133,7 +134,10 @@
         return;
     }
     m_term = term;
-    m_versionsIssued = 0;
+    if (term != 0 && term != m_versionTerm) { // A term may come back after a late renewal of its lease.
+        m_versionTerm = term;
+        m_versionsIssued = 0;
+    }
     m_services.clear();
     m_groupOfEndpoint.clear();
     m_discoverAt = now;
@@ -241,7 +245,8 @@
     if (changed && m_onGroupStateChange) {
         m_onGroupStateChange();
     }
-    if (report.epoch > group.epoch || (report.open && !group.map && group.pendingExpertReads == 0)) {
+    const bool lacksMap = report.open && !group.map && group.pendingExpertReads == 0 && !group.mapSwitch;
+    if (report.epoch > group.epoch || lacksMap) {
         applyEpoch(group, report);
     }
     if (report.epoch == group.epoch && report.held && !group.mapSwitch && group.complete()) {
@@ -346,6 +351,8 @@
         return; // The holding rank is still loading experts; a later report has the version.
     }
     group.map.reset();
+    group.pendingMap.reset();
+    group.pendingExpertReads = 0;
     group.mapSwitch = group_switch::resume(group.epoch, version, group.ranks.size(), *report.held, now);
     group.checkedAt = now;
 }
@@ -369,6 +376,9 @@
     if (!group.map || profile == nullptr || !group.complete() || !group.open || !group.switchBegun()) {
         return;
     }
+    if (group.heldStep > group.step) {
+        return; // The hold of an abandoned switch is ended first.
+    }
     const load_matrix *known = demand.current(now);
     // A group that formed again starts with the initial map, which does not fit the demand before its failure either.
     const load_matrix *assumed = group.reformed ? demand.assumed(now) : nullptr;
@@ -432,9 +442,17 @@
     return same ? &found->second : nullptr;
 }
 
+bool map_coordinator::leads(time_point now) const
+{
+    return m_term != 0 && m_coordinatorTerm.term(now) == m_term;
+}
+
 void map_coordinator::advanceSwitch(rank_group &group, time_point now)
 {
     static const expert_map none;
+    if (!group.mapSwitch->mayHold() && !leads(now)) {
+        return; // applyTerm() drops it.
+    }
     const std::string key = groupKey(group.service, group.name);
     for (const addressed_command &order : group.mapSwitch->due(now)) {
         m_engines.send(group.ranks[order.rank], order.order, group.pendingMap ? *group.pendingMap : none,
@@ -443,7 +461,13 @@
                            if (ordered == nullptr) {
                                return;
                            }
-                           ordered->mapSwitch->onOutcome(order, outcome, boot_clock::now());
+                           const bool isLateHold = order.order.kind == rank_command_kind::hold
+                               && outcome == command_outcome::rejected && !leads(boot_clock::now());
+                           if (isLateHold) {
+                               ordered->mapSwitch->abandonHold(); // Another coordinator may have begun a switch.
+                           } else {
+                               ordered->mapSwitch->onOutcome(order, outcome, boot_clock::now());
+                           }
                            if (outcome != command_outcome::accepted) {
                                logLine(log_level::info, "coordinator", "engine did not accept an order",
                                        {{"group", ordered->name},
@@ -505,7 +529,7 @@
                                  return;
                              }
                              located->stepRequested = false;
-                             if (!report) {
+                             if (!report || !leads(boot_clock::now())) {
                                  return; // Requested again at the next tick.
                              }
                              if (report.value().epoch != located->epoch) {
--- a/src/gateway/map_coordinator.h
+++ b/src/gateway/map_coordinator.h
@@ -69,6 +69,8 @@
     bool isSlow(const rank_group &group, time_point now) const;
     /** @returns the group if its switch to this version is still in progress; null otherwise. */
     rank_group *groupWithSwitch(const std::string &key, std::int64_t version);
+    /** @returns whether the lease still allows to begin something; applyTerm() follows with the next tick. */
+    bool leads(time_point now) const;
     void advanceSwitch(rank_group &group, time_point now);
     void readSwitchStep(rank_group &group);
     void checkHeldSwitch(rank_group &group, time_point now);
@@ -89,7 +91,8 @@
     std::map<std::string, std::string> m_groupOfEndpoint; ///< By endpoint id.
     time_point m_discoverAt {};
     std::int64_t m_term = 0;
-    std::int64_t m_versionsIssued = 0; ///< Map versions issued in this term.
+    std::int64_t m_versionTerm = 0; ///< Last term in which map versions could be issued.
+    std::int64_t m_versionsIssued = 0; ///< Map versions issued in m_versionTerm.
     bool m_stopping = false;
     std::function<void()> m_onGroupStateChange;
 };
--- a/src/gateway/message_codec.cpp
+++ b/src/gateway/message_codec.cpp
@@ -3,6 +3,7 @@
 #include <msgpack.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace bronzechute {
 
@@ -99,6 +100,33 @@
     return value;
 }
 
+/** Bounds the values of a summary, so that sums of many do not overflow, whoever sent it. */
+void limitValues(queue_summary &summary)
+{
+    constexpr int maxRequests = 1'000'000;
+    constexpr std::int64_t maxTokens = 1'000'000'000'000;
+    constexpr double maxValue = 1e6;
+    for (int *count : {&summary.waiting, &summary.promisedReturns}) {
+        *count = std::clamp(*count, 0, maxRequests);
+    }
+    for (int &count : summary.laterReturns) {
+        count = std::clamp(count, 0, maxRequests);
+    }
+    for (auto &[rank, count] : summary.waitingByRank) {
+        count = std::clamp(count, 0, maxRequests);
+    }
+    for (double *value :
+         {&summary.longestWaitMs, &summary.startsPerSecond, &summary.refusalsPerSecond, &summary.arrivalsPerSecond}) {
+        *value = std::isfinite(*value) ? std::clamp(*value, 0.0, maxValue) : 0.0;
+    }
+    summary.waitingTokens = std::clamp<std::int64_t>(summary.waitingTokens, 0, maxTokens);
+    for (auto *work : {&summary.tokensByAccount, &summary.refusedByAccount}) {
+        for (auto &[account, tokens] : *work) {
+            tokens = std::clamp<std::int64_t>(tokens, 0, maxTokens);
+        }
+    }
+}
+
 std::map<std::string, queue_summary> decodeQueues(const json &value)
 {
     std::map<std::string, queue_summary> queues;
@@ -122,6 +150,7 @@
                 summary.waitingByRank.emplace(entry.at(0), entry.at(1));
             }
         }
+        limitValues(summary);
         limitAccounts(summary);
     }
     return queues;
--- a/src/gateway/plan_demands.cpp
+++ b/src/gateway/plan_demands.cpp
@@ -38,6 +38,7 @@
     waiting.arrivedAt = arrivedAt;
     waiting.returned = plan.isCallerRetry || isRepeat;
     waiting.cameBack = plan.isCallerRetry;
+    waiting.repeated = isRepeat;
     const std::chrono::milliseconds target = plan.matched->latencyTarget;
     const bool isStream = plan.matched->kind == request_kind::streaming;
     const std::chrono::milliseconds usual = isStream ? typicalFirstEventTime : target / 2;
--- a/src/gateway/relay_announcer.cpp
+++ b/src/gateway/relay_announcer.cpp
@@ -60,6 +60,10 @@
 
 void relay_announcer::hearOther(std::int64_t revision, time_point now)
 {
+    if (!isChecked(now)) {
+        m_otherRevision = 0; // Of a watcher that is not heard any more.
+        m_behindSince.reset();
+    }
     m_otherHeardAt = now;
     m_otherRevision = std::max(m_otherRevision, revision);
     if (m_otherRevision > m_revision && !m_behindSince) {
@@ -79,7 +83,7 @@
 
 bool relay_announcer::isAnswering(time_point now) const
 {
-    const bool isBehind = m_behindSince && now - *m_behindSince > behindTimeout;
+    const bool isBehind = isChecked(now) && m_behindSince && now - *m_behindSince > behindTimeout;
     return m_answering && !isBehind && now - m_knownAt <= (isChecked(now) ? maxCheckedAge : maxKnowledgeAge);
 }
 
--- a/src/gateway/request_explainer.cpp
+++ b/src/gateway/request_explainer.cpp
@@ -75,7 +75,8 @@
             each.obstacle = endpoint_obstacle::too_slow;
         }
         each.cost = costs[index];
-        views[index].usable = !each.obstacle;
+        views[index].usable =
+            views[index].usable && (!each.obstacle || *each.obstacle == endpoint_obstacle::no_free_slot);
         explained.push_back(std::move(each));
     }
     setProbabilities(explained, views, m_context.endpoints.concurrentPlacements(plan.service, now));
@@ -116,7 +117,8 @@
     explanation.cause = nameOf(*preview.refused);
     explanation.status = statusServiceUnavailable;
     const bool unavailable = *preview.refused == refusal::no_endpoint || *preview.refused == refusal::cannot_complete;
-    std::mt19937_64 random; // A copy, so that the draws of the requests stay as they are.
+    // Of its own, so that the draws of the requests stay as they are.
+    std::mt19937_64 random(std::random_device {}());
     explanation.retryAfter = retryDelay(unavailable ? refusal_cause::unavailable : refusal_cause::overloaded,
                                         preview.expectedWait, retryTimeLimit(plan, now), random);
 }
@@ -131,7 +133,11 @@
     explanation.tokens = plan.tokens();
     explanation.timeLeft = inMilliseconds(plan.deadline - now);
     explanation.endpoints = endpointsFor(plan, arrivedAt, now);
-    if (!explainQuarantine(plan, explanation, now)) {
+    if (m_context.redirect.active() && m_context.endpoints.isFailing(plan.service, now)) {
+        explanation.decision = "refused";
+        explanation.cause = "left_to_others";
+        explanation.status = statusServiceUnavailable;
+    } else if (!explainQuarantine(plan, explanation, now)) {
         explainPlacement(plan, arrivedAt, explanation, now);
     }
     return explanation;
--- a/src/gateway/request_explanation.h
+++ b/src/gateway/request_explanation.h
@@ -24,7 +24,7 @@
     std::string decision; ///< "placed", "queued", "refused" or "rejected".
     std::string cause; ///< Of a refusal, as the log line of the request has it.
     int status = 0; ///< HTTP status of a refusal; 0 if it is not refused.
-    std::optional<std::chrono::milliseconds> retryAfter; ///< What a refused caller would be told, up to its jitter.
+    std::optional<std::chrono::milliseconds> retryAfter; ///< About what a refused caller would be told.
     std::size_t ahead = 0; ///< Queued requests that would be dispatched before it.
     std::chrono::milliseconds expectedWait {0};
     std::vector<endpoint_explanation> endpoints; ///< Of the service, in the order of their ids.
--- a/src/gateway/service_demand.cpp
+++ b/src/gateway/service_demand.cpp
@@ -30,12 +30,16 @@
         }
     }
     for (const std::string &id : m_sampler.due(ranks, slowed, now)) {
-        m_engines.readCounts(m_endpoints.all().at(id), layers,
-                             [weak = weak_from_this(), id](const result<rank_counts> &counts) {
-                                 if (const auto demand = weak.lock()) {
-                                     demand->onCounts(id, counts);
-                                 }
-                             });
+        const auto found = m_endpoints.all().find(id);
+        if (found == m_endpoints.all().end()) {
+            m_sampler.onFailure(id);
+            continue;
+        }
+        m_engines.readCounts(found->second, layers, [weak = weak_from_this(), id](const result<rank_counts> &counts) {
+            if (const auto demand = weak.lock()) {
+                demand->onCounts(id, counts);
+            }
+        });
     }
 }
 
--- a/tests/gateway/request_explainer_test.cpp
+++ b/tests/gateway/request_explainer_test.cpp
@@ -74,6 +74,8 @@
                      "field: found \"Host\", expected NAME:VALUE"},
         explain_row {"unknown_parameter", "?to=%2Fread", 400, "",
                      "found the parameter \"to\", expected target or field"},
+        explain_row {"bytes_that_are_no_text", "?target=%FF", 400, "",
+                     "target: found \"\xEF\xBF\xBD\", expected a path that begins with /"},
         explain_row {"malformed_escape", "?target=%2", 400, "", "found a malformed percent escape"}),
     [](const auto &row) { return std::string(row.param.name); });
 
