balance, gateway: the kept slot as before; a switch that has ended is finished without the lease

Change: room_share is as it was; advanceSwitch() passes over switches only while they have not ended.

--- a/src/balance/room_share.cpp
+++ b/src/balance/room_share.cpp
@@ -48,12 +48,8 @@
     m_left = std::max(0.0, m_left - 1);
 }
 
-void room_share::recordFreed(time_point now)
+void room_share::recordFreed()
 {
-    if (now - m_intervalStart >= reportTime) {
-        m_intervalStart = now;
-        m_left = 0;
-    }
     m_left += 1;
 }
 
--- a/src/balance/room_share.h
+++ b/src/balance/room_share.h
@@ -23,7 +23,7 @@
     void recordTaken();
 
     /** Records that a request of this gateway has ended. Only this gateway knows at once that the slot is free. */
-    void recordFreed(time_point now);
+    void recordFreed();
 
 private:
     time_point m_intervalStart {};
--- a/src/gateway/map_coordinator.cpp
+++ b/src/gateway/map_coordinator.cpp
@@ -450,7 +450,7 @@
 void map_coordinator::advanceSwitch(rank_group &group, time_point now)
 {
     static const expert_map none;
-    if (!group.mapSwitch->mayHold() && !leads(now)) {
+    if (!group.mapSwitch->ended() && !group.mapSwitch->mayHold() && !leads(now)) {
         return; // applyTerm() drops it.
     }
     const std::string key = groupKey(group.service, group.name);
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -230,7 +230,7 @@
     m_endpoints.recordReleased(*endpoint, now);
     service_queue &queue = queueOf(endpoint->record.service);
     queue.waiting.recordCompletion(now);
-    queue.room.recordFreed(now);
+    queue.room.recordFreed();
     if (!queue.waiting.empty()) {
         serveQueue(endpoint->record.service, queue);
     }
--- a/tests/balance/room_share_test.cpp
+++ b/tests/balance/room_share_test.cpp
@@ -86,7 +86,7 @@
     room_share share;
     const room_state none {0, 4, 4};
     EXPECT_FALSE(share.allows(none, start, random));
-    share.recordFreed(start);
+    share.recordFreed();
     EXPECT_TRUE(share.allows({1, 4, 4}, start + 1ms, random));
 }
 
--- a/tests/standins/load_replay.cpp
+++ b/tests/standins/load_replay.cpp
@@ -470,7 +470,7 @@
 {
     caller &each = m_callers[id];
     --m_gateways[each.gateway].own[endpoint];
-    m_gateways[each.gateway].room.recordFreed(m_now);
+    m_gateways[each.gateway].room.recordFreed();
     m_gateways[each.gateway].avoidUntil[endpoint] = m_now + suspect;
     const int attempt = --each.attempt;
     at(m_now + 2ms, [=, this] {
@@ -502,7 +502,7 @@
         return;
     }
     --gateway.own[endpoint];
-    gateway.room.recordFreed(m_now);
+    gateway.room.recordFreed();
     gateway.avoidUntil[endpoint] = m_now + suspectTime;
     const time_point roomAt = gateway.table.earliestRoom(serviceName, m_now);
     refuse(each.request, id, refusal_cause::unavailable, roomAt - m_now, "refused_by_endpoints");
@@ -521,7 +521,7 @@
     --m_gateways[gateway].own[endpoint];
     emulated_gateway &own = m_gateways[gateway];
     own.line.recordCompletion(m_now);
-    own.room.recordFreed(m_now);
+    own.room.recordFreed();
     report(gateway);
     emulated_endpoint &target = m_endpoints[endpoint];
     while (!target.queue.empty() && target.running < slots) {
