--- a/src/balance/stream_demand.h
+++ b/src/balance/stream_demand.h
@@ -7,10 +7,8 @@
 /** What a stream needs of an endpoint. */
 struct stream_demand
 {
-    double events = 0; ///< Expected number of events that are still to come; 0 if it is not known.
+    double events = 0; ///< Expected number of events that are still to come.
     time_point deadline {}; ///< The stream has to be complete by then.
-    int priority = 0; ///< 0 is the most urgent.
-    bool late = false; ///< Whether it misses its latency target in any case.
 
     friend bool operator==(const stream_demand &, const stream_demand &) = default;
 };
--- a/src/gateway/endpoint_group.h
+++ b/src/gateway/endpoint_group.h
@@ -1,12 +1,10 @@
 #pragma once
 
-#include "balance/group_room_share.h"
 #include "balance/pass_latency_limiter.h"
 #include "balance/recent_minimum.h"
 #include "base/boot_clock.h"
 
 #include <string>
-#include <vector>
 
 namespace bronzechute {
 
@@ -24,12 +22,7 @@
         0; ///< Listed endpoints that get requests; updated by endpoint_table::viewsOf(), as are the fields below.
     int running = 0; ///< Requests of all gateways.
     int ownRunning = 0; ///< Requests of this gateway.
-    group_room_share room; ///< Of what it may run beyond `running` and below its limit.
-    std::vector<bool> takes; ///< Levels of urgency whose requests it takes now; empty: all.
-    bool isLimited = false; ///< Whether a limit is in force, so that the gateways share the room below it.
-    pass_limit reported; ///< Limit as last written to the log.
-    bool reportedBeyond = false; ///< Whether it ran more, as last written to the log.
-    time_point reportedAt {}; ///< Time of that log line.
+    bool atLimit = false; ///< Whether it runs as many requests as the target for its step time allows.
 };
 
 } // namespace bronzechute
--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -2,11 +2,9 @@
 
 #include "balance/cold_permits.h"
 #include "gateway/endpoint_connection.h"
-#include "gateway/group_assignment.h"
 #include "observe/log.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace bronzechute {
 
@@ -42,17 +40,7 @@
         // Each completed request is followed by one whose prefill runs between the decode steps of the others.
         perRequest += thousand * engine.meanPromptTokens / engine.promptTokensPerSecond / engine.meanAnswerTokens;
     }
-    pass_latency_model model {engine.stepMs, perRequest, static_cast<double>(engine.slots), gapTarget};
-    if (engine.meanAnswerTokens > 0) {
-        model.passesPerRequest = std::max(1.0, engine.meanAnswerTokens / std::max(1, engine.stepsPerPass));
-    }
-    return model;
-}
-
-/** @returns whether a rank group takes requests of any urgency now. */
-bool takesAny(const endpoint_group &group)
-{
-    return group.takes.empty() || std::ranges::find(group.takes, true) != group.takes.end();
+    return {engine.stepMs, perRequest, static_cast<double>(engine.slots), gapTarget};
 }
 
 /** @returns the share of an average request's part in a step that grows with its tokens. */
@@ -198,20 +186,6 @@
         removePredecessors(record);
     }
     m_paceModels.clear();
-    m_priorities.clear();
-    for (const route &declared : table.document().routes) {
-        for (const weighted_service &share : declared.services) {
-            m_priorities[share.service].insert(declared.priority);
-        }
-    }
-    for (const keyed_account &account : table.document().accounts) {
-        if (!account.priority) {
-            continue;
-        }
-        for (auto &[service, priorities] : m_priorities) {
-            priorities.insert(*account.priority); // It takes precedence over that of the route.
-        }
-    }
     for (const routed_service &service : table.document().services) {
         if (service.engine) {
             m_paceModels.emplace(service.name, paceModelOf(*service.engine, table.gapTargetOf(service.name)));
@@ -317,9 +291,6 @@
 void endpoint_table::recordPlaced(const gateway_endpoint &endpoint, std::int64_t tokens, time_point now)
 {
     m_forecasts[endpoint.record.service].recordPlaced(tokens, now);
-    if (endpoint.group != nullptr) {
-        endpoint.group->room.take();
-    }
 }
 
 void endpoint_table::recordReleased(const gateway_endpoint &endpoint, time_point now)
@@ -389,54 +360,16 @@
 {
     return std::ranges::any_of(endpointsOf(service), [&](const gateway_endpoint_ptr &endpoint) {
         return acceptsRequests(*endpoint, now) && now >= endpoint->suspectUntil
-            && (!demand || isFastEnough(*endpoint, *demand, now));
+            && (!demand || completes(*endpoint, *demand, now));
     });
 }
 
-bool endpoint_table::isFastEnough(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now)
+bool endpoint_table::completes(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now) const
 {
     const auto interval = endpoint.group == nullptr ? std::nullopt : endpoint.group->eventInterval.value(now);
     return !interval || canComplete(demand, *interval, now);
 }
 
-bool endpoint_table::isTakenByGroup(const gateway_endpoint &endpoint, const stream_demand &demand) const
-{
-    if (endpoint.group == nullptr || endpoint.group->takes.empty()) {
-        return true;
-    }
-    const std::size_t level = levelOf(endpoint.record.service, demand);
-    return endpoint.group->takes[std::min(level, endpoint.group->takes.size() - 1)];
-}
-
-bool endpoint_table::hasGroupLimits(const std::string &service) const
-{
-    return std::ranges::any_of(endpointsOf(service), [](const gateway_endpoint_ptr &endpoint) {
-        return endpoint->group != nullptr && !endpoint->group->takes.empty();
-    });
-}
-
-bool endpoint_table::dividesRoom(const gateway_endpoint &endpoint)
-{
-    return endpoint.group != nullptr && endpoint.group->isLimited;
-}
-
-bool endpoint_table::completes(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now) const
-{
-    return isTakenByGroup(endpoint, demand) && isFastEnough(endpoint, demand, now);
-}
-
-std::size_t endpoint_table::levelOf(const std::string &service, const stream_demand &demand) const
-{
-    const auto found = m_priorities.find(service);
-    if (found == m_priorities.end()) {
-        return 0;
-    }
-    const std::set<int> &priorities = found->second;
-    return demand.late
-        ? priorities.size()
-        : static_cast<std::size_t>(std::distance(priorities.begin(), priorities.lower_bound(demand.priority)));
-}
-
 bool endpoint_table::acceptsRequests(const gateway_endpoint &endpoint, time_point now) const
 {
     return now >= endpoint.pausedUntil && isInService(endpoint, now);
@@ -509,7 +442,7 @@
     if (!rateAllows(endpoint, now)) {
         return endpoint_obstacle::cold_rate;
     }
-    if (endpoint.group != nullptr && !takesAny(*endpoint.group)) {
+    if (endpoint.group != nullptr && endpoint.group->atLimit) {
         return endpoint_obstacle::group_at_limit;
     }
     const bool isFull = endpoint.ownRunning + endpoint.peersRunning >= endpoint.record.slots;
@@ -600,7 +533,7 @@
     endpoint.group->refusedUntil = now + refusalTimeout;
 }
 
-std::vector<endpoint_group *> endpoint_table::updateGroupLoads(const std::string &service, time_point now)
+void endpoint_table::updateGroupLoads(const std::string &service, time_point now)
 {
     const auto &endpoints = endpointsOf(service);
     for (const gateway_endpoint_ptr &endpoint : endpoints) {
@@ -623,52 +556,20 @@
         group->running += endpoint->ownRunning + endpoint->peersRunning;
         group->ownRunning += endpoint->ownRunning;
     }
+    const auto model = m_paceModels.find(service);
     for (endpoint_group *const group : groups) {
         if (group->ownRunning < minDetectionSamples) {
             group->progressAt = now;
         }
+        group->atLimit =
+            model != m_paceModels.end() && group->running >= group->pace.limit(model->second, now) * group->endpoints;
     }
-    std::ranges::sort(groups, {}, &endpoint_group::name); // All gateways share this order.
-    return groups;
-}
-
-void endpoint_table::assignGroups(const std::string &service, std::span<endpoint_group *const> groups,
-                                  std::span<const endpoint_view> views, time_point now)
-{
-    const auto model = m_paceModels.find(service);
-    if (model == m_paceModels.end() || model->second.gapTarget.count() == 0) {
-        for (endpoint_group *const group : groups) {
-            group->takes.clear();
-            group->isLimited = false;
-        }
-        return;
-    }
-    const auto &endpoints = endpointsOf(service);
-    std::vector<group_member> members;
-    members.reserve(endpoints.size());
-    for (std::size_t index = 0; index < endpoints.size(); ++index) {
-        members.push_back({endpoints[index]->group.get(), acceptsRequests(*endpoints[index], now),
-                           views[index].usable && views[index].running < views[index].slots});
-    }
-    int own = 0;
-    int all = 0;
-    for (const endpoint_group *const group : groups) {
-        own += group->ownRunning;
-        all += group->running;
-    }
-    assignRequests(groups, members, model->second, m_priorities[service].size() + 1, shareOfRoom(own, all, m_gateways),
-                   now);
 }
 
 std::vector<endpoint_view> endpoint_table::viewsOf(const std::string &service, std::span<const std::string> tried,
                                                    time_point now)
 {
-    const std::vector<endpoint_group *> groups = updateGroupLoads(service, now);
-    std::vector<endpoint_view> views;
-    for (const gateway_endpoint_ptr &endpoint : endpointsOf(service)) {
-        views.push_back(viewOf(*endpoint, tried, now));
-    }
-    assignGroups(service, groups, views, now);
+    updateGroupLoads(service, now);
     advanceForecast(service, now);
     return lastViewsOf(service, tried, now);
 }
@@ -681,7 +582,7 @@
     views.reserve(endpoints.size());
     for (const gateway_endpoint_ptr &endpoint : endpoints) {
         endpoint_view view = viewOf(*endpoint, tried, now);
-        view.usable = view.usable && (endpoint->group == nullptr || takesAny(*endpoint->group));
+        view.usable = view.usable && (endpoint->group == nullptr || !endpoint->group->atLimit);
         views.push_back(view);
     }
     if (const auto forecast = m_forecasts.find(service); forecast != m_forecasts.end()) {
@@ -697,8 +598,6 @@
         if (group == nullptr) {
             group = std::make_shared<endpoint_group>();
             group->name = state.name;
-            group->room = group_room_share(std::hash<std::string>()(m_fleet.self + state.name)
-                                           ^ static_cast<std::uint64_t>(now.time_since_epoch().count()));
             group->progressAt = now;
         }
         for (const std::string &id : state.endpoints) {
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -138,28 +138,16 @@
     /** @returns whether several attempts in a row got no response, and none has arrived for a while. */
     bool isFailing(const std::string &service, time_point now) const;
 
-    /**
-     * @returns whether a stream can complete at the endpoint at the pace of its rank group, as far as it is known, and
-     * the group takes streams of its urgency according to the last viewsOf()
-     */
+    /** @returns whether a stream can complete at the endpoint at the pace of its rank group, as far as it is known. */
     bool completes(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now) const;
 
-    /** @returns whether the endpoint's rank group takes streams of this urgency, according to the last viewsOf(). */
-    bool isTakenByGroup(const gateway_endpoint &endpoint, const stream_demand &demand) const;
-
-    /** @returns whether rank groups of a service take requests by their urgency, so that room differs among them. */
-    bool hasGroupLimits(const std::string &service) const;
-
-    /** @returns whether the gateways share the room of the endpoint's rank group below a limit. */
-    static bool dividesRoom(const gateway_endpoint &endpoint);
-
     /** @returns whether any service is failing. */
     bool anyServiceFailing(time_point now) const;
 
     /**
      * @param tried ids of endpoints that the request must not be sent to again
-     * @returns the endpoints of a service in the order of endpointsOf(). Endpoints of a group that takes no requests of
-     *          any urgency because of their pauses are not usable
+     * @returns the endpoints of a service in the order of endpointsOf(). Endpoints of a group at its concurrency limit
+     *          are not usable
      */
     std::vector<endpoint_view> viewsOf(const std::string &service, std::span<const std::string> tried, time_point now);
 
@@ -198,15 +186,7 @@
     std::vector<endpoint_work> workOf(const std::string &service) const;
     /** Advances what is foreseen of the other gateways' placements, if it is due. */
     void advanceForecast(const std::string &service, time_point now);
-    /** @returns the groups of the service by name, an order that all gateways share. */
-    std::vector<endpoint_group *> updateGroupLoads(const std::string &service, time_point now);
-    /** Decides which groups take requests of which urgency. @param views of all endpoints of the service */
-    void assignGroups(const std::string &service, std::span<endpoint_group *const> groups,
-                      std::span<const endpoint_view> views, time_point now);
-    /** @returns the level of urgency of a stream, see chooseGroups(). */
-    std::size_t levelOf(const std::string &service, const stream_demand &demand) const;
-    /** As completes(), without regard to its urgency. */
-    static bool isFastEnough(const gateway_endpoint &endpoint, const stream_demand &demand, time_point now);
+    void updateGroupLoads(const std::string &service, time_point now);
     bool acceptsRequests(const gateway_endpoint &endpoint, time_point now) const;
     /** As acceptsRequests(), without regard to a pause. */
     bool isInService(const gateway_endpoint &endpoint, time_point now) const;
@@ -220,7 +200,6 @@
     std::optional<std::set<std::string>> m_services; ///< That the routing configuration names.
     std::map<std::string, std::shared_ptr<endpoint_group>> m_groups; ///< By name.
     std::map<std::string, pass_latency_model> m_paceModels; ///< By service.
-    std::map<std::string, std::set<int>> m_priorities; ///< Of the routes to a service, by service.
     std::map<std::string, load_forecast> m_forecasts; ///< By service.
     std::map<std::string, service_health> m_health; ///< By service.
     std::map<std::string, double> m_coldRates; ///< Requests per second that a cold endpoint tolerates, by service.
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -177,8 +177,7 @@
 
 std::optional<stream_demand> gateway_exchange::demand() const
 {
-    return streamDemandOf(m_plan, m_request.arrivedAt, static_cast<double>(m_events.eventsRelayed()),
-                          boot_clock::now());
+    return streamDemandOf(m_plan, static_cast<double>(m_events.eventsRelayed()));
 }
 
 void gateway_exchange::onPlaced(const gateway_endpoint_ptr &endpoint)
--- a/src/gateway/plan_demands.cpp
+++ b/src/gateway/plan_demands.cpp
@@ -15,18 +15,16 @@
 
 } // namespace
 
-std::optional<stream_demand> streamDemandOf(const exchange_plan &plan, time_point arrivedAt, double eventsRelayed,
-                                            time_point now)
+std::optional<stream_demand> streamDemandOf(const exchange_plan &plan, double eventsRelayed)
 {
     const routed_service *service = plan.table->findService(plan.service);
-    if (plan.matched->kind != request_kind::streaming || service == nullptr || !service->engine) {
+    const std::optional<int> tokens = plan.expectedAnswerTokens();
+    if (plan.matched->kind != request_kind::streaming || !tokens || service == nullptr || !service->engine) {
         return std::nullopt;
     }
     // An engine produces one event in each pass.
-    const double events =
-        static_cast<double>(plan.expectedAnswerTokens().value_or(0)) / std::max(1, service->engine->stepsPerPass);
-    const bool late = plan.isCallerRetry || now + typicalFirstEventTime > arrivedAt + plan.matched->latencyTarget;
-    return stream_demand {std::max(0.0, events - eventsRelayed), plan.deadline, plan.priority, late};
+    const double events = static_cast<double>(*tokens) / std::max(1, service->engine->stepsPerPass);
+    return stream_demand {std::max(0.0, events - eventsRelayed), plan.deadline};
 }
 
 waiting_request waitingRequestOf(const exchange_plan &plan, time_point arrivedAt, bool isRepeat, bool outage,
--- a/src/gateway/plan_demands.h
+++ b/src/gateway/plan_demands.h
@@ -9,12 +9,10 @@
 namespace bronzechute {
 
 /**
- * @param arrivedAt arrival of the request at this gateway
  * @param eventsRelayed events that the caller has received already
- * @returns what the stream still needs; nothing if the engine is not described or it is no stream
+ * @returns what the stream still needs; nothing if its length is not known or it is no stream
  */
-std::optional<stream_demand> streamDemandOf(const exchange_plan &plan, time_point arrivedAt, double eventsRelayed,
-                                            time_point now);
+std::optional<stream_demand> streamDemandOf(const exchange_plan &plan, double eventsRelayed);
 
 /**
  * @param arrivedAt arrival of the request at this gateway
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -5,7 +5,6 @@
 #include "observe/log.h"
 
 #include <algorithm>
-#include <set>
 #include <vector>
 
 namespace bronzechute {
@@ -185,9 +184,6 @@
     if (!index) {
         return nullptr;
     }
-    if (m_endpoints.dividesRoom(*endpoints[*index])) {
-        return endpoints[*index];
-    }
     double room = 0;
     for (const endpoint_view &view : views) {
         room += view.usable ? std::max(0, view.slots - view.running) : 0;
@@ -290,48 +286,23 @@
     const time_point now = boot_clock::now();
     updateOthers(service, queue, now);
     expire(service, queue, now);
-    while (auto next = nextToStart(service, queue)) {
-        const auto found = queue.clients.find(next->request.ticket);
+    while (!queue.waiting.empty()) {
+        const auto request = queue.waiting.pop(boot_clock::now());
+        const auto found = queue.clients.find(request->ticket);
         const std::shared_ptr<placement_client> client = found->second;
-        queue.clients.erase(found);
-        if (next->endpoint == nullptr) {
-            refuse(service, queue, next->request, client, refusal::cannot_complete, {});
-        } else {
-            place(queue, next->request, next->endpoint, client);
+        if (isTooSlow(service, client->demand(), boot_clock::now())) {
+            queue.clients.erase(found);
+            refuse(service, queue, *request, client, refusal::cannot_complete, {});
+            continue;
         }
-    }
-}
-
-std::optional<request_dispatcher::queue_start> request_dispatcher::nextToStart(const std::string &service,
-                                                                               service_queue &queue)
-{
-    const time_point now = boot_clock::now();
-    std::vector<waiting_request> passed;
-    std::set<std::pair<int, bool>> withoutRoom; // Priorities, and whether late: limits of rank groups differ by them.
-    std::optional<queue_start> start;
-    while (!start && !queue.waiting.empty()) {
-        waiting_request request = *queue.waiting.pop(now);
-        const placement_client &client = *queue.clients.at(request.ticket);
-        const auto demand = client.demand();
-        const std::pair level(request.priority, demand && demand->late);
-        if (!withoutRoom.contains(level)) {
-            const bool isSlow = isTooSlow(service, demand, now);
-            const gateway_endpoint_ptr endpoint = isSlow ? nullptr : choose(service, queue, request, client);
-            if (isSlow || endpoint != nullptr) {
-                start = queue_start {std::move(request), endpoint};
-                break;
-            }
-            withoutRoom.insert(level);
-        }
-        passed.push_back(std::move(request));
-        if (!m_endpoints.hasGroupLimits(service)) {
-            break; // What has no room for the first request has none for the others.
+        const gateway_endpoint_ptr endpoint = choose(service, queue, *request, *client);
+        if (endpoint == nullptr) {
+            queue.waiting.push(*request);
+            return;
         }
+        queue.clients.erase(found);
+        place(queue, *request, endpoint, client);
     }
-    for (waiting_request &request : passed) {
-        queue.waiting.push(std::move(request));
-    }
-    return start;
 }
 
 void request_dispatcher::expire(const std::string &service, service_queue &queue, time_point now)
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -112,16 +112,7 @@
         time_point reportedAt {}; ///< When its counts were logged.
     };
 
-    /** A queued request that leaves the queue now. */
-    struct queue_start
-    {
-        waiting_request request;
-        gateway_endpoint_ptr endpoint; ///< Null if the service is too slow for the request.
-    };
-
     service_queue &queueOf(const std::string &service);
-    /** Takes the first request from the queue that can start; requests for which there is no room are passed over. */
-    std::optional<queue_start> nextToStart(const std::string &service, service_queue &queue);
     retry_limits ownRetryLimits(const std::string &service) const;
     std::size_t ownSlots(const std::string &service) const;
     void updateOthers(const std::string &service, service_queue &queue, time_point now);
--- a/src/gateway/request_explainer.cpp
+++ b/src/gateway/request_explainer.cpp
@@ -51,12 +51,11 @@
 
 } // namespace
 
-std::vector<endpoint_explanation> request_explainer::endpointsFor(const exchange_plan &plan, time_point arrivedAt,
-                                                                  time_point now) const
+std::vector<endpoint_explanation> request_explainer::endpointsFor(const exchange_plan &plan, time_point now) const
 {
     const auto &endpoints = m_context.endpoints.endpointsOf(plan.service);
     std::vector<endpoint_view> views = m_context.endpoints.lastViewsOf(plan.service, {}, now);
-    const std::optional<stream_demand> demand = streamDemandOf(plan, arrivedAt, 0, now);
+    const std::optional<stream_demand> demand = streamDemandOf(plan, 0);
     const std::vector<placement_cost> costs = placementCosts(views);
     std::vector<endpoint_explanation> explained;
     for (std::size_t index = 0; index < endpoints.size(); ++index) {
@@ -69,9 +68,7 @@
         each.ownRunning = endpoint.ownRunning;
         each.peersRunning = endpoint.peersRunning;
         each.obstacle = m_context.endpoints.obstacleOf(endpoint, now);
-        if (!each.obstacle && demand && !m_context.endpoints.isTakenByGroup(endpoint, *demand)) {
-            each.obstacle = endpoint_obstacle::group_at_limit;
-        } else if (!each.obstacle && demand && !m_context.endpoints.completes(endpoint, *demand, now)) {
+        if (!each.obstacle && demand && !m_context.endpoints.completes(endpoint, *demand, now)) {
             each.obstacle = endpoint_obstacle::too_slow;
         }
         each.cost = costs[index];
@@ -106,7 +103,7 @@
     const bool hasRoom =
         std::ranges::any_of(explanation.endpoints, [](const endpoint_explanation &each) { return !each.obstacle; });
     const placement_preview preview =
-        m_context.dispatcher.preview(plan.service, request, streamDemandOf(plan, arrivedAt, 0, now), hasRoom, now);
+        m_context.dispatcher.preview(plan.service, request, streamDemandOf(plan, 0), hasRoom, now);
     explanation.ahead = preview.ahead;
     explanation.expectedWait = inMilliseconds(preview.expectedWait);
     if (!preview.refused) {
@@ -132,7 +129,7 @@
     explanation.priority = plan.priority;
     explanation.tokens = plan.tokens();
     explanation.timeLeft = inMilliseconds(plan.deadline - now);
-    explanation.endpoints = endpointsFor(plan, arrivedAt, now);
+    explanation.endpoints = endpointsFor(plan, now);
     if (m_context.redirect.active() && m_context.endpoints.isFailing(plan.service, now)) {
         explanation.decision = "refused";
         explanation.cause = "left_to_others";
--- a/src/gateway/request_explainer.h
+++ b/src/gateway/request_explainer.h
@@ -18,8 +18,7 @@
     request_explanation explain(const exchange_plan &plan, time_point arrivedAt, time_point now) const;
 
 private:
-    std::vector<endpoint_explanation> endpointsFor(const exchange_plan &plan, time_point arrivedAt,
-                                                   time_point now) const;
+    std::vector<endpoint_explanation> endpointsFor(const exchange_plan &plan, time_point now) const;
     bool explainQuarantine(const exchange_plan &plan, request_explanation &explanation, time_point now) const;
     void explainPlacement(const exchange_plan &plan, time_point arrivedAt, request_explanation &explanation,
                           time_point now) const;
