--- a/src/balance/account_shares.cpp
+++ b/src/balance/account_shares.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 // Work counts by its age. An account that stops to flood is treated like the others again after this time.
-constexpr double memorySeconds = 5.0;
+constexpr double shareMemorySeconds = 5.0;
 // Shares are measured over few requests, and by summaries of other gateways that are some 100 ms old.
 constexpr double askedTolerance = 0.1;
 // Of accounts that all ask for more than the level, only those that got clearly less go before the others.
@@ -45,7 +45,7 @@
 account_shares::own_work account_shares::at(const own_work &work, time_point now)
 {
     const double kept =
-        std::exp(-std::max(0.0, std::chrono::duration<double>(now - work.updatedAt).count()) / memorySeconds);
+        std::exp(-std::max(0.0, std::chrono::duration<double>(now - work.updatedAt).count()) / shareMemorySeconds);
     return {work.started * kept, work.refused * kept, now};
 }
 
--- a/src/gateway/hub_rule.cpp
+++ b/src/gateway/hub_rule.cpp
@@ -9,7 +9,7 @@
 // A hub whose tables lack the newer reports of this gateway for longer does not hear it.
 constexpr std::chrono::milliseconds inclusionTimeout {1000};
 // A host that should act as the hub has this time to send a table.
-constexpr std::chrono::milliseconds candidateTimeout {400};
+constexpr std::chrono::milliseconds hubCandidateTimeout {400};
 // After which a silent host is considered again.
 constexpr std::chrono::seconds silentDuration {3};
 constexpr std::chrono::seconds hintLifetime {2};
@@ -110,7 +110,7 @@
 
 void hub_rule::chooseCandidate(const std::vector<std::string> &hosts, time_point now)
 {
-    if (!m_candidate.empty() && m_candidate != m_self && now - m_candidateSince > candidateTimeout) {
+    if (!m_candidate.empty() && m_candidate != m_self && now - m_candidateSince > hubCandidateTimeout) {
         m_silentUntil[m_candidate] = now + silentDuration;
     }
     std::string next = m_self;
--- a/src/gateway/relay_announcer.cpp
+++ b/src/gateway/relay_announcer.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Several are sent within the time after which the others take this gateway for silent.
-constexpr std::chrono::milliseconds heartbeatInterval {200};
+constexpr std::chrono::milliseconds relayHeartbeatInterval {200};
 // A request waits for changes for up to 400 ms, or 1 s if the watchers of other data centres show that there are some,
 // and follows the one before by up to 250 ms. The rest is for a store and a process that are not as quick as usual.
 constexpr std::chrono::milliseconds maxKnowledgeAge {1000};
@@ -151,7 +151,7 @@
     }
     const bool isNews = !m_unsent.empty() || isSettled(now) != m_saidSettled || isAnswering(now) != m_saidAnswering;
     m_unsent.clear();
-    if (messages.empty() && (isNews || now - m_sentAt >= heartbeatInterval)) {
+    if (messages.empty() && (isNews || now - m_sentAt >= relayHeartbeatInterval)) {
         messages.push_back(makeMessage(now));
     }
     return messages;
--- a/src/gateway/relay_follower.cpp
+++ b/src/gateway/relay_follower.cpp
@@ -9,16 +9,16 @@
 // Three heartbeats.
 constexpr std::chrono::milliseconds silenceTimeout {650};
 // The other one says by itself when it was not answered in time.
-constexpr std::chrono::milliseconds maxKnowledgeAge {3000};
+constexpr std::chrono::milliseconds maxFollowedAge {3000};
 // Gateways that rely on the same one spread their requests over this time when it is lost,
 constexpr std::chrono::milliseconds lossSpread {250};
 // and over this time when changes are missing, which may also have been overtaken.
 constexpr std::chrono::milliseconds gapSpread {100};
 constexpr std::chrono::milliseconds gapMinimum {20};
 // The other one is some 250 ms behind at most if it is well.
-constexpr std::chrono::milliseconds behindTimeout {1000};
+constexpr std::chrono::milliseconds lagTimeout {1000};
 // A process that was not run for longer was frozen; what waited for it in the socket is old.
-constexpr std::chrono::milliseconds freezeThreshold {500};
+constexpr std::chrono::milliseconds pauseThreshold {500};
 constexpr std::chrono::milliseconds distrustAfterFreeze {1000};
 // While the store answers nobody, each gateway asks it this seldom, besides the one that asks for all.
 constexpr std::chrono::milliseconds leastPatience {1000};
@@ -43,7 +43,7 @@
 
 void relay_follower::tick(time_point now)
 {
-    if (m_ranAt != time_point {} && now - m_ranAt > freezeThreshold) {
+    if (m_ranAt != time_point {} && now - m_ranAt > pauseThreshold) {
         m_signs.clear();
         m_changes.clear();
         m_notBefore = now + distrustAfterFreeze;
@@ -80,9 +80,9 @@
 
 bool relay_follower::isReliable(const sign &known, bool recovering, time_point now) const
 {
-    const bool isBehind = known.behindSince && now - *known.behindSince > behindTimeout;
+    const bool isBehind = known.behindSince && now - *known.behindSince > lagTimeout;
     return now >= m_notBefore && (known.settled || (recovering && known.answering))
-        && now - known.heardAt <= silenceTimeout && now - known.knownAt <= maxKnowledgeAge && !isBehind;
+        && now - known.heardAt <= silenceTimeout && now - known.knownAt <= maxFollowedAge && !isBehind;
 }
 
 bool relay_follower::isAnswered(time_point now) const
@@ -179,7 +179,7 @@
     time_point last = now;
     for (const auto &[host, known] : m_signs) {
         if (isReliable(known, true, now)) {
-            last = std::max(last, std::min(known.heardAt + silenceTimeout, known.knownAt + maxKnowledgeAge));
+            last = std::max(last, std::min(known.heardAt + silenceTimeout, known.knownAt + maxFollowedAge));
         }
     }
     return last + std::chrono::milliseconds(1);
--- a/src/gateway/store_message_codec.cpp
+++ b/src/gateway/store_message_codec.cpp
@@ -8,7 +8,7 @@
 
 using json = nlohmann::json;
 
-constexpr std::int64_t maxAgeMs = 60000;
+constexpr std::int64_t maxRelayedAgeMs = 60000;
 
 // The value of a deletion is null. Values are bytes, which need not be valid text.
 json encodeEvent(const store_event &event)
@@ -56,7 +56,7 @@
     body.at(1).get_to(message.sequence);
     body.at(2).get_to(message.answering);
     body.at(3).get_to(message.settled);
-    message.ageMs = static_cast<int>(std::clamp<std::int64_t>(body.at(4).get<std::int64_t>(), 0, maxAgeMs));
+    message.ageMs = static_cast<int>(std::clamp<std::int64_t>(body.at(4).get<std::int64_t>(), 0, maxRelayedAgeMs));
     body.at(5).get_to(message.revision);
     const json &changes = body.at(6);
     if (!changes.is_null()) {
--- a/src/gateway/table_writer.cpp
+++ b/src/gateway/table_writer.cpp
@@ -9,7 +9,7 @@
 // With the interval of member reports, keeps the age of what is known of another data centre below 250 ms.
 constexpr std::chrono::milliseconds tableInterval {75};
 // With that of members, spans less than the time after which the coordinator is taken for absent, also with one loss.
-constexpr std::chrono::milliseconds heartbeatInterval {120};
+constexpr std::chrono::milliseconds tableHeartbeatInterval {120};
 constexpr std::chrono::milliseconds listInterval {1000};
 // Gateways that are not named for 3 s are taken for stopped.
 constexpr std::chrono::milliseconds maxListInterval {2000};
@@ -83,7 +83,7 @@
         table.loads.push_back(found == loads.end() ? endpoint_load {} : found->second);
     }
     const bool withList = listDue || m_listRepetitions > 0;
-    if (!withList && table.loads == m_loads && now - m_sentAt < heartbeatInterval) {
+    if (!withList && table.loads == m_loads && now - m_sentAt < tableHeartbeatInterval) {
         return std::nullopt;
     }
     if (withList) {
