gateway: expert counts are read from ranks of the coordinator's data centre where there are some

Change: service_demand leaves ranks elsewhere out when four or more usable ones are local; demand is the service's, not a group's.

--- a/src/gateway/service_demand.cpp
+++ b/src/gateway/service_demand.cpp
@@ -12,6 +12,9 @@
 // After the failure of a group, the last known demand is assumed to hold for this long.
 constexpr std::chrono::seconds demandLifetime {10};
 
+// Fewer ranks have too few requests to stand for all.
+constexpr std::size_t minLocalRanks = 4;
+
 } // namespace
 
 service_demand::service_demand(std::string service, endpoint_table &endpoints, rank_engine_client &engines)
@@ -23,11 +26,20 @@
                           time_point now)
 {
     std::vector<std::string> ranks;
+    std::vector<std::string> local;
     for (const gateway_endpoint_ptr &endpoint : m_endpoints.endpointsOf(m_service)) {
         const endpoint_view view = m_endpoints.viewOf(*endpoint, {}, now);
-        if (view.usable && !view.suspect && isRank(endpoint->record.id)) {
-            ranks.push_back(endpoint->record.id);
+        if (!view.usable || view.suspect || !isRank(endpoint->record.id)) {
+            continue;
         }
+        ranks.push_back(endpoint->record.id);
+        if (view.local) {
+            local.push_back(endpoint->record.id);
+        }
+    }
+    // Counts are large, and those of ranks nearby say as much about the demand for the service.
+    if (local.size() >= minLocalRanks) {
+        ranks = std::move(local);
     }
     for (const std::string &id : m_sampler.due(ranks, slowed, now)) {
         const auto found = m_endpoints.all().find(id);
