--- a/src/expert_map/demand_sampler.cpp
+++ b/src/expert_map/demand_sampler.cpp
@@ -30,7 +30,7 @@
 // A rank without requests counts nothing.
 constexpr int maxPolls = 4;
 // Requests differ in what they select, and a rank has few of them, however much they select.
-constexpr std::size_t minCollectedRanks = 4;
+constexpr std::size_t minCollectedRanks = 2;
 // Each reading pauses the whole group for some ms.
 constexpr std::size_t maxCollectedRanks = 8;
 // A larger part of a small group is not worth the pauses.
