--- a/src/expert_map/map_change.cpp
+++ b/src/expert_map/map_change.cpp
@@ -14,8 +14,8 @@
 
 // Minimum decrease of the critical load that outweighs the cost of the loads and commands of a change.
 constexpr double minMapChangeGainShare = 0.12;
-// Limits the search; how many loads are worth their time is decided by comparing plans of different sizes.
-constexpr double minMapChangeGainPerLoad = 0.001;
+// Minimum decrease of the critical load by a load, times the ranks: each load moves work of one of them.
+constexpr double minMapChangeGainPerLoadAndRank = 0.25;
 constexpr double copyTimeMarginFactor = 1.1;
 constexpr std::chrono::milliseconds maxMapChangeCopyTime {750};
 // A plan is compared over this time from its start on; a later plan can load more.
@@ -27,7 +27,7 @@
 // The loads allowed for a rank are tried at this fraction of the maximum, and doubled from there.
 constexpr std::size_t smallestPlanDivisor = 4;
 
-planner_limits limitsOf(const engine_profile &profile)
+planner_limits limitsOf(const engine_profile &profile, std::size_t ranks)
 {
     const double copyMs = std::max(profile.expertCopyMs, 1.0);
     planner_limits limits;
@@ -37,7 +37,7 @@
     limits.maxLoadsPerRank =
         std::max<std::size_t>(1, std::min(loadsInTime, profile.spareExpertSlots * profile.expertLayers));
     limits.maxLoadsPerRankAndLayer = profile.spareExpertSlots;
-    limits.minGainPerLoad = minMapChangeGainPerLoad;
+    limits.minGainPerLoad = minMapChangeGainPerLoadAndRank / static_cast<double>(std::max<std::size_t>(1, ranks));
     limits.storeBytesPerSecond = 1;
     return limits;
 }
@@ -87,7 +87,7 @@
     if (demand.layers != current.layers || demand.experts != current.experts) {
         return std::nullopt; // Counts of an engine with another model.
     }
-    const planner_limits limits = limitsOf(profile);
+    const planner_limits limits = limitsOf(profile, current.ranks);
     placement_search search(current, demand, speeds, limits);
     const double loadBefore = criticalLoad(current, demand, speeds);
     const bool slowRank = std::ranges::any_of(speeds, [](double speed) { return speed < 1.0; });
