--- a/src/gateway/plan_demands.cpp
+++ b/src/gateway/plan_demands.cpp
@@ -15,16 +15,18 @@
 
 } // namespace
 
-std::optional<stream_demand> streamDemandOf(const exchange_plan &plan, double eventsRelayed)
+std::optional<stream_demand> streamDemandOf(const exchange_plan &plan, time_point arrivedAt, double eventsRelayed,
+                                            time_point now)
 {
     const routed_service *service = plan.table->findService(plan.service);
-    const std::optional<int> tokens = plan.expectedAnswerTokens();
-    if (plan.matched->kind != request_kind::streaming || !tokens || service == nullptr || !service->engine) {
+    if (plan.matched->kind != request_kind::streaming || service == nullptr || !service->engine) {
         return std::nullopt;
     }
     // An engine produces one event in each pass.
-    const double events = static_cast<double>(*tokens) / std::max(1, service->engine->stepsPerPass);
-    return stream_demand {std::max(0.0, events - eventsRelayed), plan.deadline};
+    const double events =
+        static_cast<double>(plan.expectedAnswerTokens().value_or(0)) / std::max(1, service->engine->stepsPerPass);
+    const bool late = plan.isCallerRetry || now + typicalFirstEventTime > arrivedAt + plan.matched->latencyTarget;
+    return stream_demand {std::max(0.0, events - eventsRelayed), plan.deadline, plan.priority, late};
 }
 
 waiting_request waitingRequestOf(const exchange_plan &plan, time_point arrivedAt, bool isRepeat, bool outage,
--- a/src/gateway/request_explainer.cpp
+++ b/src/gateway/request_explainer.cpp
@@ -51,11 +51,12 @@
 
 } // namespace
 
-std::vector<endpoint_explanation> request_explainer::endpointsFor(const exchange_plan &plan, time_point now) const
+std::vector<endpoint_explanation> request_explainer::endpointsFor(const exchange_plan &plan, time_point arrivedAt,
+                                                                  time_point now) const
 {
     const auto &endpoints = m_context.endpoints.endpointsOf(plan.service);
     std::vector<endpoint_view> views = m_context.endpoints.lastViewsOf(plan.service, {}, now);
-    const std::optional<stream_demand> demand = streamDemandOf(plan, 0);
+    const std::optional<stream_demand> demand = streamDemandOf(plan, arrivedAt, 0, now);
     const std::vector<placement_cost> costs = placementCosts(views);
     std::vector<endpoint_explanation> explained;
     for (std::size_t index = 0; index < endpoints.size(); ++index) {
@@ -68,7 +69,9 @@
         each.ownRunning = endpoint.ownRunning;
         each.peersRunning = endpoint.peersRunning;
         each.obstacle = m_context.endpoints.obstacleOf(endpoint, now);
-        if (!each.obstacle && demand && !m_context.endpoints.completes(endpoint, *demand, now)) {
+        if (!each.obstacle && demand && !m_context.endpoints.isTakenByGroup(endpoint, *demand)) {
+            each.obstacle = endpoint_obstacle::group_at_limit;
+        } else if (!each.obstacle && demand && !m_context.endpoints.completes(endpoint, *demand, now)) {
             each.obstacle = endpoint_obstacle::too_slow;
         }
         each.cost = costs[index];
@@ -102,7 +105,7 @@
     const bool hasRoom =
         std::ranges::any_of(explanation.endpoints, [](const endpoint_explanation &each) { return !each.obstacle; });
     const placement_preview preview =
-        m_context.dispatcher.preview(plan.service, request, streamDemandOf(plan, 0), hasRoom, now);
+        m_context.dispatcher.preview(plan.service, request, streamDemandOf(plan, arrivedAt, 0, now), hasRoom, now);
     explanation.ahead = preview.ahead;
     explanation.expectedWait = inMilliseconds(preview.expectedWait);
     if (!preview.refused) {
@@ -127,7 +130,7 @@
     explanation.priority = plan.priority;
     explanation.tokens = plan.tokens();
     explanation.timeLeft = inMilliseconds(plan.deadline - now);
-    explanation.endpoints = endpointsFor(plan, now);
+    explanation.endpoints = endpointsFor(plan, arrivedAt, now);
     if (!explainQuarantine(plan, explanation, now)) {
         explainPlacement(plan, arrivedAt, explanation, now);
     }
