tool, gateway: one table cell, one demand, and no count of the queue while room is not divided

Cause: reading the change again: verb_explain wrote verb_status's cell a second time; explain worked out the stream's demand twice; each placement counted the own queue by rank although nothing waited elsewhere, which decides nothing; forgetSources() had no caller; a function stood amid the constants of gateway_role. Ruled out: joining decodeReport, decodeTable and decodeLoadReport, which read different formats that must stay as they are. Change: tool/table_cell serves both verbs, the demand is passed on, roomState() returns at once. Behaviour stays: a division without requests elsewhere always allowed the slot.

--- a/src/balance/shared_queue.cpp
+++ b/src/balance/shared_queue.cpp
@@ -271,6 +271,9 @@
 
 room_state shared_queue::roomState(double room, const waiting_request &next) const
 {
+    if (m_others.waitingByRank.empty()) {
+        return {room, 1, 0}; // The room is not divided, so that the own queue need not be counted.
+    }
     const auto countUpTo = [last = m_waiting.rankOf(next)](const std::map<int, int> &byRank) {
         int count = 0;
         for (const auto &[rank, waiting] : byRank) {
--- a/src/expert_map/demand_tracker.h
+++ b/src/expert_map/demand_tracker.h
@@ -38,12 +38,6 @@
     /** Discards all samples and the estimate. */
     void restart();
 
-    /** Forgets the previous counts of all sources, but not the estimate. */
-    void forgetSources()
-    {
-        m_lastCounts.clear();
-    }
-
     /** @returns whether the next counts of the source can be compared with earlier ones. */
     bool knows(const std::string &source) const
     {
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -34,22 +34,6 @@
 constexpr std::chrono::milliseconds drainAcceptPeriod {2800};
 constexpr std::chrono::milliseconds drainPollInterval {20};
 
-/** @returns the highest of busiestOverMean() of all services. */
-double leastEvenService(const endpoint_table &endpoints)
-{
-    std::map<std::string, std::vector<endpoint_view>> services;
-    for (const auto &[id, endpoint] : endpoints.all()) {
-        endpoint_view view;
-        view.slots = endpoint->record.slots;
-        view.running = endpoint->ownRunning + endpoint->peersRunning;
-        services[endpoint->record.service].push_back(view);
-    }
-    double highest = 0;
-    for (const auto &[service, views] : services) {
-        highest = std::max(highest, busiestOverMean(views));
-    }
-    return highest;
-}
 const std::string coordinatorKey = "bronzechute/expert-maps/coordinator";
 const std::string quarantineKey = "bronzechute/quarantine/prompt-parts";
 constexpr std::chrono::milliseconds coordinatorPollInterval {200};
@@ -68,6 +52,23 @@
 constexpr std::size_t ownDescriptors = 200;
 constexpr std::size_t statusConnections = 64;
 
+/** @returns the highest of busiestOverMean() of all services. */
+double leastEvenService(const endpoint_table &endpoints)
+{
+    std::map<std::string, std::vector<endpoint_view>> services;
+    for (const auto &[id, endpoint] : endpoints.all()) {
+        endpoint_view view;
+        view.slots = endpoint->record.slots;
+        view.running = endpoint->ownRunning + endpoint->peersRunning;
+        services[endpoint->record.service].push_back(view);
+    }
+    double highest = 0;
+    for (const auto &[service, views] : services) {
+        highest = std::max(highest, busiestOverMean(views));
+    }
+    return highest;
+}
+
 memory_budget budgetOf(const daemon_settings &settings)
 {
     return memory_budget((settings.memoryLimit == 0 ? machineMemory() : settings.memoryLimit) / heldMemoryDivisor);
--- a/src/gateway/request_explainer.cpp
+++ b/src/gateway/request_explainer.cpp
@@ -51,11 +51,12 @@
 
 } // namespace
 
-std::vector<endpoint_explanation> request_explainer::endpointsFor(const exchange_plan &plan, time_point now) const
+std::vector<endpoint_explanation> request_explainer::endpointsFor(const exchange_plan &plan,
+                                                                  const std::optional<stream_demand> &demand,
+                                                                  time_point now) const
 {
     const auto &endpoints = m_context.endpoints.endpointsOf(plan.service);
     std::vector<endpoint_view> views = m_context.endpoints.lastViewsOf(plan.service, {}, now);
-    const std::optional<stream_demand> demand = streamDemandOf(plan, 0);
     const std::vector<placement_cost> costs = placementCosts(views);
     std::vector<endpoint_explanation> explained;
     for (std::size_t index = 0; index < endpoints.size(); ++index) {
@@ -95,15 +96,14 @@
     return true;
 }
 
-void request_explainer::explainPlacement(const exchange_plan &plan, time_point arrivedAt,
-                                         request_explanation &explanation, time_point now) const
+void request_explainer::explainPlacement(const exchange_plan &plan, const std::optional<stream_demand> &demand,
+                                         time_point arrivedAt, request_explanation &explanation, time_point now) const
 {
     const bool outage = !m_context.endpoints.anyUsable(plan.service, now);
     const waiting_request request = waitingRequestOf(plan, arrivedAt, false, outage, now);
     const bool hasRoom =
         std::ranges::any_of(explanation.endpoints, [](const endpoint_explanation &each) { return !each.obstacle; });
-    const placement_preview preview =
-        m_context.dispatcher.preview(plan.service, request, streamDemandOf(plan, 0), hasRoom, now);
+    const placement_preview preview = m_context.dispatcher.preview(plan.service, request, demand, hasRoom, now);
     explanation.ahead = preview.ahead;
     explanation.expectedWait = inMilliseconds(preview.expectedWait);
     if (!preview.refused) {
@@ -129,13 +129,14 @@
     explanation.priority = plan.priority;
     explanation.tokens = plan.tokens();
     explanation.timeLeft = inMilliseconds(plan.deadline - now);
-    explanation.endpoints = endpointsFor(plan, now);
+    const std::optional<stream_demand> demand = streamDemandOf(plan, 0);
+    explanation.endpoints = endpointsFor(plan, demand, now);
     if (m_context.redirect.active() && m_context.endpoints.isFailing(plan.service, now)) {
         explanation.decision = "refused";
         explanation.cause = "left_to_others";
         explanation.status = statusServiceUnavailable;
     } else if (!explainQuarantine(plan, explanation, now)) {
-        explainPlacement(plan, arrivedAt, explanation, now);
+        explainPlacement(plan, demand, arrivedAt, explanation, now);
     }
     return explanation;
 }
--- a/src/gateway/request_explainer.h
+++ b/src/gateway/request_explainer.h
@@ -18,10 +18,11 @@
     request_explanation explain(const exchange_plan &plan, time_point arrivedAt, time_point now) const;
 
 private:
-    std::vector<endpoint_explanation> endpointsFor(const exchange_plan &plan, time_point now) const;
+    std::vector<endpoint_explanation> endpointsFor(const exchange_plan &plan,
+                                                   const std::optional<stream_demand> &demand, time_point now) const;
     bool explainQuarantine(const exchange_plan &plan, request_explanation &explanation, time_point now) const;
-    void explainPlacement(const exchange_plan &plan, time_point arrivedAt, request_explanation &explanation,
-                          time_point now) const;
+    void explainPlacement(const exchange_plan &plan, const std::optional<stream_demand> &demand, time_point arrivedAt,
+                          request_explanation &explanation, time_point now) const;
 
     const gateway_context &m_context;
 };
--- a/src/tool/verb_status.cpp
+++ b/src/tool/verb_status.cpp
@@ -1,20 +1,8 @@
+#include "tool/table_cell.h"
 #include "tool/verb.h"
 
 namespace bronzechute {
 
-namespace {
-
-/** @returns the field as text for a table cell, or "-" when it is absent or null. */
-std::string formatCell(const nlohmann::json &object, const char *key)
-{
-    if (!object.is_object() || !object.contains(key) || object[key].is_null()) {
-        return "-";
-    }
-    return object[key].is_string() ? object[key].get<std::string>() : object[key].dump();
-}
-
-} // namespace
-
 exit_code runStatus(verb_context &context)
 {
     exit_code code = exit_code::done;
@@ -26,16 +14,15 @@
         context.printJson(*reply);
         return exit_code::done;
     }
-    context.out() << "node " << formatCell(*reply, "node") << ", role " << formatCell(*reply, "role")
-                  << ", data centre " << formatCell(*reply, "data_centre") << ", revision "
-                  << formatCell(*reply, "revision") << ", configuration age "
-                  << formatCell(*reply, "configuration_age_ms") << " ms\n";
+    context.out() << "node " << tableCell(*reply, "node") << ", role " << tableCell(*reply, "role") << ", data centre "
+                  << tableCell(*reply, "data_centre") << ", revision " << tableCell(*reply, "revision")
+                  << ", configuration age " << tableCell(*reply, "configuration_age_ms") << " ms\n";
     std::vector<std::vector<std::string>> rows = {
         {"ENDPOINT", "STATE", "DATA CENTRE", "IN FLIGHT", "LIMIT", "QUEUED", "COLD"}};
     for (const nlohmann::json &each : reply->value("endpoints", nlohmann::json::array())) {
-        rows.push_back({formatCell(each, "name"), formatCell(each, "state"), formatCell(each, "data_centre"),
-                        formatCell(each, "in_flight"), formatCell(each, "limit"), formatCell(each, "queued"),
-                        formatCell(each, "cold")});
+        rows.push_back({tableCell(each, "name"), tableCell(each, "state"), tableCell(each, "data_centre"),
+                        tableCell(each, "in_flight"), tableCell(each, "limit"), tableCell(each, "queued"),
+                        tableCell(each, "cold")});
     }
     context.printTable(rows);
     return exit_code::done;
