gateway, balance: refused retries and the end of a drain are logged

Change: log lines 'retries refused by the retry budget' (requests, retries, allowed; at most one in 2 s a service) and 'callers are closed' (unfinished, after_ms), gauge bronzechute_gateway_retries_refused. No decision is changed.

--- a/src/balance/windowed_retry_budget.cpp
+++ b/src/balance/windowed_retry_budget.cpp
@@ -19,15 +19,21 @@
 
 bool windowed_retry_budget::tryTake(time_point now)
 {
-    removeExpired(now);
-    const double allowed = m_limits.share * static_cast<double>(m_requests.size()) + m_limits.fixed;
-    if (static_cast<double>(m_retries.size() + 1) > allowed) {
+    const retry_budget_state current = state(now);
+    if (static_cast<double>(current.retries + 1) > current.allowed) {
         return false;
     }
     m_retries.push_back(now);
     return true;
 }
 
+retry_budget_state windowed_retry_budget::state(time_point now)
+{
+    removeExpired(now);
+    const double allowed = m_limits.share * static_cast<double>(m_requests.size()) + m_limits.fixed;
+    return {m_requests.size(), m_retries.size(), allowed};
+}
+
 void windowed_retry_budget::removeExpired(time_point now)
 {
     for (std::deque<time_point> *times : {&m_requests, &m_retries}) {
--- a/src/balance/windowed_retry_budget.h
+++ b/src/balance/windowed_retry_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balance/retry_budget_state.h"
 #include "balance/retry_limits.h"
 #include "base/boot_clock.h"
 
@@ -22,6 +23,8 @@
     /** Counts a retry if the budget allows one. @returns whether the retry may be sent now. */
     bool tryTake(time_point now);
 
+    retry_budget_state state(time_point now);
+
 private:
     void removeExpired(time_point now);
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -196,6 +196,8 @@
         [this] { return m_dispatcher.accountsOverShare(); });
     add("fairness", "Jain's index of the accounts' served share of what they asked for, of the least fair service.",
         [this] { return m_dispatcher.fairness(); });
+    add("retries_refused", "Retries that the retry budget did not allow.",
+        [this] { return m_dispatcher.refusedRetries(); });
     add("held_bytes", "Bytes held for callers and endpoints.", [this] { return m_memory.used(); });
     add("held_bytes_limit", "Limit of the bytes held for callers and endpoints.", [this] { return m_memory.limit(); });
     add("memory_refusals", "Requests refused, since memory was short.", [this] { return m_memory.refused(); });
@@ -298,6 +300,9 @@
         const std::size_t count = busy.get_future().get();
         const time_point now = boot_clock::now();
         if ((count == 0 && now >= earliest) || now >= stopAt) {
+            logLine(log_level::info, "gateway", "callers are closed",
+                    {{"unfinished", count},
+                     {"after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - begin).count()}});
             return count == 0;
         }
         std::this_thread::sleep_for(drainPollInterval);
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -33,7 +33,7 @@
     if (found != m_queues.end()) {
         return found->second;
     }
-    service_queue queue {{}, {}, {}, windowed_retry_budget(ownRetryLimits(service)), {}, {}};
+    service_queue queue {{}, {}, {}, windowed_retry_budget(ownRetryLimits(service)), {}, {}, {}};
     return m_queues.emplace(service, std::move(queue)).first->second;
 }
 
@@ -239,7 +239,26 @@
 
 bool request_dispatcher::tryConsumeRetry(const std::string &service)
 {
-    return queueOf(service).budget.tryTake(boot_clock::now());
+    const time_point now = boot_clock::now();
+    service_queue &queue = queueOf(service);
+    if (queue.budget.tryTake(now)) {
+        return true;
+    }
+    ++m_refusedRetries;
+    logRefusedRetry(service, queue, now);
+    return false;
+}
+
+void request_dispatcher::logRefusedRetry(const std::string &service, service_queue &queue, time_point now)
+{
+    if (now - queue.budgetReportedAt < countsLogInterval) {
+        return;
+    }
+    queue.budgetReportedAt = now;
+    const retry_budget_state state = queue.budget.state(now);
+    logLine(
+        log_level::info, "gateway", "retries refused by the retry budget",
+        {{"service", service}, {"requests", state.requests}, {"retries", state.retries}, {"allowed", state.allowed}});
 }
 
 void request_dispatcher::setGateways(int count)
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -62,6 +62,12 @@
     /** Takes a retry from the budget of the service. @returns whether one was left */
     bool tryConsumeRetry(const std::string &service);
 
+    /** @returns how many retries the budgets have refused. */
+    std::uint64_t refusedRetries() const
+    {
+        return m_refusedRetries;
+    }
+
     /** @param count number of gateways that share the slots */
     void setGateways(int count);
 
@@ -110,6 +116,7 @@
         windowed_retry_budget budget;
         time_point othersAt {}; ///< When the queues of the other gateways were read.
         time_point reportedAt {}; ///< When its counts were logged.
+        time_point budgetReportedAt {}; ///< When a refused retry was logged.
     };
 
     service_queue &queueOf(const std::string &service);
@@ -130,6 +137,7 @@
                const std::shared_ptr<placement_client> &client);
     void refuse(const std::string &service, service_queue &queue, const waiting_request &request,
                 const std::shared_ptr<placement_client> &client, refusal reason, boot_clock::duration expectedWait);
+    static void logRefusedRetry(const std::string &service, service_queue &queue, time_point now);
     static void logCounts(const std::string &service, service_queue &queue, time_point now);
     void serveQueue(const std::string &service, service_queue &queue);
     void expire(const std::string &service, service_queue &queue, time_point now);
@@ -146,6 +154,7 @@
     int m_gatewayCount = 1;
     gateway_fleet m_fleet;
     bool m_checkScheduled = false;
+    std::uint64_t m_refusedRetries = 0;
     std::mt19937_64 m_random;
 };
 
