--- a/tests/gateway/gateway_lifecycle_test.cpp
+++ b/tests/gateway/gateway_lifecycle_test.cpp
@@ -113,6 +113,47 @@
     EXPECT_EQ(refused, 503);
 }
 
+// Guards against requests that are passed on while the threads of the process are being ended, and then cut.
+TEST(gateway_drain, takesNoRequestAfterItsEnd)
+{
+    standins::scripted_server only([](const standins::scripted_request &request, standins::raw_connection &connection) {
+        return connection.send(answerTo(request, "whole"));
+    });
+    gateway_harness gateway(8000ms);
+    gateway.applyDocument(gateway_harness::defaultDocument());
+    gateway.addEndpoint("e1", only.address());
+    caller_connection unused = gateway.connect();
+    EXPECT_TRUE(gateway.role().drain());
+    unused.send("GET /order/x HTTP/1.1\r\nHost: example\r\n" + std::string(callerHeaders) + "\r\n");
+    EXPECT_NE(unused.read().status, 200);
+    EXPECT_EQ(only.requests(), 0);
+}
+
+// Guards against callers that see nothing but a closed connection when the time of a stop is over.
+TEST(gateway_drain, answersAtItsEndWhatIsStillInFlight)
+{
+    standins::scripted_server only([](const standins::scripted_request &, standins::raw_connection &connection) {
+        connection.waitForClose();
+        return false;
+    });
+    gateway_harness gateway;
+    routing_document document = gateway_harness::defaultDocument();
+    for (route &each : document.routes) {
+        each.timeout = 10s;
+    }
+    gateway.applyDocument(document);
+    gateway.addEndpoint("e1", only.address());
+    caller_connection caller = gateway.connect();
+    caller.send("POST /order/x HTTP/1.1\r\nHost: example\r\nX-Request-Id: r1\r\nContent-Length: 0\r\n\r\n");
+    while (only.requests() == 0) {
+        std::this_thread::sleep_for(1ms);
+    }
+    EXPECT_FALSE(gateway.role().drain());
+    const caller_answer answer = caller.read();
+    EXPECT_EQ(answer.status, 502);
+    EXPECT_TRUE(answer.complete);
+}
+
 } // namespace
 
 } // namespace bronzechute
--- a/tests/standins/gateway_site.cpp
+++ b/tests/standins/gateway_site.cpp
@@ -88,7 +88,7 @@
         + "\"], timeout_ms: 1000}\ngateway:\n  status: \"" + address(m_status) + "\"\n  seeds: [\"127.0.0."
         + std::to_string(firstHost) + ":" + std::to_string(m_peers.number())
         + "\"]\n  repeat_window_ms: 10000\n  repeat_share: 0.2\n  repeat_fixed: 90\n" + extra
-        + "drain_timeout_ms: 4000\n";
+        + "drain_timeout_ms: " + std::to_string(m_drainTimeout.count()) + "\n";
 }
 
 void gateway_site::changeSettings(const std::string &gateway, const std::string &extra)
--- a/tests/standins/gateway_site.h
+++ b/tests/standins/gateway_site.h
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <list>
 #include <map>
 #include <memory>
@@ -35,6 +36,12 @@
     /** Starts a group of engines in one process, without forwarders. */
     void startGroup(const std::string &name, const std::string &service, int ranks);
 
+    /** Sets the drain timeout of the gateways that are started from now on. */
+    void setDrainTimeout(std::chrono::milliseconds timeout)
+    {
+        m_drainTimeout = timeout;
+    }
+
     /** Starts a gateway that reaches the store through the forwarder NAME.store. */
     void startGateway(const std::string &name, const std::string &dataCentre);
 
@@ -75,6 +82,7 @@
     std::string settingsOf(const std::string &gateway, const std::string &extra);
 
     scratch_directory m_directory;
+    std::chrono::milliseconds m_drainTimeout {4000};
     reserved_port m_callers; ///< Numbers of the gateways' ports; the gateways differ by host.
     reserved_port m_status;
     reserved_port m_peers;
--- a/tests/standins/routed_endpoint_main.cpp
+++ b/tests/standins/routed_endpoint_main.cpp
@@ -16,6 +16,9 @@
 DEFINE_int32(port, 0, "TCP port on the loopback address, without ranks only; 0: the kernel chooses");
 DEFINE_int32(ranks, 0, "engines of a group, each listed on its own; 0: no group");
 DEFINE_int32(slots, 8, "requests at once");
+DEFINE_int32(work_ms, 15, "time of a request that is not a stream, and until the first event of one");
+DEFINE_int32(events, 8, "events of a stream");
+DEFINE_int32(event_interval_ms, 30, "time between two events of a stream, without ranks only");
 DEFINE_int32(cold_ms, 0, "time after the start in which the endpoint is cold");
 DEFINE_double(cold_per_second, 0, "requests that a cold endpoint tolerates; 0: any number");
 
@@ -35,6 +38,9 @@
         options.service = FLAGS_service;
         options.port = static_cast<std::uint16_t>(FLAGS_port);
         options.slots = FLAGS_slots;
+        options.work = std::chrono::milliseconds(FLAGS_work_ms);
+        options.events = FLAGS_events;
+        options.eventInterval = std::chrono::milliseconds(FLAGS_event_interval_ms);
         options.cold = std::chrono::milliseconds(FLAGS_cold_ms);
         options.coldPerSecond = FLAGS_cold_per_second;
         endpoints.push_back(std::make_unique<routed_endpoint>(options, group, rank));
