http: a response head that ends with its connection is no response

Cause: libcurl ends such a transfer with CURLE_OK, and curl_http_client took the status line for the response. It makes the calls of the store: a renewal of a lease that the store had begun to answer counted as renewed. Ruled out elsewhere: running_transfer checks for the empty line; the gateway's parser fails (three rows in gateway/cut_head_test.cpp, which held before). Change: a transfer without the empty line after its head is errc::outcome_unknown. Measured: http/cut_head.isNoResponseWhereverItEnds failed at byte 17 before and passes; all 32 tests of http_test pass.

--- a/src/http/curl_http_client.cpp
+++ b/src/http/curl_http_client.cpp
@@ -28,6 +28,7 @@
     int sendAttempts = 0; ///< Number of times libcurl began to send the request.
     bool mayRepeat = false;
     bool tooLarge = false;
+    bool headComplete = false; ///< The empty line after the header fields was received.
 };
 
 std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *context)
@@ -53,8 +54,10 @@
     }
     if (line.starts_with("HTTP/")) {
         state->response.headers.clear(); // Discards the headers of an interim response such as 100 Continue.
+        state->headComplete = false;
         return line.size();
     }
+    state->headComplete = state->headComplete || line == "\r\n" || line == "\n";
     const std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
         std::string_view value = line.substr(colon + 1);
@@ -176,6 +179,10 @@
     }
     configure(handle.easy.get(), call, headers.get(), state);
     const CURLcode code = run(handle, call.cancellation.get());
+    // libcurl takes a head that ends with its connection for the whole head of a response without a body.
+    if (code == CURLE_OK && !state.headComplete) {
+        return error {errc::outcome_unknown, callStep, call.url, "the connection closed within the response head"};
+    }
     if (code == CURLE_OK) {
         long status = 0;
         curl_easy_getinfo(handle.easy.get(), CURLINFO_RESPONSE_CODE, &status);
