balance, gateway: a gateway that starts has no fixed retries for a window, and never those of all

Endpoints saw repeats beyond the budget around starts. Cause: a retry budget began full with each process, while the users count a sliding window over all of them; and a gateway that had not heard of another one took the whole fixed number, so that four that were killed at once had it four times. The class: a limit whose count is lost with the process and is taken for unused. Ruled out: attempts that are taken for not sent (by reading). Change: the fixed number is available once the process has run for a window; until then only the share of its own requests is. It is divided by the gateways that the seeds name, if fewer are known. Why it works: in each window, at most one process in each place has used the fixed part.

--- a/src/balance/cold_permits.cpp
+++ b/src/balance/cold_permits.cpp
@@ -87,11 +87,10 @@
 
 double wholePermitShare(const gateway_fleet &fleet, std::string_view name, double total)
 {
+    const double own = total / std::max(possibleCountOf(fleet), fleet.expectedCount);
     if (!fleet.discovered) {
-        // Until it hears of another gateway, a gateway takes itself for the only one.
-        return countOf(fleet) == 1 ? total : total / possibleCountOf(fleet);
+        return own;
     }
-    const double own = total / possibleCountOf(fleet);
     // With equal parts x, the sum of floor(x + rank / n) over n gateways is floor(n * x).
     return own + static_cast<double>(gatewayRank(fleet, name)) / countOf(fleet);
 }
--- a/src/balance/gateway_fleet.h
+++ b/src/balance/gateway_fleet.h
@@ -12,6 +12,7 @@
     std::vector<std::string> members {""}; ///< Hosts of all gateways, this one included.
     int highestCount = 1; ///< Highest number of members in the last minutes.
     bool discovered = true; ///< Whether this gateway has run long enough to know the others.
+    int expectedCount = 1; ///< Number of gateways that the settings name, this one included.
 
     friend bool operator==(const gateway_fleet &, const gateway_fleet &) = default;
 };
--- a/src/balance/windowed_retry_budget.cpp
+++ b/src/balance/windowed_retry_budget.cpp
@@ -2,7 +2,8 @@
 
 namespace bronzechute {
 
-windowed_retry_budget::windowed_retry_budget(const retry_limits &limits) : m_limits(limits)
+windowed_retry_budget::windowed_retry_budget(const retry_limits &limits, time_point startedAt)
+    : m_limits(limits), m_startedAt(startedAt)
 {
 }
 
@@ -30,8 +31,8 @@
 retry_budget_state windowed_retry_budget::state(time_point now)
 {
     removeExpired(now);
-    const double allowed = m_limits.share * static_cast<double>(m_requests.size()) + m_limits.fixed;
-    return {m_requests.size(), m_retries.size(), allowed};
+    const double fixed = now - m_startedAt >= m_limits.window ? m_limits.fixed : 0.0;
+    return {m_requests.size(), m_retries.size(), m_limits.share * static_cast<double>(m_requests.size()) + fixed};
 }
 
 void windowed_retry_budget::removeExpired(time_point now)
--- a/src/balance/windowed_retry_budget.h
+++ b/src/balance/windowed_retry_budget.h
@@ -9,11 +9,17 @@
 
 namespace bronzechute {
 
-/** Retry budget: limits the retries in a sliding window to a share of its requests plus a fixed number. */
+/**
+ * Retry budget: limits the retries in a sliding window to a share of its requests plus a fixed number.
+ *
+ * The fixed number is not available in the first window after the start of the process: an earlier process in its
+ * place, of which nothing is known, may have used it just before.
+ */
 class windowed_retry_budget
 {
 public:
-    explicit windowed_retry_budget(const retry_limits &limits);
+    /** @param startedAt start of the process */
+    windowed_retry_budget(const retry_limits &limits, time_point startedAt);
 
     /** Replaces the limits; retries that were already allowed still count. */
     void setLimits(const retry_limits &limits);
@@ -29,6 +35,7 @@
     void removeExpired(time_point now);
 
     retry_limits m_limits;
+    time_point m_startedAt;
     std::deque<time_point> m_requests;
     std::deque<time_point> m_retries;
 };
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -592,7 +592,11 @@
 
 void gateway_role::updateFleet(time_point now)
 {
-    gateway_fleet fleet {m_loadExchange.self(), m_loadExchange.members(now), 0, m_loadExchange.isDiscovered(now)};
+    gateway_fleet fleet;
+    fleet.self = m_loadExchange.self();
+    fleet.members = m_loadExchange.members(now);
+    fleet.expectedCount = m_loadExchange.expectedGateways();
+    fleet.discovered = m_loadExchange.isDiscovered(now);
     m_fleetSize.record(static_cast<int>(fleet.members.size()), now);
     fleet.highestCount = m_fleetSize.value();
     if (fleet == m_fleet) {
@@ -619,3 +623,4 @@
 }
 
 } // namespace bronzechute
+             {"expected", fleet.expectedCount},
--- a/src/gateway/load_exchange.cpp
+++ b/src/gateway/load_exchange.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
+#include <string_view>
 
 namespace bronzechute {
 
@@ -61,6 +63,13 @@
     return code;
 }
 
+int load_exchange::expectedGateways() const
+{
+    std::set<std::string_view> hosts(m_seeds.begin(), m_seeds.end());
+    hosts.insert(m_host);
+    return static_cast<int>(hosts.size());
+}
+
 void load_exchange::setSeeds(std::vector<std::string> seeds)
 {
     m_seeds = std::move(seeds);
--- a/src/gateway/load_exchange.h
+++ b/src/gateway/load_exchange.h
@@ -75,6 +75,9 @@
     /** Registers the metrics of the exchange. Their values are read from any thread. */
     void registerMetrics(metrics_registry &registry);
 
+    /** @returns the number of gateways that the seeds name, with this one. */
+    int expectedGateways() const;
+
     /** Replaces the seeds. */
     void setSeeds(std::vector<std::string> seeds);
 
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -23,7 +23,7 @@
 
 request_dispatcher::request_dispatcher(boost::asio::io_context &loop, endpoint_table &endpoints,
                                        const retry_limits &limits, std::uint64_t seed)
-    : m_timer(loop), m_endpoints(endpoints), m_limits(limits), m_random(seed)
+    : m_timer(loop), m_endpoints(endpoints), m_limits(limits), m_startedAt(boot_clock::now()), m_random(seed)
 {
 }
 
@@ -33,7 +33,7 @@
     if (found != m_queues.end()) {
         return found->second;
     }
-    service_queue queue {{}, {}, {}, windowed_retry_budget(ownRetryLimits(service)), {}, {}, {}};
+    service_queue queue {{}, {}, {}, windowed_retry_budget(ownRetryLimits(service), m_startedAt), {}, {}, {}};
     return m_queues.emplace(service, std::move(queue)).first->second;
 }
 
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -154,6 +154,7 @@
     int m_gatewayCount = 1;
     gateway_fleet m_fleet;
     bool m_checkScheduled = false;
+    const time_point m_startedAt; ///< Start of the process.
     std::uint64_t m_refusedRetries = 0;
     std::mt19937_64 m_random;
 };
--- a/tests/balance/admission_test.cpp
+++ b/tests/balance/admission_test.cpp
@@ -202,7 +202,7 @@
 
 TEST(windowed_retry_budget, limitsRetriesInTheWindow)
 {
-    windowed_retry_budget budget({10s, 0.2, 3});
+    windowed_retry_budget budget({10s, 0.2, 3}, start - 10s);
     for (int count = 0; count < 50; ++count) {
         budget.onRequest(start);
     }
