daemon: signals are blocked before anything else

Cause: a SIGHUP that arrives while the settings are read, the log is configured or flags are parsed ends the process, as its handler is not there yet. Ruled out: nothing; the users' LOST may or may not have come from it. Change: the mask is set as the first statement of main(). A SIGTERM in that time is now served by a drain. Measured: not shown by a test, since the moment before main() cannot be protected and a test cannot tell the two apart; suspected only.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -138,6 +138,16 @@
 
 int main(int argc, char **argv)
 {
+    // First, as a SIGHUP that is not blocked ends the process. Threads inherit the mask; only sigtimedwait() in
+    // waitForStopSignal() receives the signals.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+
     gflags::SetUsageMessage("bronzechuted --settings FILE");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     std::string text;
@@ -148,16 +158,6 @@
     keepFreedMemorySmall();
     configureLogging(settings->logLevel, settings->logFile, settings->node);
 
-    // Threads inherit the signal mask, so the signals are blocked before any thread starts. Only sigtimedwait() in
-    // waitForStopSignal() receives them.
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    sigaddset(&signals, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-
     auto role = startRole(*settings);
     if (!role) {
         std::fprintf(stderr, "bronzechuted: %s\n", role.error().toString().c_str());
