platform: a store that comes back from a copy

Cause of the faults here: revisions were taken for numbers that never go back. An endpoint that was listed as leaving is leaving for the rest of its run, also if the directory goes back to an earlier entry. Ruled out: configurations, which have versions of their own. Not covered: quarantined prompt parts that were lost with the copy are not written again.

--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -69,6 +69,7 @@
                     {{"endpoint", record.id}, {"service", record.service}});
         }
         known->record = record;
+        noteListedLeaving(*known);
         if (record.coldRemaining.count() > 0) {
             known->warmth.presumeCold(now, record.coldRemaining + coldReportDelay);
         }
@@ -83,6 +84,7 @@
     known = std::make_shared<gateway_endpoint>();
     known->record = record;
     m_unlistedStatements.restore(*known);
+    noteListedLeaving(*known);
     if (!m_initialListComplete && ended.empty() && record.coldRemaining.count() == 0) {
         known->warmth.setWarm();
     } else {
@@ -103,6 +105,12 @@
     return ended;
 }
 
+void endpoint_table::noteListedLeaving(gateway_endpoint &endpoint)
+{
+    // A run does not come back from leaving, also if the directory goes back to an earlier entry of it.
+    endpoint.saysLeaving = endpoint.saysLeaving || (endpoint.record.leaving && endpoint.record.startedAtMs != 0);
+}
+
 void endpoint_table::remove(const std::string &id)
 {
     const auto found = m_endpoints.find(id);
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -177,6 +177,7 @@
     /** @returns whether the routing configuration names the service; true before the first configuration. */
     bool isNamed(const std::string &service) const;
     /** Removes the endpoints that started at the address before, if the entry is one of a named service. */
+    static void noteListedLeaving(gateway_endpoint &endpoint);
     std::vector<endpoint_run> removePredecessors(const endpoint_record &record);
     void rebuild();
     void configureRates(gateway_endpoint &endpoint) const;
--- a/tests/standins/kv_server.cpp
+++ b/tests/standins/kv_server.cpp
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <string_view>
 #include <thread>
+#include <utility>
 
 namespace bronzechute::standins {
 
@@ -83,6 +84,13 @@
     if (faults.value("drop_history", false)) {
         m_state.dropHistory();
     }
+    if (faults.value("copy", false)) {
+        m_copy = m_state;
+    }
+    if (faults.value("return_from_copy", false)) {
+        const kv_state lost = std::exchange(m_state, m_copy);
+        m_state.returnAfter(lost);
+    }
     if (faults.value("cut_watches", false) || faults.value("outage", false)) {
         ++m_cutCount;
     }
@@ -106,6 +114,12 @@
     }
 }
 
+http_reply kv_server::inEra(http_reply reply) const
+{
+    reply.headers.emplace_back("Store-Era", std::to_string(m_state.era()));
+    return reply;
+}
+
 http_reply kv_server::answerCall(const http_request &request)
 {
     store_faults faults;
@@ -121,19 +135,20 @@
     if (request.path == "/v1/kv-watch") {
         return watch(request);
     }
-    kv_answer answer;
+    http_reply reply;
     bool lose = false;
     {
         const std::scoped_lock lock(m_mutex);
         m_state.expireLeases(boot_clock::now());
         const std::int64_t before = m_state.revision();
-        answer = dispatch(request);
+        const kv_answer answer = dispatch(request);
+        reply = inEra(jsonReply(answer.status, answer.body));
         lose = m_state.revision() != before && m_faults.loseAnswers > 0;
         m_faults.loseAnswers -= lose ? 1 : 0;
         m_changed.notify_all();
     }
     std::this_thread::sleep_for(faults.answerDelay);
-    return lose ? cutReply() : jsonReply(answer.status, answer.body);
+    return lose ? cutReply() : reply;
 }
 
 kv_answer kv_server::dispatch(const http_request &request)
@@ -173,11 +188,11 @@
         m_state.expireLeases(boot_clock::now());
         const auto events = m_state.eventsAfter(prefix, after);
         if (!events) {
-            return jsonReply(statusGone, json::object());
+            return inEra(jsonReply(statusGone, json::object()));
         }
         const time_point now = boot_clock::now();
         if (!events->empty() || now >= end) {
-            return jsonReply(statusOk, {{"events", *events}, {"at", m_state.revision()}});
+            return inEra(jsonReply(statusOk, {{"events", *events}, {"at", m_state.revision()}}));
         }
         m_changed.wait_until(lock, std::min(end, now + leaseCheck));
         if (m_stopping || cutCount != m_cutCount) {
--- a/tests/standins/kv_server.h
+++ b/tests/standins/kv_server.h
@@ -16,7 +16,8 @@
  * Stand-in of the users' key-value store: its HTTP interface, in memory, with fault injection.
  *
  * POST /standin/faults takes the fields of store_faults, `page_size` (items of a page) and the single actions
- * `drop_history` (bool) and `cut_watches` (bool). GET /standin/stats counts calls by path.
+ * `drop_history`, `cut_watches`, `copy` and `return_from_copy` (bool): the state goes back to that of the last copy,
+ * and the era in the answers rises. GET /standin/stats counts calls by path.
  */
 class kv_server : public http_handler
 {
@@ -37,6 +38,8 @@
     http_reply handle(const http_request &request) override;
 
 private:
+    /** Adds the era to an answer. */
+    http_reply inEra(http_reply reply) const;
     http_reply answerCall(const http_request &request);
     kv_answer dispatch(const http_request &request);
     http_reply watch(const http_request &request);
@@ -44,6 +47,7 @@
     ranked_mutex m_mutex {lock_rank::leaf};
     std::condition_variable_any m_changed;
     kv_state m_state;
+    kv_state m_copy;
     store_faults m_faults;
     std::size_t m_pageSize = 500;
     std::map<std::string, std::int64_t> m_calls;
--- a/tests/standins/kv_state.cpp
+++ b/tests/standins/kv_state.cpp
@@ -40,7 +40,7 @@
 
 std::optional<kv_state::json> kv_state::eventsAfter(const std::string &prefix, std::int64_t revision) const
 {
-    if (revision < m_droppedUntil) {
+    if (revision < m_droppedUntil || revision > m_revision) {
         return std::nullopt;
     }
     json events = json::array();
--- a/tests/standins/kv_state.h
+++ b/tests/standins/kv_state.h
@@ -45,6 +45,21 @@
 
     void dropHistory();
 
+    /**
+     * Makes this state, a copy of the other one from earlier, what a store has that comes back from it: with the same
+     * counters, so that revisions and leases are given out again.
+     */
+    void returnAfter(const kv_state &lost)
+    {
+        m_era = lost.m_era + 1;
+    }
+
+    /** @returns how often the store has come back from a copy, from 1 on. */
+    std::int64_t era() const
+    {
+        return m_era;
+    }
+
     std::int64_t revision() const
     {
         return m_revision;
@@ -69,6 +84,7 @@
     void remove(const std::string &key);
     void removeKeysOf(std::int64_t lease);
 
+    std::int64_t m_era = 1;
     std::int64_t m_revision = 1;
     std::int64_t m_droppedUntil = 0; ///< Events up to this revision are not kept.
     std::map<std::string, json> m_items;
