--- a/tests/soak/soak_evidence.cpp
+++ b/tests/soak/soak_evidence.cpp
@@ -44,6 +44,14 @@
     return !disturbed(evidence, "store", from, until) && !disturbed(evidence, gateway, from, until);
 }
 
+/** @returns whether the gateway of a call was stopped as planned during the call, with no other trouble. */
+bool isBesidePlannedStop(const soak_evidence &evidence, const call_record &call)
+{
+    return std::ranges::any_of(evidence.plannedStops, [&](const disturbance &each) {
+        return each.part == call.gateway && each.from <= call.endedAt && each.until >= call.sentAt;
+    });
+}
+
 void checkCalls(const soak_evidence &evidence, std::vector<std::string> &findings)
 {
     std::map<std::string, int> runs;
@@ -65,6 +73,12 @@
         if (call.status >= firstRefusal && call.status < 500 && !promisesNotRun(call.status)) {
             findings.push_back("proper request denied with status " + std::to_string(call.status) + ": " + name);
         }
+        if (isBesidePlannedStop(evidence, call)) {
+            if (call.status == 0 && call.owed && ran > 0) {
+                findings.push_back("run, and not answered because of a planned stop: " + name);
+            }
+            continue;
+        }
         const bool late = call.endedAt - call.sentAt > calmAnswerBound;
         if (call.sentAt > evidence.calmFrom && call.owed && (!isSuccess(call.status) || late)) {
             findings.push_back("not served in the calm at the end, status " + std::to_string(call.status) + ": "
--- a/tests/soak/soak_plan.h
+++ b/tests/soak/soak_plan.h
@@ -18,6 +18,7 @@
     store_slow,
     store_lost_answers,
     store_drops_history,
+    store_returns_from_copy, ///< It loses what was written during the fault.
     kill_endpoint,
     freeze_endpoint,
     drain_endpoint,
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -40,12 +40,16 @@
     void endAtEndpoint(const planned_fault &past, const std::string &endpoint);
     void operate(std::function<void()> operation);
     void operatePending();
+    void setEvacuated(const std::string &name, bool evacuated);
+    void returnFromCopy();
     void changeConfiguration();
     void restartGateway(const std::string &gateway);
     void waitForStop(const std::string &gateway);
     void checkAlive();
     void heal();
     void playCalm();
+    /** Stops a gateway as planned and starts it again; nothing else happens meanwhile. */
+    void stopInCalm(const std::string &gateway);
     void collectEndpoints();
     void collectOutput(const std::string &process);
     void disturb(const std::string &part, time_point from);
@@ -60,6 +64,7 @@
     std::unique_ptr<soak_callers> m_callers;
     std::int64_t m_version = 1;
     std::deque<std::function<void()>> m_pending; ///< Of the operator, in order, while the store is away.
+    std::map<std::string, bool> m_evacuated; ///< Data centres that the operator has taken out, by name.
     std::map<std::string, int> m_down; ///< Gateways that the plan has ended, with the number of faults that did.
     std::map<std::string, time_point> m_stoppedAt; ///< When SIGTERM was sent to a gateway that runs.
     std::map<std::string, int> m_frozen; ///< Faults that keep a gateway frozen.
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -79,6 +79,18 @@
                     "not served in the calm"},
         broken_row {"late_answer_in_the_calm", [](soak_evidence &each) { each.calls[3].endedAt = start + 14s; },
                     "not served in the calm"},
+        broken_row {"order_that_a_planned_stop_cuts",
+                    [](soak_evidence &each) {
+                        each.plannedStops = {{"gateway-0", start + 900ms, start + 4s}};
+                        each.calls[1].status = 0;
+                    },
+                    "run, and not answered because of a planned stop: b"},
+        broken_row {"refusal_by_a_gateway_that_stops_is_blamed",
+                    [](soak_evidence &each) {
+                        each.plannedStops = {{"gateway-0", start + 8s, start + 12s}};
+                        each.calls[3].status = 503;
+                    },
+                    ""},
         broken_row {"run_without_a_caller",
                     [](soak_evidence &each) {
                         each.runs.push_back({"x", "office"});
