--- a/tests/gateway/frozen_gateway_test.cpp
+++ b/tests/gateway/frozen_gateway_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <functional>
 #include <thread>
 
 namespace bronzechute {
@@ -95,6 +96,52 @@
     EXPECT_EQ(only.requests(), answer.status == 200 ? 2 : 1);
 }
 
+/** A kept connection that a pause of the gateway leaves with a request that has arrived and was not read. */
+class request_during_a_pause : public testing::Test
+{
+protected:
+    request_during_a_pause()
+        : m_only([](const standins::scripted_request &request, standins::raw_connection &connection) {
+            return connection.send(answerTo(request, "booked"));
+        })
+    {
+    }
+
+    /** @returns the status of a second request that is sent on a kept connection during a pause */
+    int statusOfSecond(const std::function<void()> &meanwhile)
+    {
+        m_gateway.addEndpoint("e1", m_only.address());
+        caller_connection caller = m_gateway.connect();
+        const std::string order = frozenOrderHead + "Content-Length: 0\r\n\r\n";
+        caller.send(order);
+        EXPECT_EQ(caller.read().status, 200);
+        m_gateway.freeze(longPause);
+        std::this_thread::sleep_for(20ms);
+        std::jthread other(meanwhile);
+        std::this_thread::sleep_for(20ms);
+        caller.send(order);
+        return caller.read().status;
+    }
+
+    standins::scripted_server m_only;
+    gateway_harness m_gateway;
+};
+
+// Guards against callers that are cut off by the close of an idle connection although their request had arrived.
+TEST_F(request_during_a_pause, isServedAlthoughAStopHasBegun)
+{
+    m_gateway.applyDocument(gateway_harness::defaultDocument());
+    EXPECT_EQ(statusOfSecond([this] { m_gateway.role().drain(); }), 200);
+}
+
+TEST_F(request_during_a_pause, isServedAlthoughTheConnectionTimedOut)
+{
+    routing_document document = gateway_harness::defaultDocument();
+    document.limits.idleTimeout = shortTimeout;
+    m_gateway.applyDocument(document);
+    EXPECT_EQ(statusOfSecond([] {}), 200);
+}
+
 } // namespace
 
 } // namespace bronzechute
