gateway: the event loop ends before what it uses

Cause: ~gateway_role() freed the store's watch, the lease and the record on the main thread while the event loop went on; its timer asks the lease each 200 ms, and the end of a lease can take a call of the store. Change: the loop is stopped and joined first; the threads of the others only post to it.

--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -150,14 +150,15 @@
 
 gateway_role::~gateway_role()
 {
-    m_source.reset();
-    m_lease.reset();
-    m_quarantineRecord.reset();
+    // The event loop uses the others; their threads only post to it.
     m_work.reset();
     m_loop.stop();
     if (m_thread.joinable()) {
         m_thread.join();
     }
+    m_source.reset();
+    m_lease.reset();
+    m_quarantineRecord.reset();
 }
 
 void gateway_role::registerGauges()
--- a/tests/site/planned_stop_test.cpp
+++ b/tests/site/planned_stop_test.cpp
@@ -177,6 +177,21 @@
                                                    25ms}),
                          [](const auto &row) { return std::string(row.param.name); });
 
+// Guards against the event loop using what the main thread has freed: the process ended with a segmentation fault.
+TEST(stopping_coordinator, endsInOrderWhileTheStoreIsSlow)
+{
+    gateway_site site;
+    site.startStore();
+    site.put("op/config", siteDocument(1));
+    site.setDrainTimeout(300ms); // Shorter than the call that ends the lease.
+    site.startGateway("gateway-1", "here");
+    ASSERT_TRUE(
+        eventuallyTrue([&] { return site.output("gateway-1").find("elected as coordinator") != std::string::npos; }));
+    site.inject("store", {{"delay_ms", 900}});
+    site.process("gateway-1").signal(SIGTERM);
+    EXPECT_EQ(site.process("gateway-1").waitForExit(10s), 0);
+}
+
 } // namespace
 
 } // namespace bronzechute::standins
