--- a/tests/balance/retry_budget_test.cpp
+++ b/tests/balance/retry_budget_test.cpp
@@ -135,6 +135,7 @@
 {
     const fleet_row &row = GetParam();
     std::vector<failing_gateway> gateways;
+    gateways.reserve(static_cast<std::size_t>(row.gateways));
     for (int index = 0; index < row.gateways; ++index) {
         gateways.emplace_back(row, index);
     }
