--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -27,13 +27,6 @@
 
 // Retry-After in seconds: another gateway, or this one shortly after, can serve the caller.
 constexpr const char *rejectionRetryAfterSeconds = "0.2";
-// The platform's load balancer takes this long to notice that the process is no longer ready.
-constexpr std::chrono::milliseconds deregistrationDelay {2500};
-// Requests that arrive later are accepted only if their time is over before the process ends; others are left to
-// another gateway.
-constexpr std::chrono::milliseconds drainAcceptPeriod {2800};
-constexpr std::chrono::milliseconds drainPollInterval {20};
-
 const std::string coordinatorKey = "bronzechute/expert-maps/coordinator";
 const std::string quarantineKey = "bronzechute/quarantine/prompt-parts";
 constexpr std::chrono::milliseconds coordinatorPollInterval {200};
@@ -41,13 +34,6 @@
 constexpr std::chrono::milliseconds campaignStagger {300};
 // Requests fail until the gateway detects that it cannot serve them, so the check is frequent.
 constexpr std::chrono::milliseconds reachabilityCheckInterval {100};
-// The process must exit by itself before the drain timeout expires.
-constexpr std::chrono::milliseconds shutdownMargin {800};
-// The margin is at most this part of a short timeout.
-constexpr int shutdownMarginDivisor = 8;
-// The answers to the requests that are given up at the end are written within this time.
-constexpr std::chrono::milliseconds lastAnswersTimeout {200};
-
 // At most one log line in this time tells of refused and closed callers, whatever their number.
 constexpr std::chrono::milliseconds memoryCheckInterval {1000};
 // The other half is for the program, its tables and what the allocator keeps between the blocks in use.
@@ -130,6 +116,7 @@
     , m_status(*this)
     , m_callers(m_loop, *this, *this, m_memory, maxCallers(settings))
     , m_statusListener(m_loop, m_status, *this, m_memory, statusConnections)
+    , m_drain(m_loop, *this)
     , m_leasePollTimer(m_loop)
     , m_reachabilityTimer(m_loop)
     , m_memoryTimer(m_loop)
@@ -164,7 +151,7 @@
 void gateway_role::registerGauges()
 {
     m_registry.gauge("bronzechute_gateway_ready", "", "Whether the gateway takes callers.",
-                     [this] { return m_draining ? 0.0 : 1.0; });
+                     [this] { return m_drain.begun() ? 0.0 : 1.0; });
     const auto countEndpoints = [this](auto condition) {
         return [this, condition] {
             const time_point now = boot_clock::now();
@@ -279,41 +266,22 @@
     return "http=" + m_callers.address() + " status=" + m_statusListener.address();
 }
 
-template<typename Function>
-auto gateway_role::runInLoop(Function function)
+bool gateway_role::drain()
 {
-    const auto task = std::make_shared<std::packaged_task<decltype(function())()>>(std::move(function));
-    auto outcome = task->get_future();
-    asio::post(m_loop, [task] { (*task)(); });
-    return outcome.get();
+    return m_drain.run(m_settings.drainTimeout);
 }
 
-bool gateway_role::drain()
+void gateway_role::beginDrain()
 {
-    const time_point begin = boot_clock::now();
-    const std::chrono::milliseconds margin = std::min(shutdownMargin, m_settings.drainTimeout / shutdownMarginDivisor);
-    const time_point stopAt = begin + m_settings.drainTimeout - margin;
-    const time_point earliest = std::min(begin + deregistrationDelay, stopAt);
-    m_draining = true;
-    asio::post(m_loop, [this, begin, stopAt] {
-        m_drainAcceptUntil = std::min(begin + drainAcceptPeriod, stopAt);
-        m_drainStopAt = stopAt;
-        m_callers.closeIdle();
-        if (m_coordinator != nullptr) {
-            m_coordinator->stop();
-        }
-    });
-    awaitCallers(earliest, stopAt);
-    runInLoop([this] { stopTaking(); });
-    const std::size_t unfinished = awaitCallers(begin, stopAt);
-    if (unfinished > 0) {
-        runInLoop([this] { endRequests(); });
-        awaitCallers(begin, stopAt + lastAnswersTimeout);
+    m_callers.closeIdle();
+    if (m_coordinator != nullptr) {
+        m_coordinator->stop();
     }
-    logLine(log_level::info, "gateway", "callers are closed",
-            {{"unfinished", unfinished},
-             {"after_ms", std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - begin).count()}});
-    return unfinished == 0;
+}
+
+void gateway_role::stopTaking()
+{
+    m_callers.stop();
 }
 
 std::size_t gateway_role::inProgress()
@@ -322,30 +290,12 @@
     if (m_lease != nullptr && !switching) {
         m_lease->stop();
     }
-    if (!m_takesRequests) {
+    if (!m_drain.takesRequests()) {
         m_callers.closeIdle(true);
     }
     return m_callers.busyCount() + (switching ? 1 : 0);
 }
 
-std::size_t gateway_role::awaitCallers(time_point earliest, time_point latest)
-{
-    for (;;) {
-        const std::size_t count = runInLoop([this] { return inProgress(); });
-        const time_point now = boot_clock::now();
-        if ((count == 0 && now >= earliest) || now >= latest) {
-            return count;
-        }
-        std::this_thread::sleep_for(drainPollInterval);
-    }
-}
-
-void gateway_role::stopTaking()
-{
-    m_takesRequests = false;
-    m_callers.stop();
-}
-
 void gateway_role::endRequests()
 {
     m_dispatcher.close(); // First, so that no slot that becomes free is given to a request that waits.
@@ -372,7 +322,7 @@
 bool gateway_role::refuses(const gateway_request &head)
 {
     const auto matched = matchRequest(head, m_table, m_options.headers, m_dispatcher.random());
-    return !m_takesRequests || std::holds_alternative<request_rejection>(matched);
+    return !m_drain.takesRequests() || std::holds_alternative<request_rejection>(matched);
 }
 
 std::shared_ptr<running_exchange> gateway_role::handle(gateway_request request,
@@ -382,7 +332,7 @@
     if (auto *plan = std::get_if<exchange_plan>(&matched)) {
         plan->isCallerRetry = m_retryDetectors[plan->matched->name].isRetry(
             std::chrono::duration_cast<std::chrono::milliseconds>(plan->callerDeadline - request.arrivedAt));
-        if (!canFinishBeforeShutdown(*plan, request.arrivedAt)) {
+        if (!m_drain.takes(*plan, request.arrivedAt)) {
             matched = request_rejection {statusServiceUnavailable, "gateway is shutting down"};
         }
     }
@@ -396,15 +346,6 @@
     return exchange->ended() ? nullptr : exchange;
 }
 
-bool gateway_role::canFinishBeforeShutdown(const exchange_plan &plan, time_point now) const
-{
-    if (!m_takesRequests) {
-        return false;
-    }
-    // How long a queue and an endpoint will take is not known, so that only the deadline counts.
-    return !m_drainAcceptUntil || now <= *m_drainAcceptUntil || plan.deadline <= m_drainStopAt;
-}
-
 void gateway_role::reject(const gateway_request &request, const request_rejection &rejection, caller_response &response)
 {
     const auto id = findHeader(request.headers, m_options.headers.requestId);
@@ -454,8 +395,7 @@
     }
     std::mt19937_64 random(std::random_device {}()); // The draws of callers' requests stay as they are.
     auto matched = matchRequest(request.value(), m_table, m_options.headers, random);
-    if (const auto *plan = std::get_if<exchange_plan>(&matched);
-        plan != nullptr && !canFinishBeforeShutdown(*plan, now)) {
+    if (const auto *plan = std::get_if<exchange_plan>(&matched); plan != nullptr && !m_drain.takes(*plan, now)) {
         matched = request_rejection {statusServiceUnavailable, "gateway is shutting down"};
     }
     request_explanation explanation;
@@ -471,7 +411,7 @@
 
 bool gateway_role::ready() const
 {
-    return m_table != nullptr && m_initialListComplete && !m_draining && !m_redirect.active();
+    return m_table != nullptr && m_initialListComplete && !m_drain.begun() && !m_redirect.active();
 }
 
 void gateway_role::onRouting(std::shared_ptr<const routing_table> table)
@@ -578,7 +518,7 @@
         }
         // Gateways campaign one after the other, so that a vacant lease causes few calls to the store.
         const auto campaignDelay = coordinatorAbsenceTimeout + m_loadExchange.campaignOrder() * campaignStagger;
-        m_lease->setCampaigning(!m_draining && now - m_coordinatorAbsentSince >= campaignDelay);
+        m_lease->setCampaigning(!m_drain.begun() && now - m_coordinatorAbsentSince >= campaignDelay);
         pollCoordinatorLease();
     });
 }
@@ -657,7 +597,7 @@
 
 bool gateway_role::closing() const
 {
-    return m_draining || m_redirect.active();
+    return m_drain.begun() || m_redirect.active();
 }
 
 } // namespace bronzechute
--- a/src/gateway/gateway_role.h
+++ b/src/gateway/gateway_role.h
@@ -6,6 +6,7 @@
 #include "base/result.h"
 #include "gateway/coordinator_lease.h"
 #include "gateway/gateway_context.h"
+#include "gateway/gateway_drain.h"
 #include "gateway/gateway_listener.h"
 #include "gateway/gateway_options.h"
 #include "gateway/load_exchange.h"
@@ -19,8 +20,6 @@
 #include "routing/routing_observer.h"
 #include "routing/routing_source.h"
 
-#include <atomic>
-#include <future>
 #include <map>
 #include <memory>
 #include <thread>
@@ -31,7 +30,11 @@
  * Node role of a reverse proxy for deployments that run no bronzechute process next to the endpoints: it accepts
  * callers and forwards their requests directly to the endpoints. One event loop serves all requests.
  */
-class gateway_role : public node_role, public request_handler, public routing_observer, public session_options
+class gateway_role : public node_role,
+                     public request_handler,
+                     public routing_observer,
+                     public session_options,
+                     private drained_service
 {
 public:
     /** Starts the listeners and the event loop. @returns errc::unavailable if an address cannot be bound */
@@ -94,17 +97,10 @@
     void registerGauges();
     void registerStoreGauges();
     void monitorMemory();
-    bool canFinishBeforeShutdown(const exchange_plan &plan, time_point now) const;
-    /** Runs a function in the event loop. @returns its result */
-    template<typename Function>
-    auto runInLoop(Function function);
-    /** While draining: waits until nothing is in progress, or until the time. @returns what is still in progress */
-    std::size_t awaitCallers(time_point earliest, time_point latest);
-    /** From now on, no request is taken. */
-    void stopTaking();
-    /** Ends the requests that are still in progress. */
-    void endRequests();
-    std::size_t inProgress();
+    void beginDrain() override;
+    void stopTaking() override;
+    std::size_t inProgress() override;
+    void endRequests() override;
 
     daemon_settings m_settings; ///< Accessed only by the thread that starts, reloads and drains.
     const gateway_options m_options;
@@ -123,6 +119,7 @@
     status_handler m_status;
     gateway_listener m_callers;
     gateway_listener m_statusListener;
+    gateway_drain m_drain;
     boost::asio::steady_timer m_leasePollTimer;
     boost::asio::steady_timer m_reachabilityTimer;
     boost::asio::steady_timer m_memoryTimer;
@@ -140,10 +137,6 @@
     int m_gatewayCount = 0;
     gateway_fleet m_fleet;
     recent_peak m_fleetSize;
-    std::atomic<bool> m_draining {false};
-    std::optional<time_point> m_drainAcceptUntil; ///< While draining: requests that arrive until then are all accepted.
-    bool m_takesRequests = true; ///< Used in the event loop.
-    time_point m_drainStopAt {}; ///< While draining: responses must be complete by then.
     std::map<std::string, retry_detector> m_retryDetectors; ///< By route.
     std::unique_ptr<routing_source> m_source;
     std::thread m_thread;
