tests: one place builds the request of a site's caller

Cause: the four header fields of a caller stood in three older places of tests/site and were written again in the three new files. Change: standins/site_request builds them; each test keeps its own method, timeout and further fields, and no check, time or path is changed. Left as they are, since the logic differs: the drain's and the deadline's end of an exchange, and the look for unread bytes beside that of endpoint_connection, which asks for the opposite. No product code.

--- a/tests/site/planned_stop_test.cpp
+++ b/tests/site/planned_stop_test.cpp
@@ -2,6 +2,7 @@
 #include "standins/http_fetch.h"
 #include "standins/local_system.h"
 #include "standins/site_document.h"
+#include "standins/site_request.h"
 
 #include <gtest/gtest.h>
 
@@ -63,15 +64,10 @@
 
     stop_call call(const std::string &id)
     {
-        fetch_request request;
-        request.url = m_url + GetParam().path;
+        fetch_request request = siteRequest(m_url + GetParam().path, id, 8000ms);
         request.method = GetParam().method;
         request.timeout = 10s;
-        request.headers = {{"Host", site_names::host},
-                           {"X-Attempt-Id", id},
-                           {"X-Deadline-Ms", "8000"},
-                           {"X-Token-Count", "700,8"},
-                           {"Authorization", std::string("Bearer ") + site_names::key}};
+        request.headers.emplace_back("X-Token-Count", "700,8");
         stop_call made {id, sinceStop(), {}, {}};
         made.answer = fetch(request);
         made.ended = sinceStop();
--- a/tests/site/quarantine_test.cpp
+++ b/tests/site/quarantine_test.cpp
@@ -2,6 +2,7 @@
 #include "standins/http_fetch.h"
 #include "standins/local_system.h"
 #include "standins/site_document.h"
+#include "standins/site_request.h"
 
 #include <gtest/gtest.h>
 
@@ -39,14 +40,10 @@
 
     fetch_answer ask(const std::string &gateway, const std::string &prompt)
     {
-        fetch_request request;
-        request.url = m_site.url(gateway) + "/stream/1";
+        fetch_request request =
+            siteRequest(m_site.url(gateway) + "/stream/1", "request-" + std::to_string(++m_requests), 2000ms);
         request.method = "POST";
-        request.headers = {{"Host", site_names::host},
-                           {"X-Attempt-Id", "request-" + std::to_string(++m_requests)},
-                           {"X-Deadline-Ms", "2000"},
-                           {"X-Prompt-Prefix", prompt},
-                           {"Authorization", std::string("Bearer ") + site_names::key}};
+        request.headers.emplace_back("X-Prompt-Prefix", prompt);
         return fetch(request);
     }
 
--- a/tests/site/retry_budget_test.cpp
+++ b/tests/site/retry_budget_test.cpp
@@ -2,6 +2,7 @@
 #include "standins/http_fetch.h"
 #include "standins/local_system.h"
 #include "standins/site_document.h"
+#include "standins/site_request.h"
 
 #include <gtest/gtest.h>
 
@@ -44,13 +45,8 @@
 
     void send(std::size_t gateway, const std::string &id)
     {
-        fetch_request request;
-        request.url = m_urls.at(gateway) + "/read/1";
+        fetch_request request = siteRequest(m_urls.at(gateway) + "/read/1", id, 2500ms);
         request.timeout = 3s;
-        request.headers = {{"Host", site_names::host},
-                           {"X-Attempt-Id", id},
-                           {"X-Deadline-Ms", "2500"},
-                           {"Authorization", std::string("Bearer ") + site_names::key}};
         fetch(request);
     }
 
--- a/tests/site/returned_store_test.cpp
+++ b/tests/site/returned_store_test.cpp
@@ -2,6 +2,7 @@
 #include "standins/http_fetch.h"
 #include "standins/local_system.h"
 #include "standins/site_document.h"
+#include "standins/site_request.h"
 
 #include <gtest/gtest.h>
 
@@ -33,13 +34,8 @@
 
     long statusOf(const std::string &gateway, const std::string &path)
     {
-        fetch_request request;
-        request.url = m_site.url(gateway) + path;
-        request.headers = {{"Host", site_names::host},
-                           {"X-Attempt-Id", "request-" + std::to_string(++m_requests)},
-                           {"X-Deadline-Ms", "3000"},
-                           {"Authorization", std::string("Bearer ") + site_names::key}};
-        return fetch(request).status;
+        const std::string id = "request-" + std::to_string(++m_requests);
+        return fetch(siteRequest(m_site.url(gateway) + path, id, 3000ms)).status;
     }
 
     bool servedByAll(const std::string &path)
--- a/tests/site/site_test.cpp
+++ b/tests/site/site_test.cpp
@@ -3,6 +3,7 @@
 #include "standins/local_system.h"
 #include "standins/routed_answer.h"
 #include "standins/site_document.h"
+#include "standins/site_request.h"
 
 #include <gtest/gtest.h>
 
@@ -47,13 +48,7 @@
 protected:
     static fetch_request requestOf(const std::string &gateway, const std::string &path)
     {
-        fetch_request request;
-        request.url = deployment->url(gateway) + path;
-        request.headers = {{"Host", site_names::host},
-                           {"X-Attempt-Id", "request-" + std::to_string(++requests)},
-                           {"X-Deadline-Ms", "3000"},
-                           {"Authorization", std::string("Bearer ") + site_names::key}};
-        return request;
+        return siteRequest(deployment->url(gateway) + path, "request-" + std::to_string(++requests), 3000ms);
     }
 
     static std::string idOf(const fetch_request &request)
@@ -248,13 +243,8 @@
     ASSERT_TRUE(deployment.waitReady("gateway-there"));
     int requests = 0;
     const auto ask = [&] {
-        fetch_request request;
-        request.url = deployment.url("gateway-here") + "/read/1";
-        request.headers = {{"Host", site_names::host},
-                           {"X-Attempt-Id", "cut-off-" + std::to_string(++requests)},
-                           {"X-Deadline-Ms", "600"},
-                           {"Authorization", std::string("Bearer ") + site_names::key}};
-        return fetch(request);
+        return fetch(
+            siteRequest(deployment.url("gateway-here") + "/read/1", "cut-off-" + std::to_string(++requests), 600ms));
     };
     ASSERT_TRUE(eventuallyTrue([&] { return ask().status == 200; }));
     const auto seesPeer = [&] {
