platform: an empty list of tenants requires keys, which nobody has

Cause: the decoder read the member `tenants` with a function that returns an empty array for an absent one, and the table asked whether any account is there: no keys were read as no need for keys. Ruled out: an old version in force (unknown keys were refused under it), and a configuration that was refused (a gateway without one answers 503). Change: the document tells whether it lists accounts at all; an empty list or null requires a key. The line on an applied configuration tells whether keys are required.

--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -431,7 +431,8 @@
                 {{"version", table->version()},
                  {"before", m_table == nullptr ? 0 : m_table->version()},
                  {"routes", table->document().routes.size()},
-                 {"accounts", table->document().accounts.size()}});
+                 {"accounts", table->document().accounts.size()},
+                 {"keys_required", table->requiresKeys()}});
     }
     m_table = std::move(table);
     std::set<std::string_view> names;
--- a/src/routing/routing_table.h
+++ b/src/routing/routing_table.h
@@ -54,7 +54,7 @@
     /** @returns whether requests need an API key, unless their route is anonymous. */
     bool requiresKeys() const
     {
-        return !m_document.accounts.empty();
+        return m_document.listsAccounts || !m_document.accounts.empty();
     }
 
 private:
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -1,4 +1,5 @@
 #include "rank_messages.h"
+#include "routing/routing_table.h"
 #include "routing_decoder.h"
 
 #include <gtest/gtest.h>
@@ -43,6 +44,40 @@
     EXPECT_EQ(document.accounts.at(0).keys, (std::vector<std::string> {"k1", "k2"}));
 }
 
+struct tenants_case
+{
+    std::string name; ///< Failure that the row guards against.
+    std::string member; ///< What stands in the document in place of its tenants.
+    bool requiresKeys;
+};
+
+class tenants_of_a_document : public testing::TestWithParam<tenants_case>
+{
+};
+
+// After the last tenant is gone, its key and unknown keys must not be admitted.
+TEST_P(tenants_of_a_document, decideWhetherKeysAreRequired)
+{
+    const std::string listed = R"("tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1}],)";
+    std::string text = validDocument;
+    text.replace(text.find(listed), listed.size(), GetParam().member);
+    const auto decoded = decodeRouting(text);
+    ASSERT_TRUE(decoded) << decoded.error().detail;
+    const routing_table table(decoded.value());
+    EXPECT_EQ(table.requiresKeys(), GetParam().requiresKeys);
+    EXPECT_EQ(table.findAccount("k1"), nullptr);
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, tenants_of_a_document,
+                         testing::Values(tenants_case {"empty_list_admits_everybody", R"("tenants":[],)", true},
+                                         tenants_case {"null_admits_everybody", R"("tenants":null,)", true},
+                                         tenants_case {"tenant_without_keys_admits_everybody",
+                                                       R"("tenants":[{"name":"t1","api_keys":[]}],)", true},
+                                         tenants_case {"tenant_without_a_list_of_keys_admits_everybody",
+                                                       R"("tenants":[{"name":"t1"}],)", true},
+                                         tenants_case {"document_without_tenants_admits_nobody", "", false}),
+                         [](const auto &row) { return row.param.name; });
+
 struct malformed_case
 {
     std::string name;
