config: an empty list in the match of a class is an error

Ruled out: callers without a key, since the entry requires one in all cases; teams, whose list cannot become empty again. Change: the reader reports such a list; left out, the member matches all as before.

--- a/src/config/configuration_reader.cpp
+++ b/src/config/configuration_reader.cpp
@@ -77,8 +77,14 @@
     traffic_class each;
     each.name = readName(node, "classes");
     document_mapping match = node.mapping("match");
+    const std::size_t problems = match.problemCount();
     each.accounts = readReferences(match, "accounts", "accounts", severity::error);
     each.models = match.texts("models");
+    if (match.problemCount() == problems) {
+        // Left out, they match all; a list from which the last name was taken away must not.
+        requireNames(match, "accounts", each.accounts);
+        requireNames(match, "models", each.models);
+    }
     match.rejectUnknownKeys();
     each.pools = readPoolSelector(node, endpoint_kind::model);
     each.priority = static_cast<int>(node.integer("priority", 0, maxClassPriority, each.priority));
@@ -92,6 +98,13 @@
     return each;
 }
 
+void configuration_reader::requireNames(document_mapping &node, const char *key, const std::vector<std::string> &names)
+{
+    if (node.has(key) && names.empty()) {
+        node.reportFound(key, "an empty list", "at least one name");
+    }
+}
+
 client_account configuration_reader::readAccount(document_mapping &node)
 {
     client_account account;
--- a/src/config/configuration_reader.h
+++ b/src/config/configuration_reader.h
@@ -52,6 +52,8 @@
     selector readPoolSelector(document_mapping &node, endpoint_kind kind);
     std::vector<std::string> readReferences(document_mapping &node, const std::string &key, const std::string &section,
                                             severity level);
+    /** Reports a list that is there and has no name. */
+    static void requireNames(document_mapping &node, const char *key, const std::vector<std::string> &names);
 
     void checkSelectorReferences(const std::vector<endpoint_pool> &pools,
                                  std::vector<configuration_problem> &problems) const;
