gateway: a silent attempt goes on until another endpoint answers

Cause: after 0.9 s without an event the attempt was ended first and another endpoint looked for then; where none was free, turned the request away, failed or was silent too, the stream ended. Reads were given up in the same way after twice their target. Ruled out by the lines of the log: the stop itself (the same without one), and the connection (no read failed). Change: the request asks for a place while the silent attempt runs, and changes over when the second endpoint has begun an answer that may be passed on (replacement_attempt). If the first one goes on, the replacement is dropped; if it breaks off, the replacement takes over. max_attempts and the retry budget count as before; nothing is asked for if no untried endpoint accepts requests. The log names both endpoints and the silence.

--- a/src/balance/windowed_retry_budget.cpp
+++ b/src/balance/windowed_retry_budget.cpp
@@ -18,10 +18,15 @@
     m_requests.push_back(now);
 }
 
-bool windowed_retry_budget::tryTake(time_point now)
+bool windowed_retry_budget::allows(time_point now)
 {
     const retry_budget_state current = state(now);
-    if (static_cast<double>(current.retries + 1) > current.allowed) {
+    return static_cast<double>(current.retries + 1) <= current.allowed;
+}
+
+bool windowed_retry_budget::tryTake(time_point now)
+{
+    if (!allows(now)) {
         return false;
     }
     m_retries.push_back(now);
--- a/src/balance/windowed_retry_budget.h
+++ b/src/balance/windowed_retry_budget.h
@@ -26,6 +26,9 @@
 
     void onRequest(time_point now);
 
+    /** @returns whether a retry may be sent now. */
+    bool allows(time_point now);
+
     /** Counts a retry if the budget allows one. @returns whether the retry may be sent now. */
     bool tryTake(time_point now);
 
--- a/src/gateway/endpoint_connection.cpp
+++ b/src/gateway/endpoint_connection.cpp
@@ -178,7 +178,7 @@
     const auto self = shared_from_this();
     const auto observer = m_observer;
     observer->onHead(std::move(head));
-    if (m_observer == observer) {
+    if (m_observer != nullptr) { // Another one may have taken the place of the first.
         readBody();
     }
 }
@@ -253,6 +253,11 @@
     }
 }
 
+void endpoint_connection::setObserver(std::shared_ptr<response_observer> observer)
+{
+    m_observer = std::move(observer);
+}
+
 void endpoint_connection::cancel()
 {
     m_observer = nullptr;
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -42,6 +42,9 @@
     /** Continues reading after response_observer::wantsMore() returned false. */
     void resume();
 
+    /** Another observer receives the rest of the response. */
+    void setObserver(std::shared_ptr<response_observer> observer);
+
     /** Ends the exchange and closes the connection. The observer is not called any more. */
     void cancel();
 
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -125,6 +125,7 @@
 
 void gateway_exchange::onQuarantined(const quarantined_part &entry)
 {
+    dropReplacement();
     if (m_events.attemptEvents() >= answeredEvents) {
         return;
     }
@@ -183,6 +184,10 @@
 void gateway_exchange::onPlaced(const gateway_endpoint_ptr &endpoint)
 {
     m_ticket.reset();
+    if (m_endpoint != nullptr) {
+        startReplacement(endpoint);
+        return;
+    }
     if (refuseIfQuarantined()) {
         m_context.dispatcher.release(endpoint, tokens());
         return;
@@ -202,6 +207,9 @@
 void gateway_exchange::onRefused(refusal reason, boot_clock::duration expectedWait)
 {
     m_ticket.reset();
+    if (m_endpoint != nullptr) {
+        return; // No replacement was found; the current attempt goes on.
+    }
     if (m_events.begun()) {
         m_response->abort();
         finishExchange("cut", 0);
@@ -232,33 +240,150 @@
 
 void gateway_exchange::send()
 {
-    m_attemptStartedAt = boot_clock::now();
-    m_lastEventAt = m_attemptStartedAt;
+    resetAttempt(boot_clock::now());
+    m_connection = acquireConnection(m_context.loop, *m_endpoint);
+    ++m_sentAttempts;
+    startAttemptTimer();
+    m_connection->start(requestHeadFor(*m_endpoint, m_attemptStartedAt), m_request.body, shared_from_this());
+}
+
+void gateway_exchange::resetAttempt(time_point startedAt)
+{
+    m_attemptStartedAt = startedAt;
+    m_lastEventAt = startedAt;
     m_events.startAttempt();
     std::string().swap(m_body);
     countAnswer();
     m_answerPaused = false;
     m_relayingEvents = false;
     m_attemptStatus = 0;
-    m_connection = acquireConnection(m_context.loop, *m_endpoint);
+}
+
+std::string gateway_exchange::requestHeadFor(const gateway_endpoint &endpoint, time_point now) const
+{
+    const header_list headers =
+        attemptHeaders(m_request, m_plan, m_context.headers, endpoint.record.id, m_events.resumeAfter(), now);
+    return formatRequestHead(m_request.method, m_request.target, headers);
+}
+
+void gateway_exchange::startReplacement(const gateway_endpoint_ptr &endpoint)
+{
+    if (m_context.guard.blocking(m_plan.promptParts) || !canRetry(attempt_outcome::failed)
+        || !m_context.dispatcher.tryConsumeRetry(m_plan.service)) {
+        m_context.dispatcher.release(endpoint, tokens());
+        return;
+    }
+    m_context.metrics.retries.add();
+    m_tried.push_back(endpoint->record.id);
     ++m_sentAttempts;
+    const time_point now = boot_clock::now();
+    logLine(log_level::info, "gateway", "silent attempt gets a replacement",
+            {{"request_id", m_id},
+             {"endpoint", m_endpoint->record.id},
+             {"replacement", endpoint->record.id},
+             {"events", m_events.attemptEvents()},
+             {"silent_ms", milliseconds(now - m_lastEventAt)}});
+    m_replacement = std::make_shared<replacement_attempt>(m_context.loop, endpoint, weak_from_this(), now);
+    m_replacement->start(m_replacement, requestHeadFor(*endpoint, now), m_request.body);
+}
+
+void gateway_exchange::adoptReplacement()
+{
+    const auto replacement = std::move(m_replacement);
+    m_replacement = nullptr;
+    m_endpoint = replacement->endpoint();
+    m_connection = replacement->connection();
+    resetAttempt(replacement->startedAt());
+    m_connection->setObserver(shared_from_this());
+    m_context.guard.onSend(shared_from_this());
     startAttemptTimer();
-    const header_list headers = attemptHeaders(m_request, m_plan, m_context.headers, m_endpoint->record.id,
-                                               m_events.resumeAfter(), m_attemptStartedAt);
-    m_connection->start(formatRequestHead(m_request.method, m_request.target, headers), m_request.body,
-                        shared_from_this());
+}
+
+void gateway_exchange::dropReplacement()
+{
+    leaveQueue();
+    if (m_replacement == nullptr) {
+        return;
+    }
+    const auto replacement = std::move(m_replacement);
+    m_replacement = nullptr;
+    logLine(log_level::info, "gateway", "replacement is not needed",
+            {{"request_id", m_id}, {"replacement", replacement->endpoint()->record.id}});
+    m_context.guard.onUnanswered(*replacement->endpoint(), {m_plan.promptParts, false}, attempt_end::abandoned);
+    replacement->connection()->cancel();
+    m_context.dispatcher.release(replacement->endpoint(), tokens());
+}
+
+void gateway_exchange::onReplacementHead(response_head head)
+{
+    const auto replacement = m_replacement;
+    const endpoint_connection &connection = *replacement->connection();
+    recordStatement(head, *replacement->endpoint(), connection);
+    if (!isForThisRequest(head, connection) || isRefusal(head) || !canReplace(head)) {
+        const auto end = isRefusal(head) ? attempt_outcome::refused : attempt_outcome::failed;
+        endLostReplacement(end, "status " + std::to_string(head.status), head.status);
+        return;
+    }
+    m_mayHaveRun = true;
+    noteUnanswered(attempt_end::by_timeout);
+    endAttempt(attempt_outcome::failed, "no progress");
+    adoptReplacement();
+    m_attemptStatus = head.status;
+    takeHead(std::move(head));
+}
+
+bool gateway_exchange::canReplace(const response_head &head) const
+{
+    if (m_events.begun() && head.status != m_events.head().status) {
+        return false;
+    }
+    if (head.status >= statusOk && head.status < 300) {
+        return isAcceptable(head);
+    }
+    return !streaming() && head.status < statusInternalServerError;
+}
+
+void gateway_exchange::onReplacementFailure(const exchange_failure &failure)
+{
+    const std::string cause = failure.step + ": " + failure.cause;
+    const gateway_endpoint &endpoint = *m_replacement->endpoint();
+    if (failure.sent) {
+        m_mayHaveRun = true;
+        m_context.guard.onUnanswered(endpoint, {m_plan.promptParts, false}, attempt_end::by_endpoint);
+        endLostReplacement(attempt_outcome::failed, cause, 0);
+        return;
+    }
+    --m_sentAttempts;
+    if (failure.refused) {
+        m_context.guard.onRefusedConnection(endpoint);
+    }
+    endLostReplacement(attempt_outcome::not_sent, cause, 0);
+}
+
+void gateway_exchange::endLostReplacement(attempt_outcome end, const std::string &cause, int status)
+{
+    const auto replacement = std::move(m_replacement);
+    m_replacement = nullptr;
+    replacement->connection()->cancel();
+    recordFailedAttempt({replacement->endpoint(), m_tried.size(), end, cause, status, 0, replacement->startedAt()});
+    m_context.dispatcher.release(replacement->endpoint(), tokens());
 }
 
 void gateway_exchange::onHead(response_head head)
 {
-    const wire_headers &names = m_context.headers;
     m_attemptStatus = head.status;
-    recordStatement(head);
-    if (!isForThisRequest(head)) {
+    recordStatement(head, *m_endpoint, *m_connection);
+    if (!isForThisRequest(head, *m_connection)) {
         retryOrFail(attempt_outcome::failed, "response to another request");
         return;
     }
-    if (head.status == statusMisdirected || findHeader(head.headers, names.notRun)) {
+    takeHead(std::move(head));
+}
+
+void gateway_exchange::takeHead(response_head head)
+{
+    const wire_headers &names = m_context.headers;
+    if (isRefusal(head)) {
         const auto fault = findHeader(head.headers, names.faultEndpoint);
         if (fault && *fault != m_endpoint->record.id) {
             m_context.endpoints.recordGroupRefusal(*m_endpoint, boot_clock::now());
@@ -267,16 +392,15 @@
         return;
     }
     const bool success = head.status >= statusOk && head.status < 300;
-    const bool acceptable = findHeader(head.headers, names.signature) && !findHeader(head.headers, "Content-Encoding");
-    if (success && !acceptable) {
+    if (success && !isAcceptable(head)) {
         retryOrFail(attempt_outcome::failed, "response has no signature or has a content encoding");
         return;
     }
-    if (head.status >= statusInternalServerError && m_plan.matched->kind == request_kind::idempotent
-        && canRetry(attempt_outcome::failed) && m_context.dispatcher.tryConsumeRetry(m_plan.service)) {
+    const bool failed = head.status >= statusInternalServerError && m_plan.matched->kind == request_kind::idempotent;
+    if (failed && mayTryAgain(attempt_outcome::failed)) {
         m_mayHaveRun = true;
         endAttempt(attempt_outcome::failed, "status " + std::to_string(head.status));
-        requestPlacement();
+        tryAgain();
         return;
     }
     if (m_events.begun() && head.status != m_events.head().status) {
@@ -293,16 +417,27 @@
     }
 }
 
-void gateway_exchange::recordStatement(const response_head &head)
+bool gateway_exchange::isRefusal(const response_head &head) const
+{
+    return head.status == statusMisdirected || findHeader(head.headers, m_context.headers.notRun);
+}
+
+bool gateway_exchange::isAcceptable(const response_head &head) const
+{
+    return findHeader(head.headers, m_context.headers.signature) && !findHeader(head.headers, "Content-Encoding");
+}
+
+void gateway_exchange::recordStatement(const response_head &head, gateway_endpoint &endpoint,
+                                       const endpoint_connection &connection)
 {
     if (head.status == statusMisdirected) {
         return; // Sent by another run of the endpoint, or by another endpoint at its address.
     }
     endpoint_statement statement = readStatement(head, m_context.headers);
-    if (!isForThisRequest(head)) {
+    if (!isForThisRequest(head, connection)) {
         statement.pause.reset(); // It began when the earlier request was answered.
     }
-    m_context.endpoints.recordStatement(*m_endpoint, statement, boot_clock::now(), m_context.dispatcher.random());
+    m_context.endpoints.recordStatement(endpoint, statement, boot_clock::now(), m_context.dispatcher.random());
 }
 
 bool gateway_exchange::maySend() const
@@ -310,13 +445,13 @@
     return endpoint_table::wantsRequests(*m_endpoint, boot_clock::now());
 }
 
-bool gateway_exchange::isForThisRequest(const response_head &head) const
+bool gateway_exchange::isForThisRequest(const response_head &head, const endpoint_connection &connection) const
 {
     if (const auto id = findHeader(head.headers, m_context.headers.requestId)) {
         return *id == m_id;
     }
     // On a connection that served other requests, it may be a second copy of an earlier response.
-    return m_id.empty() || !m_connection->reused();
+    return m_id.empty() || !connection.reused();
 }
 
 void gateway_exchange::onBody(std::string_view bytes)
@@ -380,6 +515,7 @@
 
 void gateway_exchange::recordEvent(time_point now)
 {
+    dropReplacement(); // The endpoint is not silent any more.
     if (!m_firstByteAt) {
         recordFirstByte();
     }
@@ -457,17 +593,16 @@
     if (end == attempt_outcome::failed) {
         m_mayHaveRun = true;
     }
-    const bool retry =
-        canRetry(end) && (end == attempt_outcome::not_sent || m_context.dispatcher.tryConsumeRetry(m_plan.service));
+    const bool again = mayTryAgain(end);
     const bool mayHaveCrashed = end == attempt_outcome::failed && m_events.attemptEvents() < answeredEvents
         && !m_context.guard.areAnswered(m_plan.promptParts);
     endAttempt(end, cause);
-    if (retry && mayHaveCrashed) {
+    if (again && mayHaveCrashed && m_replacement == nullptr) {
         requestPlacementLater();
         return;
     }
-    if (retry) {
-        requestPlacement();
+    if (again) {
+        tryAgain();
         return;
     }
     if (m_events.begun()) {
@@ -490,31 +625,34 @@
     m_context.guard.onUnanswered(*m_endpoint, {m_plan.promptParts, begun}, end);
 }
 
-bool gateway_exchange::canRetry(attempt_outcome end) const
+bool gateway_exchange::mayTryAgain(attempt_outcome end)
 {
-    if (boot_clock::now() >= m_plan.deadline || m_sentAttempts >= m_plan.matched->maxAttempts) {
-        return false;
+    if (m_replacement != nullptr) {
+        return true;
+    }
+    return canRetry(end) && (end == attempt_outcome::not_sent || m_context.dispatcher.tryConsumeRetry(m_plan.service));
+}
+
+void gateway_exchange::tryAgain()
+{
+    if (m_replacement != nullptr) {
+        adoptReplacement();
+    } else {
+        requestPlacement();
     }
-    return end == attempt_outcome::failed ? m_plan.matched->repeatable() : true;
 }
 
-const char *gateway_exchange::nameOf(attempt_outcome end)
+bool gateway_exchange::canRetry(attempt_outcome end) const
 {
-    switch (end) {
-    case attempt_outcome::answered:
-        return "answered";
-    case attempt_outcome::not_sent:
-        return "not_sent";
-    case attempt_outcome::refused:
-        return "refused";
-    case attempt_outcome::failed:
-        return "failed";
+    if (boot_clock::now() >= m_plan.deadline || m_sentAttempts >= m_plan.matched->maxAttempts) {
+        return false;
     }
-    return "failed";
+    return end == attempt_outcome::failed ? m_plan.matched->repeatable() : true;
 }
 
 void gateway_exchange::endAttempt(attempt_outcome end, const std::string &cause)
 {
+    leaveQueue(); // It may wait for a replacement of the attempt.
     m_attemptTimer.cancel();
     const gateway_endpoint_ptr endpoint = std::move(m_endpoint);
     const std::shared_ptr<endpoint_connection> channel = std::move(m_connection);
@@ -531,32 +669,40 @@
         releaseConnection(*endpoint, channel);
     } else {
         channel->cancel();
-        endpoint->suspectUntil =
-            now + suspectPeriod * (1 << std::min(endpoint->consecutiveFailures, maxSuspectDoublings));
-        ++endpoint->consecutiveFailures;
-        m_context.endpoints.recordFailure(*endpoint);
-        const bool responded = end == attempt_outcome::refused || m_attemptStatus >= statusInternalServerError;
-        if (!responded) {
-            endpoint_table::recordSilence(*endpoint, now);
-        }
-        m_context.metrics.countFailedAttempt(nameOf(end), m_events.attemptEvents() > 0);
-        logLine(log_level::info, "gateway", "attempt failed",
-                {{"request_id", m_id},
-                 {"endpoint", endpoint->record.id},
-                 {"peer", endpoint->record.address},
-                 {"attempt", m_tried.size()},
-                 {"end", nameOf(end)},
-                 {"cause", cause},
-                 {"status", m_attemptStatus},
-                 {"events", m_events.attemptEvents()},
-                 {"parts", m_plan.promptParts},
-                 {"after_ms", milliseconds(now - m_attemptStartedAt)},
-                 {"own_running", endpoint->ownRunning},
-                 {"peers_running", endpoint->peersRunning}});
+        const std::size_t number = m_tried.size() - (m_replacement == nullptr ? 0 : 1);
+        recordFailedAttempt(
+            {endpoint, number, end, cause, m_attemptStatus, m_events.attemptEvents(), m_attemptStartedAt});
     }
     m_context.dispatcher.release(endpoint, tokens());
 }
 
+void gateway_exchange::recordFailedAttempt(const failed_attempt &attempt)
+{
+    const time_point now = boot_clock::now();
+    gateway_endpoint &endpoint = *attempt.endpoint;
+    endpoint.suspectUntil = now + suspectPeriod * (1 << std::min(endpoint.consecutiveFailures, maxSuspectDoublings));
+    ++endpoint.consecutiveFailures;
+    m_context.endpoints.recordFailure(endpoint);
+    const bool responded = attempt.outcome == attempt_outcome::refused || attempt.status >= statusInternalServerError;
+    if (!responded) {
+        endpoint_table::recordSilence(endpoint, now);
+    }
+    m_context.metrics.countFailedAttempt(nameOf(attempt.outcome), attempt.events > 0);
+    logLine(log_level::info, "gateway", "attempt failed",
+            {{"request_id", m_id},
+             {"endpoint", endpoint.record.id},
+             {"peer", endpoint.record.address},
+             {"attempt", attempt.number},
+             {"end", nameOf(attempt.outcome)},
+             {"cause", attempt.cause},
+             {"status", attempt.status},
+             {"events", attempt.events},
+             {"parts", m_plan.promptParts},
+             {"after_ms", milliseconds(now - attempt.startedAt)},
+             {"own_running", endpoint.ownRunning},
+             {"peers_running", endpoint.peersRunning}});
+}
+
 void gateway_exchange::fail(int status, const std::string &outcome, std::chrono::milliseconds retryAfter,
                             const std::string &body)
 {
@@ -574,6 +720,7 @@
 void gateway_exchange::finishExchange(const std::string &outcome, int status)
 {
     m_ended = true;
+    dropReplacement();
     m_deadlineTimer.cancel();
     m_attemptTimer.cancel();
     m_retryTimer.cancel();
@@ -701,26 +848,28 @@
         return;
     }
     // Events do not restart the timer, as that would cost a system call each; it is re-armed when it expires.
-    m_attemptTimer.expires_after(m_lastEventAt + limit - boot_clock::now());
+    const boot_clock::duration left = m_lastEventAt + limit - boot_clock::now();
+    m_attemptTimer.expires_after(left > boot_clock::duration(0) ? left : limit);
     m_attemptTimer.async_wait([weak = weak_from_this()](const boost::system::error_code &code) {
         const auto self = weak.lock();
         if (code || self == nullptr || self->m_ended || self->m_endpoint == nullptr) {
             return;
         }
-        if (boot_clock::now() < self->m_lastEventAt + self->progressLimit()) {
-            self->startAttemptTimer();
-        } else {
+        if (boot_clock::now() >= self->m_lastEventAt + self->progressLimit()) {
             self->onAttemptTimeout();
         }
+        if (!self->m_ended) {
+            self->startAttemptTimer();
+        }
     });
 }
 
 void gateway_exchange::onAttemptTimeout()
 {
-    if (canRetry(attempt_outcome::failed) && m_context.dispatcher.tryConsumeRetry(m_plan.service)) {
-        m_mayHaveRun = true;
-        noteUnanswered(attempt_end::by_timeout);
-        endAttempt(attempt_outcome::failed, "no progress");
+    m_endpoint->suspectUntil = std::max(m_endpoint->suspectUntil, boot_clock::now() + suspectPeriod);
+    const bool seeks = m_ticket || m_replacement != nullptr;
+    if (!seeks && canRetry(attempt_outcome::failed) && m_context.dispatcher.hasUntriedEndpoint(m_plan.service, *this)
+        && m_context.dispatcher.hasRetry(m_plan.service)) {
         requestPlacement();
     }
 }
--- a/src/gateway/gateway_exchange.h
+++ b/src/gateway/gateway_exchange.h
@@ -1,14 +1,18 @@
 #pragma once
 
 #include "balance/retry_delay.h"
+#include "gateway/attempt_outcome.h"
 #include "gateway/caller_response.h"
 #include "gateway/endpoint_connection.h"
 #include "gateway/event_relay.h"
 #include "gateway/exchange_plan.h"
+#include "gateway/failed_attempt.h"
 #include "gateway/gateway_context.h"
 #include "gateway/gateway_request.h"
 #include "gateway/placement_client.h"
 #include "gateway/quarantine_observer.h"
+#include "gateway/replacement_attempt.h"
+#include "gateway/replacement_observer.h"
 #include "gateway/request_handler.h"
 #include "gateway/response_observer.h"
 
@@ -26,6 +30,7 @@
  */
 class gateway_exchange : public running_exchange,
                          public response_observer,
+                         public replacement_observer,
                          public placement_client,
                          public quarantine_observer,
                          public std::enable_shared_from_this<gateway_exchange>
@@ -65,16 +70,10 @@
     bool wantsMore() const override;
     bool maySend() const override;
 
-private:
-    /** Outcome of an attempt at an endpoint. */
-    enum class attempt_outcome {
-        answered,
-        not_sent, ///< No byte reached the endpoint.
-        refused, ///< The endpoint stated that it has not run the request.
-        failed, ///< The endpoint may have run the request.
-    };
+    void onReplacementHead(response_head head) override;
+    void onReplacementFailure(const exchange_failure &failure) override;
 
-    static const char *nameOf(attempt_outcome end);
+private:
     bool streaming() const;
     bool refuseIfQuarantined();
     void refuse(const quarantined_part &entry);
@@ -83,13 +82,35 @@
     void abandonAttempt();
     void requestPlacement();
     void send();
+    /** Forgets what belongs to the previous attempt. */
+    void resetAttempt(time_point startedAt);
+    std::string requestHeadFor(const gateway_endpoint &endpoint, time_point now) const;
+    /** Sends the request to a second endpoint, while the one of the current attempt is silent. */
+    void startReplacement(const gateway_endpoint_ptr &endpoint);
+    /** The replacement becomes the current attempt; the previous one has ended. */
+    void adoptReplacement();
+    /** Ends the search for a replacement, and the replacement itself. */
+    void dropReplacement();
+    void endLostReplacement(attempt_outcome end, const std::string &cause, int status);
+    void takeHead(response_head head);
+    /** @returns whether another attempt may follow; takes it from the retry budget. */
+    bool mayTryAgain(attempt_outcome end);
+    void tryAgain();
+    /** Counts and logs the attempt, and lets other endpoints be preferred. */
+    void recordFailedAttempt(const failed_attempt &attempt);
     void endAttempt(attempt_outcome end, const std::string &cause);
     void retryOrFail(attempt_outcome end, const std::string &cause);
     bool canRetry(attempt_outcome end) const;
     /** Applies what the head says about its endpoint. */
-    void recordStatement(const response_head &head);
-    /** @returns whether the head belongs to the response to the current attempt. */
-    bool isForThisRequest(const response_head &head) const;
+    void recordStatement(const response_head &head, gateway_endpoint &endpoint, const endpoint_connection &connection);
+    /** @returns whether the head belongs to the response to the attempt on the connection. */
+    bool isForThisRequest(const response_head &head, const endpoint_connection &connection) const;
+    /** @returns whether the endpoint states that it has not run the request. */
+    bool isRefusal(const response_head &head) const;
+    /** @returns whether the head of a replacement's response is worth giving the current attempt up. */
+    bool canReplace(const response_head &head) const;
+    /** @returns whether a success can be passed on. */
+    bool isAcceptable(const response_head &head) const;
     void relayEvents(std::string_view bytes);
     /** Counts what is held of the answer, and stops reading a whole answer for a moment while no memory is left. */
     void countAnswer();
@@ -125,6 +146,7 @@
     std::optional<std::uint64_t> m_ticket; ///< Set while the request is queued.
     gateway_endpoint_ptr m_endpoint; ///< Endpoint of the current attempt.
     std::shared_ptr<endpoint_connection> m_connection;
+    std::shared_ptr<replacement_attempt> m_replacement; ///< Of the current attempt; null if there is none.
     time_point m_queuedAt {};
     boot_clock::duration m_queueTime {}; ///< Total time in the queue, over all attempts.
     boot_clock::duration m_longestGap {}; ///< Longest time between two relayed events.
--- a/src/gateway/request_dispatcher.cpp
+++ b/src/gateway/request_dispatcher.cpp
@@ -242,10 +242,19 @@
 }
 
 bool request_dispatcher::tryConsumeRetry(const std::string &service)
+{
+    const time_point now = boot_clock::now();
+    if (!hasRetry(service)) {
+        return false;
+    }
+    return queueOf(service).budget.tryTake(now);
+}
+
+bool request_dispatcher::hasRetry(const std::string &service)
 {
     const time_point now = boot_clock::now();
     service_queue &queue = queueOf(service);
-    if (queue.budget.tryTake(now)) {
+    if (queue.budget.allows(now)) {
         return true;
     }
     ++m_refusedRetries;
@@ -253,6 +262,12 @@
     return false;
 }
 
+bool request_dispatcher::hasUntriedEndpoint(const std::string &service, const placement_client &client)
+{
+    const std::vector<endpoint_view> views = m_endpoints.viewsOf(service, client.tried(), boot_clock::now());
+    return std::ranges::any_of(views, &endpoint_view::usable);
+}
+
 void request_dispatcher::logRefusedRetry(const std::string &service, service_queue &queue, time_point now)
 {
     if (now - queue.budgetReportedAt < countsLogInterval) {
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -65,6 +65,12 @@
     /** Takes a retry from the budget of the service. @returns whether one was left */
     bool tryConsumeRetry(const std::string &service);
 
+    /** @returns whether the budget of the service has a retry left. */
+    bool hasRetry(const std::string &service);
+
+    /** @returns whether an endpoint that the request has not tried accepts requests, with or without a free slot. */
+    bool hasUntriedEndpoint(const std::string &service, const placement_client &client);
+
     /** @returns how many retries the budgets have refused. */
     std::uint64_t refusedRetries() const
     {
