gateway: a reset that only the write was told of ends an answer as cut

What callers saw: a worker answers a long upload at once without a length, sends a part and resets; the part came to the caller as a complete answer, in some of several requests. Cause: the kernel reports a reset once, to the call that asks first; the write of the upload got it and its handler ignored it, and the read saw an ordinary end. Ruled out: the parser's end of body, as the same reset after the upload is refused (gateway/unframed_answer held). Change: an answer without a length is whole once the request was written without an error and the connection then ended without one; while the request is being written, the verdict waits for that write. The order of the errors decides nothing. Measured: gateway/rows/early_answer, six requests a row: 4 of 8 rows fail on (reset answer, reset stream, closed answer, end while nothing is read), none now; a whole answer whose worker reads on is still passed on.

--- a/src/gateway/endpoint_connection.cpp
+++ b/src/gateway/endpoint_connection.cpp
@@ -131,11 +131,17 @@
     const auto self = shared_from_this();
     m_sent = true;
     m_writing = true;
+    m_writeError = {};
+    m_endAwaitsWrite = false;
     m_interimResponses = 0;
     const std::array<asio::const_buffer, 2> buffers {asio::buffer(m_head), asio::buffer(*m_body)};
-    asio::async_write(m_socket, buffers, [self, body = m_body](const error_code &, std::size_t) {
-        // An endpoint may respond before it has read the whole request, so the read decides how the exchange ends.
+    asio::async_write(m_socket, buffers, [self, body = m_body](const error_code &code, std::size_t) {
+        // An endpoint may respond before it has read the whole request, so a response with a length may still be whole.
         self->m_writing = false;
+        self->m_writeError = code;
+        if (self->m_endAwaitsWrite && self->m_observer != nullptr) {
+            self->finish();
+        }
     });
     readHead();
 }
@@ -186,7 +192,7 @@
 void endpoint_connection::readBody()
 {
     if (m_parser->is_done()) {
-        finish();
+        endResponse();
         return;
     }
     auto &body = m_parser->get().body();
@@ -211,7 +217,7 @@
         if (code) {
             self->fail("read", code);
         } else if (self->m_parser->is_done()) {
-            self->finish();
+            self->endResponse();
         } else if (observer->wantsMore()) {
             self->readBody();
         } else {
@@ -228,8 +234,22 @@
     }
 }
 
+void endpoint_connection::endResponse()
+{
+    // The end of the connection ends a response without a length. A reset is reported once only, to the read or to the
+    // write, so that the response is known to be whole after both have ended without an error.
+    m_endAwaitsWrite = m_parser->need_eof() && m_writing;
+    if (!m_endAwaitsWrite) {
+        finish();
+    }
+}
+
 void endpoint_connection::finish()
 {
+    if (m_parser->need_eof() && m_writeError) {
+        fail("write", m_writeError);
+        return;
+    }
     const auto self = shared_from_this();
     const auto observer = std::move(m_observer);
     m_observer = nullptr;
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -70,6 +70,7 @@
     void readHead();
     void readBody();
     void deliverHead();
+    void endResponse();
     void finish();
     void fail(const char *step, const error_code &code);
     void close();
@@ -89,6 +90,8 @@
     bool m_connected = false;
     bool m_sent = false; ///< Whether any byte of the request may have been sent.
     bool m_writing = false;
+    bool m_endAwaitsWrite = false; ///< The response has ended with its connection, while the request was being sent.
+    error_code m_writeError; ///< Of the current request.
     bool m_paused = false;
     bool m_reusable = false; ///< Whether the last exchange left the connection usable for another one.
     std::chrono::milliseconds m_idleTimeout {0};
--- a/tests/standins/raw_connection.cpp
+++ b/tests/standins/raw_connection.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <poll.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace bronzechute::standins {
 
@@ -43,6 +44,18 @@
     }
 }
 
+std::string raw_connection::readHead()
+{
+    char byte = 0;
+    while (m_buffer.find("\r\n\r\n") == std::string::npos) {
+        if (recv(m_descriptor, &byte, 1, 0) <= 0) {
+            return {};
+        }
+        m_buffer.push_back(byte);
+    }
+    return std::exchange(m_buffer, {});
+}
+
 bool raw_connection::send(std::string_view bytes)
 {
     while (!bytes.empty()) {
@@ -61,6 +74,11 @@
     ::setsockopt(m_descriptor, SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
 }
 
+void raw_connection::endSending() const
+{
+    ::shutdown(m_descriptor, SHUT_WR);
+}
+
 bool raw_connection::closesWithin(std::chrono::milliseconds time) const
 {
     pollfd wait {m_descriptor, POLLIN, 0};
--- a/tests/standins/raw_connection.h
+++ b/tests/standins/raw_connection.h
@@ -17,12 +17,18 @@
     /** @returns the next HTTP request, head and body of Content-Length bytes; empty when the peer closed. */
     std::string readRequest();
 
+    /** @returns the head of the next HTTP request, and leaves its body unread; empty when the peer closed. */
+    std::string readHead();
+
     /** @returns whether all bytes were sent. */
     bool send(std::string_view bytes);
 
     /** Ends the connection with a reset when it is closed. */
     void resetOnClose() const;
 
+    /** Ends the sending direction, so that the peer reads the end of the connection. */
+    void endSending() const;
+
     /** @returns whether the peer closes the connection within the time. */
     bool closesWithin(std::chrono::milliseconds time) const;
 
