http: what is a response is stated once, and each reader keeps to it

What callers of other systems saw: an answer with the status 000; an answer with a blank or a control byte in the name of a field, with that line passed on or with a body that was not the worker's. Here: each place took what its library accepts. The gateway skipped the statuses 000, 099 and 101 like a 100 and took what followed, passed on 600 and 999, and took a coding other than chunked for the body; libcurl skips odd names, so that `Content-Length : 2` made another body in the calls of the store, in its watch and in the older endpoint process. Ruled out: odd names at the gateway, which Boost.Beast refuses. Change: http/response_rules states status line, classes of status, names, values and framing; response_head_reader reads libcurl's lines by them, in place of three parsers; endpoint_connection applies them over Beast's. Such an answer is 502, or the end of the caller's connection, or an error of the call, and the log says which rule was broken.

--- a/src/backend/running_transfer.cpp
+++ b/src/backend/running_transfer.cpp
@@ -3,7 +3,6 @@
 #include "http/hop_by_hop.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace bronzechute {
@@ -167,9 +166,11 @@
 {
     if (m_cancelled) {
         fail(errc::cancelled, "");
+    } else if (!m_head.fault().empty()) {
+        fail(errc::protocol_violation, m_head.fault());
     } else if (code != CURLE_OK) {
         fail(errorCodeOf(code, m_sendStarted), m_errorText[0] != '\0' ? m_errorText : curl_easy_strerror(code));
-    } else if (!m_headComplete) {
+    } else if (!m_head.complete()) {
         fail(errc::unavailable, "the connection closed before the head of the answer was complete");
     } else {
         m_easy.reset();
@@ -187,41 +188,19 @@
 {
     auto *transfer = static_cast<running_transfer *>(self);
     transfer->m_lastByte = boot_clock::now();
-    transfer->addHeaderLine({data, size * count});
-    return size * count;
+    return transfer->addHeaderLine({data, size * count}) ? size * count : 0;
 }
 
-void running_transfer::addHeaderLine(std::string_view line)
+bool running_transfer::addHeaderLine(std::string_view line)
 {
-    if (m_headComplete) {
-        return; // Trailer fields apply to this connection only.
-    }
-    while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) {
-        line.remove_suffix(1);
-    }
-    if (line.starts_with("HTTP/")) {
-        m_answerHeaders.clear();
-        const std::size_t space = std::min(line.find(' '), line.size() - 1);
-        m_status = 0;
-        std::from_chars(line.data() + space + 1, line.data() + line.size(), m_status);
-        return;
+    const bool wasComplete = m_head.complete();
+    if (!m_head.addLine(line)) {
+        return false;
     }
-    if (line.empty()) {
-        constexpr int firstFinalStatus = 200;
-        if (m_status >= firstFinalStatus) {
-            m_headComplete = true;
-            m_sink->onHead(m_status, withoutHopByHopHeaders(m_answerHeaders));
-        }
-        return;
-    }
-    const std::size_t colon = line.find(':');
-    if (colon == std::string_view::npos) {
-        return;
+    if (m_head.complete() && !wasComplete) {
+        m_sink->onHead(m_head.status(), withoutHopByHopHeaders(m_head.fields()));
     }
-    std::string_view value = line.substr(colon + 1);
-    value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
-    value = value.substr(0, value.find_last_not_of(" \t") + 1);
-    m_answerHeaders.emplace_back(line.substr(0, colon), value);
+    return true;
 }
 
 std::size_t running_transfer::onBody(char *data, std::size_t size, std::size_t count, void *self)
--- a/src/backend/running_transfer.h
+++ b/src/backend/running_transfer.h
@@ -4,6 +4,7 @@
 #include "backend/transfer_queue.h"
 #include "backend/transfer_request.h"
 #include "base/boot_clock.h"
+#include "http/response_head_reader.h"
 
 #include <curl/curl.h>
 
@@ -71,7 +72,7 @@
     static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *self);
     static int onBeforeSend(void *self, char *, char *, int, int);
 
-    void addHeaderLine(std::string_view line);
+    bool addHeaderLine(std::string_view line);
     void setMethod();
     void setHeaders();
 
@@ -84,9 +85,7 @@
     std::atomic<bool> m_paused {false};
     std::atomic<bool> m_cancelled {false};
     bool m_sendStarted = false; ///< A connection was established and libcurl began to send the request.
-    bool m_headComplete = false;
-    int m_status = 0;
-    header_list m_answerHeaders;
+    response_head_reader m_head;
     time_point m_deadline;
     time_point m_lastByte;
 };
--- a/src/gateway/endpoint_connection.cpp
+++ b/src/gateway/endpoint_connection.cpp
@@ -2,6 +2,8 @@
 
 #include "base/socket_address.h"
 #include "gateway/end_to_end_fields.h"
+#include "http/hop_by_hop.h"
+#include "http/response_rules.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -33,7 +35,6 @@
 constexpr int keepAliveIdleSeconds = 1;
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
-constexpr int firstFinalStatus = 200;
 constexpr int maxInterimResponses = 16;
 
 tcp::endpoint peerAt(const std::string &text)
@@ -167,19 +168,29 @@
 void endpoint_connection::deliverHead()
 {
     const http::response_header<> &message = m_parser->get().base();
-    if (static_cast<int>(message.result_int()) < firstFinalStatus) {
-        if (++m_interimResponses > maxInterimResponses) {
-            fail("read", http::error::bad_status);
-            return;
-        }
-        readHead(); // Interim (1xx) response; the final one follows.
+    const status_class kind = statusClassOf(static_cast<int>(message.result_int()));
+    if (kind == status_class::invalid) {
+        fail("read", "status " + std::to_string(message.result_int()) + " is not one of a response");
+        return;
+    }
+    if (kind == status_class::interim && ++m_interimResponses > maxInterimResponses) {
+        fail("read", "too many interim responses");
+        return;
+    }
+    if (kind == status_class::interim) {
+        readHead();
+        return;
+    }
+    const header_list fields = allFields(message);
+    if (const char *fault = framingFaultOf(fields)) {
+        fail("read", std::string(fault));
         return;
     }
     m_idleTimeout = idleTimeoutOf(message);
     response_head head;
     head.status = static_cast<int>(message.result_int());
     head.reason = std::string(message.reason().data(), message.reason().size());
-    head.headers = endToEndFields(message);
+    head.headers = withoutHopByHopHeaders(fields);
     head.endsWithConnection = m_parser->need_eof();
     const auto self = shared_from_this();
     const auto observer = m_observer;
@@ -263,13 +274,18 @@
 }
 
 void endpoint_connection::fail(const char *step, const error_code &code)
+{
+    fail(step, code.message(), code == asio::error::connection_refused);
+}
+
+void endpoint_connection::fail(const char *step, const std::string &cause, bool refused)
 {
     const auto self = shared_from_this();
     const auto observer = std::move(m_observer);
     m_observer = nullptr;
     close();
     if (observer != nullptr) {
-        observer->onFailure({m_sent, code == asio::error::connection_refused, step, code.message()});
+        observer->onFailure({m_sent, refused, step, cause});
     }
 }
 
--- a/src/gateway/endpoint_connection.h
+++ b/src/gateway/endpoint_connection.h
@@ -73,6 +73,7 @@
     void endResponse();
     void finish();
     void fail(const char *step, const error_code &code);
+    void fail(const char *step, const std::string &cause, bool refused = false);
     void close();
     void configureSocket();
 
--- a/src/http/curl_http_client.cpp
+++ b/src/http/curl_http_client.cpp
@@ -1,6 +1,7 @@
 #include "http/curl_http_client.h"
 
 #include "base/scope_guard.h"
+#include "http/response_head_reader.h"
 
 #include <mutex>
 
@@ -28,7 +29,7 @@
     int sendAttempts = 0; ///< Number of times libcurl began to send the request.
     bool mayRepeat = false;
     bool tooLarge = false;
-    bool headComplete = false; ///< The empty line after the header fields was received.
+    response_head_reader head;
 };
 
 std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *context)
@@ -46,27 +47,13 @@
 std::size_t appendHeader(char *data, std::size_t size, std::size_t count, void *context)
 {
     auto *state = static_cast<transfer_state *>(context);
-    std::string_view line(data, size * count);
+    const std::string_view line(data, size * count);
     state->headerBytes += line.size();
     if (state->headerBytes > maxHeaderBytes) {
         state->tooLarge = true;
         return 0;
     }
-    if (line.starts_with("HTTP/")) {
-        state->response.headers.clear(); // Discards the headers of an interim response such as 100 Continue.
-        state->headComplete = false;
-        return line.size();
-    }
-    state->headComplete = state->headComplete || line == "\r\n" || line == "\n";
-    const std::size_t colon = line.find(':');
-    if (colon != std::string_view::npos) {
-        std::string_view value = line.substr(colon + 1);
-        const std::size_t first = value.find_first_not_of(" \t");
-        const std::size_t last = value.find_last_not_of(" \t\r\n");
-        value = first == std::string_view::npos || last < first ? "" : value.substr(first, last - first + 1);
-        state->response.headers.emplace_back(line.substr(0, colon), value);
-    }
-    return line.size();
+    return state->head.addLine(line) ? line.size() : 0;
 }
 
 // libcurl resends a request when a reused connection closes without a response, although the server may already have
@@ -180,13 +167,12 @@
     configure(handle.easy.get(), call, headers.get(), state);
     const CURLcode code = run(handle, call.cancellation.get());
     // libcurl takes a head that ends with its connection for the whole head of a response without a body.
-    if (code == CURLE_OK && !state.headComplete) {
+    if (code == CURLE_OK && !state.head.complete()) {
         return error {errc::outcome_unknown, callStep, call.url, "the connection closed within the response head"};
     }
     if (code == CURLE_OK) {
-        long status = 0;
-        curl_easy_getinfo(handle.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-        state.response.status = static_cast<int>(status);
+        state.response.status = state.head.status();
+        state.response.headers = state.head.fields();
         releaseHandle(std::move(handle));
         return std::move(state.response);
     }
@@ -201,6 +187,9 @@
                       "response exceeds " + std::to_string(maxHeaderBytes) + " bytes of headers or "
                           + std::to_string(m_maxResponseBytes) + " bytes of body"};
     }
+    if (!state.head.fault().empty()) {
+        return error {errc::outcome_unknown, callStep, call.url, state.head.fault()};
+    }
     return error {state.sendAttempts > 0 ? errc::outcome_unknown : errc::unavailable, callStep, call.url,
                   curl_easy_strerror(code)};
 }
--- a/src/http/http_stream_reader.cpp
+++ b/src/http/http_stream_reader.cpp
@@ -3,6 +3,8 @@
 #include "base/boot_clock.h"
 #include "base/scope_guard.h"
 #include "http/curl_handle.h"
+#include "http/http_status.h"
+#include "http/response_head_reader.h"
 
 #include <algorithm>
 #include <atomic>
@@ -21,22 +23,26 @@
     }
 };
 
-/** State of the write callback of one transfer. */
+/** State of the callbacks of one transfer. */
 struct stream_transfer
 {
-    CURL *handle = nullptr;
     const std::function<bool(std::string_view)> *onData = nullptr;
     time_point lastData;
     bool stoppedByConsumer = false;
+    response_head_reader head {};
 };
 
+std::size_t readHeadLine(char *data, std::size_t size, std::size_t count, void *context)
+{
+    auto *transfer = static_cast<stream_transfer *>(context);
+    return transfer->head.addLine({data, size * count}) ? size * count : 0;
+}
+
 std::size_t forwardBody(char *data, std::size_t size, std::size_t count, void *context)
 {
     auto *transfer = static_cast<stream_transfer *>(context);
-    long status = 0;
-    curl_easy_getinfo(transfer->handle, CURLINFO_RESPONSE_CODE, &status);
     transfer->lastData = boot_clock::now();
-    if (status == 200 && !(*transfer->onData)(std::string_view(data, size * count))) {
+    if (transfer->head.status() == statusOk && !(*transfer->onData)(std::string_view(data, size * count))) {
         transfer->stoppedByConsumer = true;
         return 0;
     }
@@ -70,13 +76,15 @@
 {
     const curl_easy_ptr handle(curl_easy_init());
     const curl_list_ptr headers = toCurlList(call.headers);
-    stream_transfer transfer {handle.get(), &onData, boot_clock::now(), false};
+    stream_transfer transfer {&onData, boot_clock::now(), false};
     curl_easy_setopt(handle.get(), CURLOPT_URL, call.url.c_str());
     curl_easy_setopt(handle.get(), CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(handle.get(), CURLOPT_PROXY, "");
     curl_easy_setopt(handle.get(), CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(handle.get(), CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(call.connectTimeout.count()));
     curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, headers.get());
+    curl_easy_setopt(handle.get(), CURLOPT_HEADERFUNCTION, readHeadLine);
+    curl_easy_setopt(handle.get(), CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(handle.get(), CURLOPT_WRITEFUNCTION, forwardBody);
     curl_easy_setopt(handle.get(), CURLOPT_WRITEDATA, &transfer);
     // The next run() must not reuse a connection that has stopped delivering data.
@@ -114,6 +122,9 @@
     if (transfer.stoppedByConsumer) {
         return error {errc::cancelled, streamStep, call.url, {}};
     }
+    if (!transfer.head.fault().empty()) {
+        return error {errc::unavailable, streamStep, call.url, transfer.head.fault()};
+    }
     int remaining = 0;
     const CURLMsg *message = curl_multi_info_read(multi, &remaining);
     if (message == nullptr || message->data.result != CURLE_OK) {
@@ -121,10 +132,11 @@
                       message == nullptr ? "transfer ended without a result"
                                          : curl_easy_strerror(message->data.result)};
     }
-    long status = 0;
-    curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
-    if (status != 200) {
-        return error {errc::unavailable, streamStep, call.url, "HTTP status " + std::to_string(status)};
+    if (!transfer.head.complete()) {
+        return error {errc::unavailable, streamStep, call.url, "the connection closed within the response head"};
+    }
+    if (transfer.head.status() != statusOk) {
+        return error {errc::unavailable, streamStep, call.url, "HTTP status " + std::to_string(transfer.head.status())};
     }
     return success();
 }
--- /dev/null
+++ b/tests/standins/odd_answer.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace bronzechute::standins {
+
+/** Bytes of a server in trouble that are not to be taken for an answer. */
+struct odd_answer
+{
+    std::string name; ///< Failure that the bytes guard against.
+    std::string statusLine;
+    std::string fields; ///< After those that each answer needs.
+    std::string body;
+};
+
+/** @returns answers whose status line, fields or framing break the rules of HTTP (RFC 9110, RFC 9112). */
+std::vector<odd_answer> oddAnswers();
+
+} // namespace bronzechute::standins
