gateway: verdicts on a response and failed attempts have files of their own

Change: response_verdict (pure functions), failed_attempt with its log line, and the statistics of gaps in endpoint_table, beside what it notes of an event anyway. A refusal of a replacement now counts for its rank group as one of a first attempt does. Behaviour is otherwise unchanged.

--- a/src/gateway/endpoint_table.cpp
+++ b/src/gateway/endpoint_table.cpp
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds maxPauseSpread {400};
 // Fewer requests or failures than this are no evidence of a stalled group or a failing service.
 constexpr int minDetectionSamples = 3;
+constexpr double gapSmoothing = 0.1;
+constexpr double longestGapDecay = 0.02;
 
 /** @returns the step-time model of an engine for requests of average length. */
 pass_latency_model paceModelOf(const engine_profile &engine, std::chrono::milliseconds gapTarget)
@@ -50,6 +52,18 @@
     return perRequest > 0 ? 1 - engine.stepMsPerRequest / perRequest : 0.0;
 }
 
+/** Updates the statistics of the time between two events of the endpoint's streams. */
+void recordGap(gateway_endpoint &endpoint, boot_clock::duration time, time_point now)
+{
+    const double gap = std::chrono::duration<double, std::milli>(time).count();
+    double &smoothed = endpoint.gapMs;
+    smoothed = smoothed == 0 ? gap : smoothed + gapSmoothing * (gap - smoothed);
+    endpoint.lastGapMs = gap;
+    endpoint.lastGapAt = now;
+    double &longest = endpoint.longestGapMs;
+    longest = std::max(gap, longest + longestGapDecay * (gap - longest));
+}
+
 } // namespace
 
 endpoint_table::endpoint_table(std::string dataCentre) : m_dataCentre(std::move(dataCentre))
@@ -460,6 +474,9 @@
 void endpoint_table::recordEvent(gateway_endpoint &endpoint, std::optional<boot_clock::duration> gap, time_point now)
 {
     recordAnswer(endpoint, now);
+    if (gap) {
+        recordGap(endpoint, *gap, now);
+    }
     if (endpoint.group == nullptr) {
         return;
     }
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -2,8 +2,10 @@
 
 #include "gateway/attempt_headers.h"
 #include "gateway/endpoint_call.h"
+#include "gateway/failed_attempt.h"
 #include "gateway/message_head.h"
 #include "gateway/plan_demands.h"
+#include "gateway/response_verdict.h"
 #include "http/http_status.h"
 #include "observe/log.h"
 
@@ -26,16 +28,11 @@
 // A request that may have crashed an endpoint is retried once the gateways have judged the crash.
 constexpr std::chrono::milliseconds crashJudgementTime {200};
 constexpr std::chrono::milliseconds retryAfterTrial = part_quarantine::trialInterval;
-// A failed endpoint is avoided for this time, doubled with each consecutive failure.
-constexpr std::chrono::milliseconds suspectPeriod {250};
-constexpr int maxSuspectDoublings = 4;
 constexpr std::size_t unsentLimitBytes = std::size_t {256} * 1024;
 constexpr std::size_t unsentLimitBytesWhenShort = std::size_t {16} * 1024;
 constexpr std::chrono::milliseconds memoryRetryInterval {20};
 // Bytes that are no answer may come without end.
 constexpr std::size_t wholeBodyLimitBytes = std::size_t {8} * 1024 * 1024;
-constexpr double gapSmoothing = 0.1;
-constexpr double longestGapDecay = 0.02;
 
 std::int64_t milliseconds(boot_clock::duration duration)
 {
@@ -220,12 +217,12 @@
         return;
     }
     if (reason == refusal::shutting_down) {
-        fail(statusServiceUnavailable, bronzechute::nameOf(reason), retryAfterFailure);
+        fail(statusServiceUnavailable, nameOf(reason), retryAfterFailure);
         return;
     }
     const bool unavailable = reason == refusal::no_endpoint || reason == refusal::cannot_complete;
     const auto cause = unavailable ? refusal_cause::unavailable : refusal_cause::overloaded;
-    fail(statusServiceUnavailable, bronzechute::nameOf(reason), retryAfterTime(cause, expectedWait));
+    fail(statusServiceUnavailable, nameOf(reason), retryAfterTime(cause, expectedWait));
 }
 
 std::chrono::milliseconds gateway_exchange::retryAfterTime(refusal_cause cause, boot_clock::duration expectedWait) const
@@ -319,8 +316,12 @@
     const auto replacement = m_replacement;
     const endpoint_connection &connection = *replacement->connection();
     recordStatement(head, *replacement->endpoint(), connection);
-    if (!isForThisRequest(head, connection) || isRefusal(head) || !canReplace(head)) {
-        const auto end = isRefusal(head) ? attempt_outcome::refused : attempt_outcome::failed;
+    const bool refused = isRefusal(head, m_context.headers);
+    if (refused) {
+        recordGroupFault(head, *replacement->endpoint());
+    }
+    if (!isForThisRequest(head, connection) || refused || !canReplace(head)) {
+        const auto end = refused ? attempt_outcome::refused : attempt_outcome::failed;
         endLostReplacement(end, "status " + std::to_string(head.status), head.status);
         return;
     }
@@ -337,8 +338,8 @@
     if (m_events.begun() && head.status != m_events.head().status) {
         return false;
     }
-    if (head.status >= statusOk && head.status < 300) {
-        return isAcceptable(head);
+    if (isSuccess(head)) {
+        return isAcceptableSuccess(head, m_context.headers);
     }
     return !streaming() && head.status < statusInternalServerError;
 }
@@ -365,7 +366,9 @@
     const auto replacement = std::move(m_replacement);
     m_replacement = nullptr;
     replacement->connection()->cancel();
-    recordFailedAttempt({replacement->endpoint(), m_tried.size(), end, cause, status, 0, replacement->startedAt()});
+    recordFailedAttempt(m_context,
+                        {replacement->endpoint(), m_id, m_plan.promptParts, m_tried.size(), end, cause, status, 0,
+                         replacement->startedAt()});
     m_context.dispatcher.release(replacement->endpoint(), tokens());
 }
 
@@ -382,17 +385,13 @@
 
 void gateway_exchange::takeHead(response_head head)
 {
-    const wire_headers &names = m_context.headers;
-    if (isRefusal(head)) {
-        const auto fault = findHeader(head.headers, names.faultEndpoint);
-        if (fault && *fault != m_endpoint->record.id) {
-            m_context.endpoints.recordGroupRefusal(*m_endpoint, boot_clock::now());
-        }
+    if (isRefusal(head, m_context.headers)) {
+        recordGroupFault(head, *m_endpoint);
         retryOrFail(attempt_outcome::refused, "status " + std::to_string(head.status));
         return;
     }
-    const bool success = head.status >= statusOk && head.status < 300;
-    if (success && !isAcceptable(head)) {
+    const bool success = isSuccess(head);
+    if (success && !isAcceptableSuccess(head, m_context.headers)) {
         retryOrFail(attempt_outcome::failed, "response has no signature or has a content encoding");
         return;
     }
@@ -417,14 +416,17 @@
     }
 }
 
-bool gateway_exchange::isRefusal(const response_head &head) const
+void gateway_exchange::recordGroupFault(const response_head &head, gateway_endpoint &endpoint)
 {
-    return head.status == statusMisdirected || findHeader(head.headers, m_context.headers.notRun);
+    const auto fault = findHeader(head.headers, m_context.headers.faultEndpoint);
+    if (fault && *fault != endpoint.record.id) {
+        m_context.endpoints.recordGroupRefusal(endpoint, boot_clock::now());
+    }
 }
 
-bool gateway_exchange::isAcceptable(const response_head &head) const
+bool gateway_exchange::isForThisRequest(const response_head &head, const endpoint_connection &connection) const
 {
-    return findHeader(head.headers, m_context.headers.signature) && !findHeader(head.headers, "Content-Encoding");
+    return isResponseTo(head, m_id, connection.reused(), m_context.headers);
 }
 
 void gateway_exchange::recordStatement(const response_head &head, gateway_endpoint &endpoint,
@@ -445,15 +447,6 @@
     return endpoint_table::wantsRequests(*m_endpoint, boot_clock::now());
 }
 
-bool gateway_exchange::isForThisRequest(const response_head &head, const endpoint_connection &connection) const
-{
-    if (const auto id = findHeader(head.headers, m_context.headers.requestId)) {
-        return *id == m_id;
-    }
-    // On a connection that served other requests, it may be a second copy of an earlier response.
-    return m_id.empty() || !connection.reused();
-}
-
 void gateway_exchange::onBody(std::string_view bytes)
 {
     if (m_relayingEvents) {
@@ -525,14 +518,7 @@
     const bool follows = m_events.eventsRelayed() > 1;
     m_context.endpoints.recordEvent(*m_endpoint, follows ? std::optional(now - m_lastEventAt) : std::nullopt, now);
     if (follows) {
-        const double gap = std::chrono::duration<double, std::milli>(now - m_lastEventAt).count();
         m_longestGap = std::max(m_longestGap, now - m_lastEventAt);
-        double &smoothed = m_endpoint->gapMs;
-        smoothed = smoothed == 0 ? gap : smoothed + gapSmoothing * (gap - smoothed);
-        m_endpoint->lastGapMs = gap;
-        m_endpoint->lastGapAt = now;
-        double &longest = m_endpoint->longestGapMs;
-        longest = std::max(gap, longest + longestGapDecay * (gap - longest));
     }
     m_lastEventAt = now;
 }
@@ -670,39 +656,13 @@
     } else {
         channel->cancel();
         const std::size_t number = m_tried.size() - (m_replacement == nullptr ? 0 : 1);
-        recordFailedAttempt(
-            {endpoint, number, end, cause, m_attemptStatus, m_events.attemptEvents(), m_attemptStartedAt});
+        recordFailedAttempt(m_context,
+                            {endpoint, m_id, m_plan.promptParts, number, end, cause, m_attemptStatus,
+                             m_events.attemptEvents(), m_attemptStartedAt});
     }
     m_context.dispatcher.release(endpoint, tokens());
 }
 
-void gateway_exchange::recordFailedAttempt(const failed_attempt &attempt)
-{
-    const time_point now = boot_clock::now();
-    gateway_endpoint &endpoint = *attempt.endpoint;
-    endpoint.suspectUntil = now + suspectPeriod * (1 << std::min(endpoint.consecutiveFailures, maxSuspectDoublings));
-    ++endpoint.consecutiveFailures;
-    m_context.endpoints.recordFailure(endpoint);
-    const bool responded = attempt.outcome == attempt_outcome::refused || attempt.status >= statusInternalServerError;
-    if (!responded) {
-        endpoint_table::recordSilence(endpoint, now);
-    }
-    m_context.metrics.countFailedAttempt(nameOf(attempt.outcome), attempt.events > 0);
-    logLine(log_level::info, "gateway", "attempt failed",
-            {{"request_id", m_id},
-             {"endpoint", endpoint.record.id},
-             {"peer", endpoint.record.address},
-             {"attempt", attempt.number},
-             {"end", nameOf(attempt.outcome)},
-             {"cause", attempt.cause},
-             {"status", attempt.status},
-             {"events", attempt.events},
-             {"parts", m_plan.promptParts},
-             {"after_ms", milliseconds(now - attempt.startedAt)},
-             {"own_running", endpoint.ownRunning},
-             {"peers_running", endpoint.peersRunning}});
-}
-
 void gateway_exchange::fail(int status, const std::string &outcome, std::chrono::milliseconds retryAfter,
                             const std::string &body)
 {
--- a/src/gateway/gateway_exchange.h
+++ b/src/gateway/gateway_exchange.h
@@ -6,7 +6,6 @@
 #include "gateway/endpoint_connection.h"
 #include "gateway/event_relay.h"
 #include "gateway/exchange_plan.h"
-#include "gateway/failed_attempt.h"
 #include "gateway/gateway_context.h"
 #include "gateway/gateway_request.h"
 #include "gateway/placement_client.h"
@@ -96,21 +95,17 @@
     /** @returns whether another attempt may follow; takes it from the retry budget. */
     bool mayTryAgain(attempt_outcome end);
     void tryAgain();
-    /** Counts and logs the attempt, and lets other endpoints be preferred. */
-    void recordFailedAttempt(const failed_attempt &attempt);
     void endAttempt(attempt_outcome end, const std::string &cause);
     void retryOrFail(attempt_outcome end, const std::string &cause);
     bool canRetry(attempt_outcome end) const;
     /** Applies what the head says about its endpoint. */
     void recordStatement(const response_head &head, gateway_endpoint &endpoint, const endpoint_connection &connection);
+    /** Applies what a refusal says about the rank group of its endpoint. */
+    void recordGroupFault(const response_head &head, gateway_endpoint &endpoint);
     /** @returns whether the head belongs to the response to the attempt on the connection. */
     bool isForThisRequest(const response_head &head, const endpoint_connection &connection) const;
-    /** @returns whether the endpoint states that it has not run the request. */
-    bool isRefusal(const response_head &head) const;
     /** @returns whether the head of a replacement's response is worth giving the current attempt up. */
     bool canReplace(const response_head &head) const;
-    /** @returns whether a success can be passed on. */
-    bool isAcceptable(const response_head &head) const;
     void relayEvents(std::string_view bytes);
     /** Counts what is held of the answer, and stops reading a whole answer for a moment while no memory is left. */
     void countAnswer();
