gateway: a request whose transfer coding is not chunked alone is refused

Cause: Boost.Beast reports a coding other than chunked as a request without a body, and the session refused a coding only beside a length. Ruled out: two lengths, a sign in a length, a length beside chunks and codings in HTTP/1.0, whose rows held before. The log names the rule.

--- a/src/gateway/caller_session.cpp
+++ b/src/gateway/caller_session.cpp
@@ -5,6 +5,7 @@
 #include "gateway/message_head.h"
 #include "gateway/session_response.h"
 #include "http/http_status.h"
+#include "http/message_rules.h"
 #include "observe/log.h"
 
 #include <boost/asio/completion_condition.hpp>
@@ -42,6 +43,7 @@
 constexpr std::size_t keptBufferBytes = std::size_t {4} * 1024;
 // A stream of which its caller leaves so much unread may be broken off when memory is short.
 constexpr std::size_t stalledBytes = std::size_t {64} * 1024;
+constexpr unsigned versionWithCodings = 11; // HTTP/1.1
 constexpr const char *memoryRetryAfterSeconds = "0.5";
 
 /** @returns the bytes that the fields take, over all their copies. */
@@ -223,8 +225,10 @@
     const auto &message = m_parser->get();
     m_headBytes = bytesOf(message.base());
     m_requestBytes = m_headBytes;
-    if (message.count(http::field::transfer_encoding) > 0 && message.count(http::field::content_length) > 0) {
-        rejectMalformed(http::error::bad_transfer_encoding);
+    if (const char *fault = bodyFault()) {
+        logLine(log_level::warn, "gateway", "malformed request rejected",
+                {{"status", statusBadRequest}, {"cause", fault}});
+        rejectUnserved(statusBadRequest, false);
         return;
     }
     if (const auto length = m_parser->content_length(); length && *length > m_options.limits().bodyBytes) {
@@ -242,6 +246,17 @@
     readBody();
 }
 
+const char *caller_session::bodyFault() const
+{
+    const auto &message = m_parser->get();
+    const bool isCoded = message.count(http::field::transfer_encoding) > 0;
+    if (isCoded && message.version() < versionWithCodings) {
+        return "transfer coding in a version of HTTP that has none";
+    }
+    const bool mayBeFaulty = isCoded || message.count(http::field::content_length) > 1;
+    return mayBeFaulty ? framingFaultOf(allFields(message)) : nullptr;
+}
+
 bool caller_session::refusedWithoutBody()
 {
     const auto length = m_parser->content_length();
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -125,6 +125,8 @@
     void freeRequest();
     void rejectMalformed(const error_code &code);
     int statusOf(const error_code &code) const;
+    /** @returns why the end of the body is not known, or null. */
+    const char *bodyFault() const;
     /** @returns whether the request will be refused and its body is too long to be read for that. */
     bool refusedWithoutBody();
     /** @returns the request whose head the parser holds, with the given body. */
--- a/src/gateway/endpoint_connection.cpp
+++ b/src/gateway/endpoint_connection.cpp
@@ -3,7 +3,7 @@
 #include "base/socket_address.h"
 #include "gateway/end_to_end_fields.h"
 #include "http/hop_by_hop.h"
-#include "http/response_rules.h"
+#include "http/message_rules.h"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
--- a/src/http/response_rules.cpp
+++ b/src/http/message_rules.cpp
@@ -1,4 +1,4 @@
-#include "http/response_rules.h"
+#include "http/message_rules.h"
 
 #include "http/http_status.h"
 
--- a/src/http/response_rules.h
+++ b/src/http/message_rules.h
@@ -27,7 +27,7 @@
 bool isFieldValue(std::string_view text);
 
 /**
- * Checks the fields that say where the body of a response ends.
+ * Checks the fields that say where the body of a message ends.
  * @returns why the end is not known, or null: transfer codings other than chunked alone, several or malformed lengths,
  *          or a length beside a transfer coding
  */
--- a/src/http/response_head_reader.cpp
+++ b/src/http/response_head_reader.cpp
@@ -1,6 +1,6 @@
 #include "http/response_head_reader.h"
 
-#include "http/response_rules.h"
+#include "http/message_rules.h"
 
 namespace bronzechute {
 
