tests: names that clash in joined sources are told apart

Cause: the sanitizer build joins ten sources each, and new files shift which ones: exchange_node_test and endpoint_statement_test both had a `nothing`, and early_answer_test's `requests` shadowed others. Change: the names only; no check changed.

--- a/tests/gateway/early_answer_test.cpp
+++ b/tests/gateway/early_answer_test.cpp
@@ -16,7 +16,7 @@
 // More than the buffers of two sockets hold, so that it is still being sent when the answer ends.
 constexpr std::size_t uploadBytes = std::size_t {24} * 1024 * 1024;
 // The errors of reading and writing come in an order that differs from request to request.
-constexpr int requests = 6;
+constexpr int requestsOfARow = 6;
 
 /** How an endpoint ends a connection on which it has answered before it has read the request. */
 enum class connection_end {
@@ -71,7 +71,7 @@
     document.limits.bodyBytes = 2 * uploadBytes;
     gateway.applyDocument(document);
     const std::string upload(uploadBytes, 'u');
-    for (int request = 0; request < (row.end == connection_end::abandoned ? 1 : requests); ++request) {
+    for (int request = 0; request < (row.end == connection_end::abandoned ? 1 : requestsOfARow); ++request) {
         const std::string id = "e" + std::to_string(request); // One that has not failed yet.
         gateway.addEndpoint(id, endpoint.url().substr(std::string("http://").size()));
         const caller_answer answer = gateway.request("POST", row.path, callerHeaders, upload);
--- a/tests/gateway/exchange_node_test.cpp
+++ b/tests/gateway/exchange_node_test.cpp
@@ -223,13 +223,13 @@
     EXPECT_NE(fleet.hubOf("dc-1"), nullptr);
 }
 
-void nothing(simulated_fleet &, simulated_gateway &)
+void noChange(simulated_fleet &, simulated_gateway &)
 {
 }
 
 INSTANTIATE_TEST_SUITE_P(
     rows, exchange_fault,
-    testing::Values(fault_row {"hub_is_killed", [](auto &, auto &hub) { hub.isRunning = false; }, nothing},
+    testing::Values(fault_row {"hub_is_killed", [](auto &, auto &hub) { hub.isRunning = false; }, noChange},
                     fault_row {"hub_is_killed_and_comes_back", [](auto &, auto &hub) { hub.isRunning = false; },
                                [](auto &fleet, auto &hub) {
                                    fleet.restart(hub);
@@ -244,16 +244,16 @@
                                        }
                                    }
                                },
-                               nothing},
+                               noChange},
                     fault_row {"hubs_of_all_data_centres_are_killed",
                                [](auto &fleet, auto &) {
                                    for (const char *dataCentre : {"dc-0", "dc-1", "dc-2"}) {
                                        fleet.hubOf(dataCentre)->isRunning = false;
                                    }
                                },
-                               nothing, true},
+                               noChange, true},
                     fault_row {"hub_is_frozen_and_wakes_with_old_knowledge",
-                               [](auto &fleet, auto &hub) { hub.frozenUntil = fleet.now() + 4s; }, nothing},
+                               [](auto &fleet, auto &hub) { hub.frozenUntil = fleet.now() + 4s; }, noChange},
                     fault_row {"hub_does_not_hear", [](auto &fleet, auto &hub) { fleet.deaf.insert(hub.host); },
                                [](auto &fleet, auto &) {
                                    fleet.deaf.clear();
