gateway: one event is the beginning of an answer when a crash is judged

Cause: a suspect counted as begun only while its attempt had no event, so that sound requests with a head hid the one with an event. Change: a suspect has begun from its head until it is beyond the beginning (two events).

--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -338,7 +338,7 @@
     if (m_events.begun() && head.status != m_events.head().status) {
         return false;
     }
-    if (isSuccess(head)) {
+    if (isSuccessStatus(head.status)) {
         return isAcceptableSuccess(head, m_context.headers);
     }
     return !streaming() && head.status < statusInternalServerError;
@@ -390,7 +390,7 @@
         retryOrFail(attempt_outcome::refused, "status " + std::to_string(head.status));
         return;
     }
-    const bool success = isSuccess(head);
+    const bool success = isSuccessStatus(head.status);
     if (success && !isAcceptableSuccess(head, m_context.headers)) {
         retryOrFail(attempt_outcome::failed, "response has no signature or has a content encoding");
         return;
@@ -607,7 +607,8 @@
     if (m_endpoint == nullptr || m_events.attemptEvents() >= answeredEvents) {
         return;
     }
-    const bool begun = m_attemptStatus >= statusOk && m_attemptStatus < 300 && m_events.attemptEvents() == 0;
+    // One event is the beginning of an answer, too: an endpoint may send heads at once and crash as it begins to write.
+    const bool begun = isSuccessStatus(m_attemptStatus);
     m_context.guard.onUnanswered(*m_endpoint, {m_plan.promptParts, begun}, end);
 }
 
--- a/src/gateway/response_verdict.h
+++ b/src/gateway/response_verdict.h
@@ -17,9 +17,6 @@
 /** @returns whether the endpoint states that it has not run the request. */
 bool isRefusal(const response_head &head, const wire_headers &names);
 
-/** @returns whether the status is a success (2xx). */
-bool isSuccess(const response_head &head);
-
 /** @returns whether a success is one of an endpoint's application, which can be passed on. */
 bool isAcceptableSuccess(const response_head &head, const wire_headers &names);
 
--- a/tests/gateway/crashing_prompt_test.cpp
+++ b/tests/gateway/crashing_prompt_test.cpp
@@ -44,6 +44,13 @@
         }
     }
 
+    void beginEarly()
+    {
+        for (crashing_engine &engine : m_engines) {
+            engine.beginEarly();
+        }
+    }
+
     /** Lists the engines that have started again, as the platform's directory does. */
     void listRestarted()
     {
@@ -163,6 +170,23 @@
                                          bad_requests_row {"two_parts_hide_each_other", {"bad1", "bad2"}, 20, 30ms}),
                          [](const auto &row) { return std::string(row.param.name); });
 
+// An engine that sends its head at once and crashes after the first event has begun that answer as well.
+TEST(quarantined_prompt, isRefusedAfterACrashWithItsFirstEvent)
+{
+    crashing_engines site;
+    site.learnPopularPrompts();
+    site.beginEarly();
+    site.setDeadly({"bad"});
+    EXPECT_FALSE(site.ask(promptOf("bad", 1)).complete);
+    const int crashes = site.crashes();
+    EXPECT_LT(crashes, acceptedCrashes);
+    std::this_thread::sleep_for(2 * crashing_engine::downtime);
+    const caller_answer refused = site.ask(promptOf("bad", 2));
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_NE(refused.body.find("\"part\":\"bad\""), std::string::npos) << refused.body;
+    EXPECT_EQ(site.ask("system:40,own:7").status, 200);
+}
+
 TEST(quarantined_prompt, isRefusedAtOnceWithATrueReason)
 {
     crashing_engines site;
--- a/tests/standins/crashing_engine.cpp
+++ b/tests/standins/crashing_engine.cpp
@@ -79,14 +79,23 @@
         m_prompts.push_back(prompt);
     }
     const std::string last = request.header("last-event-id");
-    std::this_thread::sleep_for(prefillTime);
+    if (!m_beginsEarly) {
+        std::this_thread::sleep_for(prefillTime);
+    }
     const std::string id = "X-Request-Id: " + request.header("x-request-id");
     if (!connection.send("HTTP/1.1 200 OK\r\n" + id
                          + "\r\nX-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
                            "\r\n")) {
         return false;
     }
+    if (m_beginsEarly) {
+        std::this_thread::sleep_for(prefillTime);
+    }
     if (isDeadly(prompt)) {
+        if (m_beginsEarly) {
+            connection.send(chunk(eventOf(1)));
+            std::this_thread::sleep_for(eventInterval);
+        }
         crash();
         connection.waitForClose();
         return false;
--- a/tests/standins/crashing_engine.h
+++ b/tests/standins/crashing_engine.h
@@ -39,6 +39,12 @@
     /** Sets the parts that end the engine. */
     void setDeadly(std::set<std::string> parts);
 
+    /** From now on, heads are sent before prompts are read, and a deadly part ends the engine after the first event. */
+    void beginEarly()
+    {
+        m_beginsEarly = true;
+    }
+
     /** Ends the engine while requests run, whatever they hold. */
     void crash();
 
@@ -58,6 +64,7 @@
     const std::function<void(int)> m_onStart;
     std::string m_address;
     std::atomic<int> m_crashes {0};
+    std::atomic<bool> m_beginsEarly {false};
     ranked_mutex m_mutex {lock_rank::leaf};
     std::condition_variable_any m_crashed;
     bool m_down = false;
