--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -281,7 +281,7 @@
              {"events", m_events.attemptEvents()},
              {"silent_ms", milliseconds(now - m_lastEventAt)}});
     m_replacement = std::make_shared<replacement_attempt>(m_context.loop, endpoint, weak_from_this(), now);
-    m_replacement->start(m_replacement, requestHeadFor(*endpoint, now), m_request.body);
+    m_replacement->start(requestHeadFor(*endpoint, now), m_request.body);
 }
 
 void gateway_exchange::adoptReplacement()
--- a/src/gateway/replacement_attempt.cpp
+++ b/src/gateway/replacement_attempt.cpp
@@ -14,10 +14,9 @@
 {
 }
 
-void replacement_attempt::start(const std::shared_ptr<replacement_attempt> &self, std::string head,
-                                std::shared_ptr<const std::string> body)
+void replacement_attempt::start(std::string head, std::shared_ptr<const std::string> body)
 {
-    m_connection->start(std::move(head), std::move(body), self);
+    m_connection->start(std::move(head), std::move(body), shared_from_this());
 }
 
 void replacement_attempt::onHead(response_head head)
--- a/src/gateway/replacement_attempt.h
+++ b/src/gateway/replacement_attempt.h
@@ -15,16 +15,15 @@
  * respond, the first one may still go on, so that its attempt is given up no sooner. Used from the thread of the event
  * loop.
  */
-class replacement_attempt : public response_observer
+class replacement_attempt : public response_observer, public std::enable_shared_from_this<replacement_attempt>
 {
 public:
     /** @param endpoint whose slot the request occupies */
     replacement_attempt(boost::asio::io_context &loop, gateway_endpoint_ptr endpoint,
                         std::weak_ptr<replacement_observer> observer, time_point startedAt);
 
-    /** @param self this object, which the connection holds until the endpoint responds. */
-    void start(const std::shared_ptr<replacement_attempt> &self, std::string head,
-               std::shared_ptr<const std::string> body);
+    /** Sends the request; the connection holds this object until the endpoint responds. */
+    void start(std::string head, std::shared_ptr<const std::string> body);
 
     void onHead(response_head head) override;
     void onBody(std::string_view bytes) override;
--- a/tests/backend/odd_back_end_answer_test.cpp
+++ b/tests/backend/odd_back_end_answer_test.cpp
@@ -5,14 +5,10 @@
 
 #include <gtest/gtest.h>
 
-#include <thread>
-
 namespace bronzechute {
 
 namespace {
 
-using namespace std::chrono_literals;
-
 class odd_back_end_answer : public testing::TestWithParam<standins::odd_answer>
 {
 };
@@ -44,12 +40,8 @@
 {
     constexpr std::size_t uploadBytes = std::size_t {24} * 1024 * 1024;
     constexpr int calls = 6;
-    standins::raw_server server([](standins::raw_connection &connection, int) {
-        connection.readHead();
-        connection.send("HTTP/1.1 200 OK\r\n\r\npar");
-        std::this_thread::sleep_for(50ms);
-        connection.resetOnClose();
-    });
+    standins::raw_server server(
+        [](standins::raw_connection &connection, int) { standins::sendPartAndReset(connection); });
     http_back_end service({http_back_end_options::kind::service, server.url()}, std::make_shared<transfer_loop>());
     for (int index = 0; index < calls; ++index) {
         back_end_request request;
--- a/tests/http/odd_response_test.cpp
+++ b/tests/http/odd_response_test.cpp
@@ -6,8 +6,6 @@
 
 #include <gtest/gtest.h>
 
-#include <thread>
-
 namespace bronzechute {
 
 namespace {
@@ -60,12 +58,8 @@
 {
     constexpr std::size_t uploadBytes = std::size_t {24} * 1024 * 1024;
     constexpr int calls = 6;
-    standins::raw_server server([](standins::raw_connection &connection, int) {
-        connection.readHead();
-        connection.send("HTTP/1.1 200 OK\r\n\r\npar");
-        std::this_thread::sleep_for(50ms);
-        connection.resetOnClose();
-    });
+    standins::raw_server server(
+        [](standins::raw_connection &connection, int) { standins::sendPartAndReset(connection); });
     for (int index = 0; index < calls; ++index) {
         curl_http_client client;
         http_call call;
--- a/tests/standins/odd_answer.cpp
+++ b/tests/standins/odd_answer.cpp
@@ -1,5 +1,8 @@
 #include "standins/odd_answer.h"
 
+#include <chrono>
+#include <thread>
+
 namespace bronzechute::standins {
 
 std::vector<odd_answer> oddAnswers()
@@ -42,4 +45,13 @@
     };
 }
 
+void sendPartAndReset(raw_connection &connection)
+{
+    constexpr std::chrono::milliseconds readingTime {50}; // In which the peer reads the part, and sends on.
+    connection.readHead();
+    connection.send("HTTP/1.1 200 OK\r\n\r\npar");
+    std::this_thread::sleep_for(readingTime);
+    connection.resetOnClose();
+}
+
 } // namespace bronzechute::standins
--- a/tests/standins/odd_answer.h
+++ b/tests/standins/odd_answer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "standins/raw_connection.h"
+
 #include <string>
 #include <vector>
 
@@ -17,4 +19,7 @@
 /** @returns answers whose status line, fields or framing break the rules of HTTP (RFC 9110, RFC 9112). */
 std::vector<odd_answer> oddAnswers();
 
+/** Answers a request whose body is still being sent, without a length, and resets the connection after a part. */
+void sendPartAndReset(raw_connection &connection);
+
 } // namespace bronzechute::standins
