gateway: an endpoint's 503 is no promise that an order has not run

Callers saw: a failing worker runs an order and answers 503; the caller gets this 503, which promises that the order has not run and never will.

Cause: an answer without the statement that the request has not run was known to have run, but its status was relayed whatever it promises.

Ruled out: a refusal by the gateway itself; the lines "request ended" of the 9 orders have the outcome endpoint_error.

Change: 408, 429 and 503 without that statement are a failed attempt of a request that must not be repeated; the caller gets 502 as soon as the head is there. A status of the 400s does not count as silence of the endpoint any more. The failing endpoint of the soak answers 500 and 503 by turns.

--- a/src/gateway/failed_attempt.cpp
+++ b/src/gateway/failed_attempt.cpp
@@ -20,7 +20,7 @@
     endpoint.suspectUntil = now + suspectPeriod * (1 << std::min(endpoint.consecutiveFailures, maxSuspectDoublings));
     ++endpoint.consecutiveFailures;
     context.endpoints.recordFailure(endpoint);
-    const bool responded = attempt.outcome == attempt_outcome::refused || attempt.status >= statusInternalServerError;
+    const bool responded = attempt.outcome == attempt_outcome::refused || attempt.status >= statusBadRequest;
     if (!responded) {
         endpoint_table::recordSilence(endpoint, now);
     }
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -406,6 +406,11 @@
         retryOrFail(attempt_outcome::failed, "status " + std::to_string(head.status) + " for a resumed stream");
         return;
     }
+    if (!m_plan.matched->repeatable() && readsAsNotRun(head.status)) {
+        retryOrFail(attempt_outcome::failed,
+                    "status " + std::to_string(head.status) + " without the statement that it has not run");
+        return;
+    }
     removeHeader(head.headers, "Content-Length");
     m_mayHaveRun = true;
     m_relayingEvents = streaming() && success;
--- a/src/gateway/response_verdict.cpp
+++ b/src/gateway/response_verdict.cpp
@@ -18,6 +18,12 @@
     return head.status == statusMisdirected || findHeader(head.headers, names.notRun);
 }
 
+bool readsAsNotRun(int status)
+{
+    return status == statusRequestTimeout || status == statusMisdirected || status == statusTooManyRequests
+        || status == statusServiceUnavailable;
+}
+
 bool isAcceptableSuccess(const response_head &head, const wire_headers &names)
 {
     return isSuccessStatus(head.status) && findHeader(head.headers, names.signature)
--- a/tests/standins/routed_endpoint.cpp
+++ b/tests/standins/routed_endpoint.cpp
@@ -16,6 +16,7 @@
 using json = nlohmann::json;
 
 constexpr int statusFailed = 500;
+constexpr int statusUnavailable = 503;
 constexpr std::chrono::seconds coldWindow {1};
 constexpr std::chrono::milliseconds lateOrderDelay {300};
 // What the users tolerate above the rate of a cold endpoint, in each second.
@@ -216,20 +217,22 @@
     bool loses = false;
     bool cuts = false;
     bool garbles = false;
-    bool fails = false;
+    int failure = 0; ///< Status in place of the success, if there is one.
     {
         const std::scoped_lock lock(m_mutex);
         noteRun(request);
         loses = happens(faults.loseAnswers);
         cuts = happens(faults.cutAnswers);
         garbles = happens(faults.garble);
-        fails = happens(faults.fail);
+        if (happens(faults.fail)) {
+            failure = ++m_failures % 2 == 0 ? statusUnavailable : statusFailed;
+        }
     }
     std::this_thread::sleep_for(m_options.work);
     const std::string body = routedBody(id, request.target);
     const std::string fields =
         "X-Attempt-Id: " + id + "\r\nX-Server-Signature: " + routedSignature(id) + "\r\n" + leavingField(id);
-    const std::string answer = fails ? whole(statusFailed, fields, "failed") : whole(statusOk, fields, body);
+    const std::string answer = failure != 0 ? whole(failure, fields, "failed") : whole(statusOk, fields, body);
     if (loses) {
         return false;
     }
--- a/tests/standins/routed_endpoint.h
+++ b/tests/standins/routed_endpoint.h
@@ -25,12 +25,12 @@
  * the orders of rank groups. It keeps what reached it, so that a test can check what gateways promise.
  *
  * POST /standin/faults takes shares of the requests as numbers from 0 to 1: `lose_answers` (run, then closed without
- * an answer), `cut_answers` (cut in the middle), `garble` (bytes that are no answer), `fail` (status 500, run) and
- * `refuse` (status 503, not run); of the orders `late_orders` (carried out later and not answered); further
- * `deadly_parts` (an array; the process ends when it begins to answer a prompt with one), `break_group_ms`, `cold_ms`
- * and `leave_after_ms` (time after which a request counts as arriving too late); `say_leaving`, `pause_ms` (requests
- * are refused for so long, with the time that is left) and `claim_pause_s` (they are refused from now on, each time
- * with this pause). GET /standin/stats shows the runs by request id.
+ * an answer), `cut_answers` (cut in the middle), `garble` (bytes that are no answer), `fail` (run; statuses 500 and
+ * 503 by turns) and `refuse` (status 503, not run); of the orders `late_orders` (carried out later and not answered);
+ * further `deadly_parts` (an array; the process ends when it begins to answer a prompt with one), `break_group_ms`,
+ * `cold_ms` and `leave_after_ms` (time after which a request counts as arriving too late); `say_leaving`, `pause_ms`
+ * (requests are refused for so long, with the time that is left) and `claim_pause_s` (they are refused from now on,
+ * each time with this pause). GET /standin/stats shows the runs by request id.
  *
  * On standard output it writes a line "run ID ACCOUNT" for each run, and "violation MS KIND ID" when a request arrives
  * after the endpoint has left or beyond its rate while cold, with the time of boot_clock in milliseconds. What an
@@ -103,6 +103,7 @@
     time_point m_pauseEnd {};
     std::chrono::seconds m_claimedPause {0}; ///< 0: none.
     bool m_hasStated = false; ///< An answer has said something.
+    int m_failures = 0; ///< Requests that ran and were answered with a failure.
     std::deque<time_point> m_coldArrivals;
     std::map<std::string, int> m_runs; ///< By request id.
     std::vector<std::jthread> m_lateOrders;
