gateway: a part that crashes endpoints is found wherever it stands in a prompt

Cause: sharedPromptParts() kept the first 16 parts. The others were in no request's list, so that no crash counted against them.

Ruled out: a larger fixed number, which only moves the fault; refusing such requests, which denies proper ones.

Change: all parts count, bounded by the header's limit and counted as memory of the request. A suspect keeps its 128 likeliest parts (never answered, else answered longest ago), a datagram tells them by the same order and with their answers. Log lines show the last 16 parts and their number.

--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -80,6 +80,7 @@
 
 void crash_guard::onUnanswered(const gateway_endpoint &endpoint, crash_suspect suspect, attempt_end end)
 {
+    suspect.parts = m_quarantine.likeliest(suspect.parts, part_quarantine::maxSuspectParts);
     m_detector.onUnanswered(endpoint, std::move(suspect), end);
 }
 
--- a/src/gateway/failed_attempt.cpp
+++ b/src/gateway/failed_attempt.cpp
@@ -1,5 +1,6 @@
 #include "gateway/failed_attempt.h"
 
+#include "gateway/prompt_parts.h"
 #include "http/http_status.h"
 #include "observe/log.h"
 
@@ -35,7 +36,8 @@
              {"cause", attempt.cause},
              {"status", attempt.status},
              {"events", attempt.events},
-             {"parts", attempt.promptParts},
+             {"parts", loggedParts(attempt.promptParts)},
+             {"parts_total", attempt.promptParts.size()},
              {"after_ms", after.count()},
              {"own_running", endpoint.ownRunning},
              {"peers_running", endpoint.peersRunning}});
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -5,6 +5,7 @@
 #include "gateway/failed_attempt.h"
 #include "gateway/message_head.h"
 #include "gateway/plan_demands.h"
+#include "gateway/prompt_parts.h"
 #include "gateway/response_verdict.h"
 #include "http/http_status.h"
 #include "observe/log.h"
@@ -49,6 +50,15 @@
     return std::nullopt;
 }
 
+std::size_t bytesOf(const std::vector<std::string> &parts)
+{
+    std::size_t bytes = parts.capacity() * sizeof(std::string);
+    for (const std::string &part : parts) {
+        bytes += part.capacity();
+    }
+    return bytes;
+}
+
 std::string secondsText(std::chrono::milliseconds time)
 {
     constexpr double perSecond = 1000.0;
@@ -69,7 +79,8 @@
     , m_deadlineTimer(context.loop)
     , m_attemptTimer(context.loop)
     , m_retryTimer(context.loop)
-    , m_answerMemory(context.memory, nullptr)
+    , m_partBytes(bytesOf(m_plan.promptParts))
+    , m_heldMemory(context.memory, nullptr)
     , m_events(m_response, lastEventIdOf(m_request))
 {
 }
@@ -82,6 +93,7 @@
 void gateway_exchange::start()
 {
     startDeadline();
+    countHeld();
     m_context.dispatcher.countRequest(m_plan.service);
     if (m_context.redirect.active() && !m_plan.isCallerRetry
         && m_context.endpoints.isFailing(m_plan.service, boot_clock::now())) {
@@ -465,12 +477,17 @@
     countAnswer();
 }
 
-void gateway_exchange::countAnswer()
+void gateway_exchange::countHeld()
 {
-    const std::size_t held = m_body.capacity() + m_events.pendingBytes();
-    if (m_answerMemory.isOutdated(held)) {
-        m_answerMemory.resize(held, boot_clock::now());
+    const std::size_t held = m_partBytes + m_body.capacity() + m_events.pendingBytes();
+    if (m_heldMemory.isOutdated(held)) {
+        m_heldMemory.resize(held, boot_clock::now());
     }
+}
+
+void gateway_exchange::countAnswer()
+{
+    countHeld();
     m_answerPaused = !m_relayingEvents && m_context.memory.isExhausted();
     if (m_answerPaused) {
         resumeLater();
@@ -702,7 +719,8 @@
              {"account", m_plan.account},
              {"configuration", m_plan.table->version()},
              {"returned", m_plan.isCallerRetry},
-             {"parts", m_plan.promptParts},
+             {"parts", loggedParts(m_plan.promptParts)},
+             {"parts_total", m_plan.promptParts.size()},
              {"endpoints", m_tried},
              {"events", m_events.eventsRelayed()},
              {"first_byte_ms", m_firstByteAt ? milliseconds(*m_firstByteAt - m_request.arrivedAt) : -1},
--- a/src/gateway/gateway_exchange.h
+++ b/src/gateway/gateway_exchange.h
@@ -107,6 +107,7 @@
     /** @returns whether the head of a replacement's response is worth giving the current attempt up. */
     bool canReplace(const response_head &head) const;
     void relayEvents(std::string_view bytes);
+    void countHeld();
     /** Counts what is held of the answer, and stops reading a whole answer for a moment while no memory is left. */
     void countAnswer();
     void resumeLater();
@@ -150,7 +151,8 @@
     response_head m_wholeHead; ///< Of a response that is relayed only once it is complete.
     bool m_relayingEvents = false; ///< Whether the body of the current attempt is relayed event by event.
     std::string m_body; ///< Of such a response.
-    memory_share m_answerMemory; ///< For m_body and incomplete events.
+    const std::size_t m_partBytes; ///< Of the plan's prompt parts.
+    memory_share m_heldMemory; ///< For the prompt parts, m_body and incomplete events.
     bool m_answerPaused = false; ///< The whole answer is not read on, as no memory is left.
     event_relay m_events;
     int m_attemptStatus = 0; ///< Status of the response to the current attempt; 0 before its head.
--- a/src/gateway/request_matcher.cpp
+++ b/src/gateway/request_matcher.cpp
@@ -115,7 +115,7 @@
     plan.promptTokens = promptTokens(request, names);
     plan.maxAnswerTokens = maxAnswerTokens(request, names);
     plan.answerTokensEstimate = answerTokensEstimate(request, names);
-    plan.promptParts = sharedPromptParts(findHeader(request.headers, names.promptParts).value_or(""));
+    plan.promptParts = sharedPromptParts(joinedHeaders(request.headers, names.promptParts));
     plan.service = selectService(*plan.matched, random);
     plan.table = std::move(table);
     return plan;
--- a/src/http/header_list.cpp
+++ b/src/http/header_list.cpp
@@ -21,6 +21,20 @@
     return std::nullopt;
 }
 
+std::string joinedHeaders(const header_list &headers, std::string_view name)
+{
+    std::string joined;
+    bool isFirst = true;
+    for (const auto &[key, value] : headers) {
+        if (!headerNamesEqual(key, name)) {
+            continue;
+        }
+        joined += isFirst ? value : "," + value;
+        isFirst = false;
+    }
+    return joined;
+}
+
 void removeHeader(header_list &headers, std::string_view name)
 {
     std::erase_if(headers, [name](const auto &field) { return headerNamesEqual(field.first, name); });
--- a/src/http/header_list.h
+++ b/src/http/header_list.h
@@ -14,6 +14,9 @@
 /** @returns the first value of the named field, or std::nullopt. */
 std::optional<std::string> findHeader(const header_list &headers, std::string_view name);
 
+/** @returns the values of all fields with the name, joined to one list by commas as RFC 9110 allows; empty if none. */
+std::string joinedHeaders(const header_list &headers, std::string_view name);
+
 /** @returns whether two field names are equal, ignoring case. */
 bool headerNamesEqual(std::string_view left, std::string_view right);
 
--- a/src/quarantine/answered_parts.h
+++ b/src/quarantine/answered_parts.h
@@ -22,7 +22,7 @@
         return m_recent.size() + m_earlier.size();
     }
 
-    static constexpr std::size_t maxParts = 16384;
+    static constexpr std::size_t maxParts = 65536;
     static constexpr std::chrono::minutes lifetime {10}; ///< At least half of it.
 
 private:
--- a/src/quarantine/crash_evidence_codec.cpp
+++ b/src/quarantine/crash_evidence_codec.cpp
@@ -1,6 +1,10 @@
 #include "quarantine/crash_evidence_codec.h"
 
+#include "quarantine/likeliest_parts.h"
+
 #include <algorithm>
+#include <functional>
+#include <set>
 
 namespace bronzechute {
 
@@ -41,22 +45,93 @@
         return true;
     }
 
+    std::size_t left() const
+    {
+        return m_left;
+    }
+
 private:
     std::size_t m_left = maxEncodedParts;
 };
 
-json encodeCrash(const endpoint_crash &crash, time_point now, part_budget &budget)
+/** Encodes crashes and the answers that clear their parts: without these, a receiver would blame popular parts. */
+class crash_encoder
 {
-    json suspects = json::array();
-    for (const bool begun : {true, false}) {
-        for (const crash_suspect &suspect : crash.suspects) {
-            if (suspect.begun == begun && budget.take(suspect.parts.size())) {
-                suspects.push_back({suspect.begun, suspect.parts});
+public:
+    crash_encoder(const crash_evidence &evidence, time_point now, part_budget &budget)
+        : m_answers(evidence.answers), m_now(now), m_budget(budget)
+    {
+    }
+
+    void add(const endpoint_crash &crash)
+    {
+        if (m_budget.take(1)) {
+            m_crashes.push_back(
+                {crash.run.endpoint, crash.run.startedAtMs, ageOf(crash.at, m_now), encodeSuspects(crash.suspects)});
+        }
+    }
+
+    json takeCrashes()
+    {
+        return std::move(m_crashes);
+    }
+
+    /** @returns the answers with the parts that were told, and as many others as have room. */
+    json encodeAnswers()
+    {
+        json answers = json::array();
+        for (const auto &[part, at] : m_answers) {
+            if (m_toldAnswers.contains(part) || m_budget.take(1)) {
+                answers.push_back({part, ageOf(at, m_now)});
             }
         }
+        return answers;
+    }
+
+private:
+    /** Takes at most half of the budget, as older crashes must be told, too. */
+    json encodeSuspects(std::vector<crash_suspect> suspects)
+    {
+        std::ranges::stable_sort(suspects, std::greater(), &crash_suspect::begun);
+        std::size_t room = m_budget.left() / 2;
+        std::size_t untold = suspects.size();
+        json told = json::array();
+        for (const crash_suspect &suspect : suspects) {
+            const std::size_t share = std::max(room / untold, leastToldParts);
+            --untold;
+            std::vector<std::string> parts =
+                likeliestParts(suspect.parts, share, [this](const std::string &part) { return lastAnswer(part); });
+            const std::size_t needed = parts.size() + untoldAnswers(parts);
+            if (needed <= room && m_budget.take(needed)) {
+                room -= needed;
+                m_toldAnswers.insert(parts.begin(), parts.end());
+                told.push_back({suspect.begun, std::move(parts)});
+            }
+        }
+        return told;
+    }
+
+    std::optional<time_point> lastAnswer(const std::string &part) const
+    {
+        const auto found = m_answers.find(part);
+        return found == m_answers.end() ? std::nullopt : std::optional(found->second);
+    }
+
+    /** @returns how many of the parts have an answer that is not told yet. */
+    std::size_t untoldAnswers(const std::vector<std::string> &parts) const
+    {
+        const auto count = std::ranges::count_if(parts, [this](const std::string &part) {
+            return m_answers.contains(part) && !m_toldAnswers.contains(part);
+        });
+        return static_cast<std::size_t>(count);
     }
-    return {crash.run.endpoint, crash.run.startedAtMs, ageOf(crash.at, now), std::move(suspects)};
-}
+
+    const std::map<std::string, time_point> &m_answers;
+    const time_point m_now;
+    part_budget &m_budget;
+    json m_crashes = json::array();
+    std::set<std::string> m_toldAnswers; ///< Parts whose answers have their room in the budget.
+};
 
 } // namespace
 
@@ -71,19 +146,12 @@
     }
     std::vector<endpoint_crash> newestFirst = evidence.crashes;
     std::ranges::sort(newestFirst, std::greater(), &endpoint_crash::at);
-    json crashes = json::array();
+    crash_encoder encoder(evidence, now, budget);
     for (const endpoint_crash &crash : newestFirst) {
-        if (budget.take(1)) {
-            crashes.push_back(encodeCrash(crash, now, budget));
-        }
-    }
-    json answers = json::array();
-    for (const auto &[part, at] : evidence.answers) {
-        if (budget.take(1)) {
-            answers.push_back({part, ageOf(at, now)});
-        }
+        encoder.add(crash);
     }
-    return {std::move(quarantined), std::move(crashes), std::move(answers)};
+    json answers = encoder.encodeAnswers();
+    return {std::move(quarantined), encoder.takeCrashes(), std::move(answers)};
 }
 
 crash_evidence decodeCrashEvidence(const json &value, time_point now)
--- a/src/quarantine/crash_evidence_codec.h
+++ b/src/quarantine/crash_evidence_codec.h
@@ -8,7 +8,8 @@
 
 /**
  * Encodes evidence for another process. Times become ages, as processes share no clock.
- * @returns a value of bounded size: what does not fit is left out, the oldest crashes first
+ * @returns a value of bounded size: what does not fit is left out, the oldest crashes first, and of the parts of long
+ * prompts those that were answered last
  */
 nlohmann::json encodeCrashEvidence(const crash_evidence &evidence, time_point now);
 
--- a/src/quarantine/crash_suspect.h
+++ b/src/quarantine/crash_suspect.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -14,4 +15,7 @@
     friend bool operator==(const crash_suspect &, const crash_suspect &) = default;
 };
 
+/** Where only some parts of a suspect are told, these are at least so many. */
+constexpr std::size_t leastToldParts = 8;
+
 } // namespace bronzechute
--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -1,6 +1,9 @@
 #include "quarantine/part_quarantine.h"
 
+#include "quarantine/likeliest_parts.h"
+
 #include <algorithm>
+#include <numeric>
 
 namespace bronzechute {
 
@@ -18,6 +21,17 @@
     return std::ranges::any_of(crash.suspects, &crash_suspect::begun);
 }
 
+/** @returns whether two suspects are one request, of which another gateway may have told only some parts. */
+bool isSame(const crash_suspect &known, const crash_suspect &told)
+{
+    if (known.begun != told.begun || told.parts.size() < leastToldParts) {
+        return known == told;
+    }
+    return std::ranges::all_of(told.parts, [&known](const std::string &part) {
+        return std::ranges::find(known.parts, part) != known.parts.end();
+    });
+}
+
 template<typename Map, typename Time>
 void dropOldest(Map &entries, std::size_t limit, Time timeOf)
 {
@@ -72,13 +86,37 @@
     }
     merged.at = std::min(merged.at, crash.at);
     for (const crash_suspect &suspect : crash.suspects) {
-        const bool isNew = std::ranges::find(merged.suspects, suspect) == merged.suspects.end();
+        const bool isNew = std::ranges::none_of(
+            merged.suspects, [&suspect](const crash_suspect &other) { return isSame(other, suspect); });
         if (isNew && !suspect.parts.empty() && merged.suspects.size() < maxSuspects) {
             merged.suspects.push_back(suspect);
             ++m_version;
         }
     }
-    dropOldest(m_crashes, maxCrashes, [](const auto &entry) { return entry.second.at; });
+    limitCrashes();
+}
+
+void part_quarantine::limitCrashes()
+{
+    const auto partsOf = [](const auto &entry) {
+        const std::vector<crash_suspect> &suspects = entry.second.suspects;
+        return std::accumulate(suspects.begin(), suspects.end(), std::size_t {0},
+                               [](std::size_t sum, const crash_suspect &each) { return sum + each.parts.size(); });
+    };
+    std::size_t parts = 0;
+    for (const auto &entry : m_crashes) {
+        parts += partsOf(entry);
+    }
+    while (m_crashes.size() > maxCrashes || (parts > maxCrashParts && m_crashes.size() > 1)) {
+        const auto oldest = std::ranges::min_element(m_crashes, {}, [](const auto &entry) { return entry.second.at; });
+        parts -= partsOf(*oldest);
+        m_crashes.erase(oldest);
+    }
+}
+
+std::vector<std::string> part_quarantine::likeliest(const std::vector<std::string> &parts, std::size_t room) const
+{
+    return likeliestParts(parts, room, [this](const std::string &part) { return m_answered.lastAnswer(part); });
 }
 
 std::vector<quarantined_part> part_quarantine::merge(const crash_evidence &evidence, time_point now)
--- a/src/quarantine/part_quarantine.h
+++ b/src/quarantine/part_quarantine.h
@@ -40,6 +40,8 @@
     static constexpr std::chrono::milliseconds settlingTime {100}; ///< Of the evidence on a crash.
     static constexpr std::size_t maxCrashes = 64;
     static constexpr std::size_t maxSuspects = 32; ///< Of one crash.
+    static constexpr std::size_t maxSuspectParts = 128; ///< Of one suspect.
+    static constexpr std::size_t maxCrashParts = 32768; ///< Of all suspects of all crashes.
     static constexpr std::size_t maxQuarantined = 256;
 
     /** @param seed of the random numbers that keep the trials of several gateways apart */
@@ -79,6 +81,9 @@
         return m_answered.lastAnswer(part).has_value();
     }
 
+    /** @returns at most @p room of the parts, those that most likely crash endpoints; see likeliestParts(). */
+    std::vector<std::string> likeliest(const std::vector<std::string> &parts, std::size_t room) const;
+
     /** @returns all that other gateways need to reach the same decisions, without expired knowledge. */
     crash_evidence evidence(time_point now);
 
@@ -112,6 +117,8 @@
     quarantined_part convict(const std::string &part, time_point now);
     void refuse(const quarantined_part &entry);
     void expire(time_point now);
+    /** Drops the oldest crashes beyond what is kept. */
+    void limitCrashes();
 
     std::mt19937_64 m_random;
     answered_parts m_answered;
--- a/tests/gateway/crashing_prompt_test.cpp
+++ b/tests/gateway/crashing_prompt_test.cpp
@@ -170,6 +170,51 @@
                                          bad_requests_row {"two_parts_hide_each_other", {"bad1", "bad2"}, 20, 30ms}),
                          [](const auto &row) { return std::string(row.param.name); });
 
+struct position_row
+{
+    const char *name; ///< Failure that the row guards against.
+    int before; ///< Sound parts before the one that crashes engines.
+    int behind; ///< Sound parts between it and the last one.
+};
+
+class quarantined_position : public testing::TestWithParam<position_row>
+{
+protected:
+    static std::string soundParts(const std::string &name, int count)
+    {
+        std::string parts;
+        for (int number = 0; number < count; ++number) {
+            parts += name + std::to_string(number) + ":9,";
+        }
+        return parts;
+    }
+};
+
+// A part of which only the first sixteen of a prompt were remembered crashed engine after engine.
+TEST_P(quarantined_position, isRefusedWhereverItStands)
+{
+    const std::string before = soundParts("before", GetParam().before);
+    const std::string behind = soundParts("behind", GetParam().behind);
+    crashing_engines site;
+    site.learnPopularPrompts();
+    site.setDeadly({"bad"});
+    EXPECT_EQ(site.ask(before + behind + "own:7").status, 200);
+    EXPECT_NE(site.ask(before + "bad:9," + behind + "own1:7").status, 200);
+    EXPECT_LT(site.crashes(), acceptedCrashes);
+    std::this_thread::sleep_for(2 * crashing_engine::downtime);
+    const caller_answer refused = site.ask(before + "bad:9," + behind + "own2:7");
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_NE(refused.body.find("\"part\":\"bad\""), std::string::npos) << refused.body;
+    EXPECT_EQ(site.ask(before + behind + "own:7").status, 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, quarantined_position,
+                         testing::Values(position_row {"sixteenth_part_is_forgotten", 15, 0},
+                                         position_row {"seventeenth_part_is_forgotten", 16, 0},
+                                         position_row {"part_before_many_others_is_forgotten", 20, 60},
+                                         position_row {"part_behind_hundreds_is_forgotten", 400, 20}),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 // An engine that sends its head at once and crashes after the first event has begun that answer as well.
 TEST(quarantined_prompt, isRefusedAfterACrashWithItsFirstEvent)
 {
--- a/tests/quarantine/part_quarantine_test.cpp
+++ b/tests/quarantine/part_quarantine_test.cpp
@@ -386,6 +386,83 @@
     EXPECT_FALSE(received(known, start).crashes.empty());
 }
 
+/** A prompt of many sound parts with the one that crashes endpoints among them. */
+parts longPrompt(std::size_t sound, const std::string &own)
+{
+    parts prompt;
+    for (std::size_t number = 0; number < sound; ++number) {
+        prompt.push_back("sound" + std::to_string(number));
+    }
+    prompt.insert(prompt.begin() + static_cast<std::ptrdiff_t>(sound / 2), {"bad", own});
+    return prompt;
+}
+
+/** A gateway that has answered the sound parts of long prompts, and then lost requests with the bad part twice. */
+quarantine_run longPromptsRun(std::size_t sound)
+{
+    quarantine_run run;
+    parts answered = longPrompt(sound, "system");
+    std::erase(answered, "bad");
+    run.answer(answered);
+    run.now += part_quarantine::learningTime;
+    for (const std::string endpoint : {"e1", "e2"}) {
+        std::vector<crash_suspect> suspects;
+        for (int request = 0; request < 6; ++request) {
+            const parts prompt = longPrompt(sound, "own" + endpoint + std::to_string(request));
+            suspects.push_back({run.quarantine.likeliest(prompt, part_quarantine::maxSuspectParts), true});
+        }
+        run.quarantine.recordCrash({{endpoint, 1}, run.now, suspects});
+    }
+    return run;
+}
+
+class long_prompts : public testing::TestWithParam<std::size_t>
+{
+};
+
+// Evidence that left the bad part out, because the prompts were long, convicted nobody elsewhere.
+TEST_P(long_prompts, areToldWithTheirLikeliestParts)
+{
+    quarantine_run first = longPromptsRun(GetParam());
+    quarantine_run other;
+    other.learn();
+    other.now = first.now;
+    const crash_evidence told = received(first.quarantine.evidence(first.now), first.now);
+    other.quarantine.merge(told, other.now);
+    other.settle();
+    EXPECT_TRUE(other.blocks({"bad"}));
+    EXPECT_FALSE(other.blocks({"sound0"}));
+    EXPECT_FALSE(other.blocks({"sound" + std::to_string(GetParam() - 1)}));
+    const std::uint64_t version = first.quarantine.version();
+    first.quarantine.merge(told, first.now);
+    EXPECT_EQ(first.quarantine.version(), version) << "what comes back is no news";
+}
+
+INSTANTIATE_TEST_SUITE_P(sizes, long_prompts, testing::Values(8, 17, 60, 150, 1500));
+
+TEST(long_prompts, areBounded)
+{
+    quarantine_run run;
+    run.learn();
+    for (int crash = 0; crash < 100; ++crash) {
+        std::vector<crash_suspect> suspects;
+        for (std::size_t suspect = 0; suspect < part_quarantine::maxSuspects; ++suspect) {
+            const parts prompt = longPrompt(2000, std::to_string(crash) + "-" + std::to_string(suspect));
+            suspects.push_back({run.quarantine.likeliest(prompt, part_quarantine::maxSuspectParts), true});
+        }
+        run.crash(suspects);
+    }
+    std::size_t kept = 0;
+    for (const endpoint_crash &crash : run.quarantine.evidence(run.now).crashes) {
+        for (const crash_suspect &suspect : crash.suspects) {
+            EXPECT_LE(suspect.parts.size(), part_quarantine::maxSuspectParts);
+            kept += suspect.parts.size();
+        }
+    }
+    EXPECT_LE(kept, part_quarantine::maxCrashParts);
+    EXPECT_GT(kept, 0U);
+}
+
 TEST(crash_evidence, isNotReadFromOtherValues)
 {
     for (const char *text : {"1", "[]", "[[],[]]", "[[[1,2,3,4]],[],[]]", "[[],[[\"e\",1,\"soon\",[]]],[]]",
