gateway: a part that crashes endpoints in mid-answer is refused

Cause: two events counted as proof that a prompt's parts are sound. So the lost request was no suspect, its second event cleared its parts of earlier crashes, and the second event of a trial ended a quarantine.

Ruled out: a larger number of events or a time as proof, which moves the fault; levels of progress that clear what is below them, which a part that crashes at random places would use.

Change: each request that the endpoint was answering is a suspect. What clears a part is an answer that came further than the lost one, to the end if that was beyond its beginning. Such a part needs four crashes at least 250 ms apart; single crashes are judged as before. The evidence for other gateways says how far answers came, readable for gateways of the earlier version.

In tests, answered_parts::record is now recordWhole; no check was changed.

--- a/src/gateway/crash_detector.cpp
+++ b/src/gateway/crash_detector.cpp
@@ -127,7 +127,8 @@
             {{"endpoint", run.endpoint},
              {"started_at_ms", run.startedAtMs},
              {"suspects", crash.suspects.size()},
-             {"begun", std::ranges::count_if(crash.suspects, &crash_suspect::begun)}});
+             {"begun", std::ranges::count_if(crash.suspects, &crash_suspect::begun)},
+             {"writing", std::ranges::count_if(crash.suspects, &crash_suspect::writing)}});
     m_onCrash(crash);
 }
 
--- a/src/gateway/crash_detector.h
+++ b/src/gateway/crash_detector.h
@@ -28,7 +28,7 @@
     /** @param onCrash called for each confirmed crash, and again when more of its suspects are known */
     crash_detector(boost::asio::io_context &loop, listener onCrash);
 
-    /** An attempt ended before the answer had come beyond its beginning. */
+    /** An attempt ended before the end of its answer. */
     void onUnanswered(const gateway_endpoint &endpoint, crash_suspect suspect, attempt_end end);
 
     /** The endpoint refused a connection. */
--- a/src/gateway/crash_guard.cpp
+++ b/src/gateway/crash_guard.cpp
@@ -33,6 +33,11 @@
     return std::ranges::all_of(parts, [this](const std::string &part) { return m_quarantine.isAnswered(part); });
 }
 
+bool crash_guard::areWhollyAnswered(std::span<const std::string> parts) const
+{
+    return std::ranges::all_of(parts, [this](const std::string &part) { return m_quarantine.isWhollyAnswered(part); });
+}
+
 void crash_guard::onSend(const std::shared_ptr<quarantine_observer> &request)
 {
     if (!request->promptParts().empty()) {
@@ -68,9 +73,19 @@
     }
 }
 
+void crash_guard::onAnswerBegun(std::span<const std::string> parts)
+{
+    announceReleased(m_quarantine.recordBeginning(parts, boot_clock::now()));
+}
+
 void crash_guard::onAnswered(std::span<const std::string> parts)
 {
-    for (const std::string &part : m_quarantine.recordAnswer(parts, boot_clock::now())) {
+    announceReleased(m_quarantine.recordAnswer(parts, boot_clock::now()));
+}
+
+void crash_guard::announceReleased(const std::vector<std::string> &parts)
+{
+    for (const std::string &part : parts) {
         logLine(log_level::info, "gateway", "prompt part is sound again", {{"part", part}});
         if (m_onQuarantine) {
             m_onQuarantine();
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -34,15 +34,21 @@
     /** @returns the quarantined part because of which a request must not be sent, if there is one. */
     std::optional<quarantined_part> blocking(std::span<const std::string> parts) const;
 
-    /** @returns whether endpoints have recently answered requests with each of the parts. */
+    /** @returns whether endpoints have recently come beyond the beginning of answers with each of the parts. */
     bool areAnswered(std::span<const std::string> parts) const;
 
+    /** @returns whether endpoints have recently answered requests with each of the parts to the end. */
+    bool areWhollyAnswered(std::span<const std::string> parts) const;
+
     /** A request that is not blocked is sent. @param request told of quarantines until onAttemptEnd() */
     void onSend(const std::shared_ptr<quarantine_observer> &request);
 
     void onAttemptEnd(const quarantine_observer &request);
 
-    /** An endpoint answered a request with these parts, at least beyond the beginning. */
+    /** An endpoint came beyond the beginning of its answer to a request with these parts. */
+    void onAnswerBegun(std::span<const std::string> parts);
+
+    /** An endpoint answered a request with these parts to the end. */
     void onAnswered(std::span<const std::string> parts);
 
     /** @copydoc crash_detector::onUnanswered */
@@ -71,6 +77,7 @@
 
 private:
     void onCrash(const endpoint_crash &crash);
+    void announceReleased(const std::vector<std::string> &parts);
     /**
      * Tells the requests at endpoints of a quarantine. It happens later, from the event loop, as the call that led to
      * the quarantine may come from the middle of the work on one of these requests.
--- a/src/gateway/gateway_exchange.cpp
+++ b/src/gateway/gateway_exchange.cpp
@@ -21,7 +21,8 @@
 // Callers abandon a stream after 2 s without an event, so the timeouts leave time to resume it at another endpoint.
 constexpr std::chrono::milliseconds firstEventTimeout {1300};
 constexpr std::chrono::milliseconds eventTimeout {900};
-// An endpoint that has sent this many events has come beyond the beginning of its answer.
+// An endpoint that has sent this many events has come beyond the beginning of its answer: a head and one event may be
+// sent before it begins to write.
 constexpr std::int64_t answeredEvents = 2;
 // An idempotent request without a response after this multiple of its latency target is retried elsewhere.
 constexpr int idempotentTargetMultiple = 2;
@@ -265,6 +266,7 @@
     countAnswer();
     m_answerPaused = false;
     m_relayingEvents = false;
+    m_endpointLost = false;
     m_attemptStatus = 0;
 }
 
@@ -535,7 +537,7 @@
         recordFirstByte();
     }
     if (m_events.attemptEvents() == answeredEvents) {
-        m_context.guard.onAnswered(m_plan.promptParts);
+        m_context.guard.onAnswerBegun(m_plan.promptParts);
     }
     const bool follows = m_events.eventsRelayed() > 1;
     m_context.endpoints.recordEvent(*m_endpoint, follows ? std::optional(now - m_lastEventAt) : std::nullopt, now);
@@ -602,10 +604,9 @@
         m_mayHaveRun = true;
     }
     const bool again = mayTryAgain(end);
-    const bool mayHaveCrashed = end == attempt_outcome::failed && m_events.attemptEvents() < answeredEvents
-        && !m_context.guard.areAnswered(m_plan.promptParts);
+    const bool awaitsJudgement = end == attempt_outcome::failed && mayHaveCrashed();
     endAttempt(end, cause);
-    if (again && mayHaveCrashed && m_replacement == nullptr) {
+    if (again && awaitsJudgement && m_replacement == nullptr) {
         requestPlacementLater();
         return;
     }
@@ -624,14 +625,23 @@
     }
 }
 
+bool gateway_exchange::mayHaveCrashed() const
+{
+    if (m_events.attemptEvents() < answeredEvents) {
+        return !m_context.guard.areAnswered(m_plan.promptParts);
+    }
+    return m_endpointLost && !m_context.guard.areWhollyAnswered(m_plan.promptParts);
+}
+
 void gateway_exchange::noteUnanswered(attempt_end end)
 {
-    if (m_endpoint == nullptr || m_events.attemptEvents() >= answeredEvents) {
+    if (m_endpoint == nullptr) {
         return;
     }
-    // One event is the beginning of an answer, too: an endpoint may send heads at once and crash as it begins to write.
+    m_endpointLost = end == attempt_end::by_endpoint;
     const bool begun = isSuccessStatus(m_attemptStatus);
-    m_context.guard.onUnanswered(*m_endpoint, {m_plan.promptParts, begun}, end);
+    const bool writing = begun && m_events.attemptEvents() >= answeredEvents;
+    m_context.guard.onUnanswered(*m_endpoint, {m_plan.promptParts, begun, writing}, end);
 }
 
 bool gateway_exchange::mayTryAgain(attempt_outcome end)
--- a/src/gateway/gateway_exchange.h
+++ b/src/gateway/gateway_exchange.h
@@ -126,6 +126,8 @@
     void onDeadline();
     void recordFirstByte();
     void noteUnanswered(attempt_end end);
+    /** @returns whether the request may have crashed the endpoint of the attempt that fails now. */
+    bool mayHaveCrashed() const;
 
     const gateway_context &m_context;
     const gateway_request m_request;
@@ -155,6 +157,7 @@
     memory_share m_heldMemory; ///< For the prompt parts, m_body and incomplete events.
     bool m_answerPaused = false; ///< The whole answer is not read on, as no memory is left.
     event_relay m_events;
+    bool m_endpointLost = false; ///< The endpoint broke the current attempt off.
     int m_attemptStatus = 0; ///< Status of the response to the current attempt; 0 before its head.
     std::optional<time_point> m_firstByteAt;
 };
--- a/src/gateway/quarantine_record.cpp
+++ b/src/gateway/quarantine_record.cpp
@@ -173,7 +173,7 @@
         kept = decodeQuarantineRecord(current.value()->value, now, wallClock);
     }
     if (!m_loaded && !kept.empty()) {
-        m_onRead({{}, {}, kept});
+        m_onRead({{}, {}, kept, {}});
     }
     m_loaded = true;
     crash_evidence news;
--- a/src/quarantine/answered_parts.h
+++ b/src/quarantine/answered_parts.h
@@ -12,11 +12,18 @@
 class answered_parts
 {
 public:
-    void record(const std::string &part, time_point at, time_point now);
+    /** An answer came beyond its beginning. */
+    void recordBeginning(const std::string &part, time_point at, time_point now);
 
-    /** @returns the time of the last answer, or nothing if none is remembered. */
+    /** An answer came to its end. */
+    void recordWhole(const std::string &part, time_point at, time_point now);
+
+    /** @returns when an answer last came beyond its beginning, or to its end; nothing if none is remembered. */
     std::optional<time_point> lastAnswer(const std::string &part) const;
 
+    /** @returns when an answer last came to its end, or nothing if none is remembered. */
+    std::optional<time_point> lastWholeAnswer(const std::string &part) const;
+
     std::size_t size() const
     {
         return m_recent.size() + m_earlier.size();
@@ -26,7 +33,16 @@
     static constexpr std::chrono::minutes lifetime {10}; ///< At least half of it.
 
 private:
-    using part_times = std::unordered_map<std::string, time_point>;
+    struct answer_times
+    {
+        time_point beginning = time_point::min();
+        time_point whole = time_point::min();
+    };
+    using part_times = std::unordered_map<std::string, answer_times>;
+
+    /** @returns the recent times of a part, which are kept until later ones have taken their place. */
+    answer_times &recent(const std::string &part, time_point now);
+    std::optional<time_point> latest(const std::string &part, time_point answer_times::*time) const;
 
     part_times m_recent;
     part_times m_earlier; ///< Recorded before all of m_recent; dropped as a whole.
--- a/src/quarantine/crash_evidence.h
+++ b/src/quarantine/crash_evidence.h
@@ -14,12 +14,13 @@
 struct crash_evidence
 {
     std::vector<endpoint_crash> crashes;
-    std::map<std::string, time_point> answers; ///< Last start of an answer, of suspected parts.
+    std::map<std::string, time_point> answers; ///< Last end of an answer, of suspected parts.
     std::vector<quarantined_part> quarantined;
+    std::map<std::string, time_point> beginnings; ///< Last time that an answer came beyond its beginning.
 
     bool empty() const
     {
-        return crashes.empty() && answers.empty() && quarantined.empty();
+        return crashes.empty() && answers.empty() && quarantined.empty() && beginnings.empty();
     }
 
     friend bool operator==(const crash_evidence &, const crash_evidence &) = default;
--- a/src/quarantine/crash_evidence_codec.cpp
+++ b/src/quarantine/crash_evidence_codec.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t maxIdBytes = 64; ///< Of an endpoint or a part.
 constexpr int maxConvictions = 32;
 constexpr std::chrono::hours maxAge {24};
+constexpr std::size_t writingIndex = 2; ///< In a suspect.
+constexpr std::size_t wholeIndex = 2; ///< Of the age of the last whole answer, in the entry of an answer.
 
 std::int64_t ageOf(time_point at, time_point now)
 {
@@ -54,12 +56,30 @@
     std::size_t m_left = maxEncodedParts;
 };
 
+/** @returns 0 for the likeliest causes of a crash, which are told first. */
+int orderOfTelling(const crash_suspect &suspect)
+{
+    if (!suspect.begun) {
+        return 1;
+    }
+    return suspect.writing ? 2 : 0;
+}
+
+json encodeSuspect(const crash_suspect &suspect, std::vector<std::string> parts)
+{
+    json encoded = {suspect.begun, std::move(parts)};
+    if (suspect.writing) {
+        encoded.push_back(true); // Readers of the earlier version ignore it.
+    }
+    return encoded;
+}
+
 /** Encodes crashes and the answers that clear their parts: without these, a receiver would blame popular parts. */
 class crash_encoder
 {
 public:
     crash_encoder(const crash_evidence &evidence, time_point now, part_budget &budget)
-        : m_answers(evidence.answers), m_now(now), m_budget(budget)
+        : m_answers(evidence.answers), m_beginnings(evidence.beginnings), m_now(now), m_budget(budget)
     {
     }
 
@@ -80,10 +100,17 @@
     json encodeAnswers()
     {
         json answers = json::array();
-        for (const auto &[part, at] : m_answers) {
-            if (m_toldAnswers.contains(part) || m_budget.take(1)) {
-                answers.push_back({part, ageOf(at, m_now)});
+        std::map<std::string, time_point> last = m_beginnings;
+        last.insert(m_answers.begin(), m_answers.end());
+        for (const auto &[part, at] : last) {
+            if (!m_toldAnswers.contains(part) && !m_budget.take(1)) {
+                continue;
             }
+            json entry = {part, ageOf(at, m_now)};
+            if (const auto whole = lastWholeAnswer(part)) {
+                entry.push_back(ageOf(*whole, m_now));
+            }
+            answers.push_back(std::move(entry));
         }
         return answers;
     }
@@ -92,7 +119,7 @@
     /** Takes at most half of the budget, as older crashes must be told, too. */
     json encodeSuspects(std::vector<crash_suspect> suspects)
     {
-        std::ranges::stable_sort(suspects, std::greater(), &crash_suspect::begun);
+        std::ranges::stable_sort(suspects, {}, orderOfTelling);
         std::size_t room = m_budget.left() / 2;
         std::size_t untold = suspects.size();
         json told = json::array();
@@ -100,18 +127,18 @@
             const std::size_t share = std::max(room / untold, leastToldParts);
             --untold;
             std::vector<std::string> parts =
-                likeliestParts(suspect.parts, share, [this](const std::string &part) { return lastAnswer(part); });
+                likeliestParts(suspect.parts, share, [this](const std::string &part) { return lastWholeAnswer(part); });
             const std::size_t needed = parts.size() + untoldAnswers(parts);
             if (needed <= room && m_budget.take(needed)) {
                 room -= needed;
                 m_toldAnswers.insert(parts.begin(), parts.end());
-                told.push_back({suspect.begun, std::move(parts)});
+                told.push_back(encodeSuspect(suspect, std::move(parts)));
             }
         }
         return told;
     }
 
-    std::optional<time_point> lastAnswer(const std::string &part) const
+    std::optional<time_point> lastWholeAnswer(const std::string &part) const
     {
         const auto found = m_answers.find(part);
         return found == m_answers.end() ? std::nullopt : std::optional(found->second);
@@ -121,12 +148,13 @@
     std::size_t untoldAnswers(const std::vector<std::string> &parts) const
     {
         const auto count = std::ranges::count_if(parts, [this](const std::string &part) {
-            return m_answers.contains(part) && !m_toldAnswers.contains(part);
+            return (m_answers.contains(part) || m_beginnings.contains(part)) && !m_toldAnswers.contains(part);
         });
         return static_cast<std::size_t>(count);
     }
 
     const std::map<std::string, time_point> &m_answers;
+    const std::map<std::string, time_point> &m_beginnings;
     const time_point m_now;
     part_budget &m_budget;
     json m_crashes = json::array();
@@ -166,6 +194,7 @@
         for (const json &suspect : entry.at(3)) {
             crash_suspect decoded;
             suspect.at(0).get_to(decoded.begun);
+            decoded.writing = suspect.size() > writingIndex && suspect.at(writingIndex).get<bool>();
             for (const json &part : suspect.at(1)) {
                 decoded.parts.push_back(idOf(part));
             }
@@ -174,7 +203,11 @@
         evidence.crashes.push_back(std::move(crash));
     }
     for (const json &entry : value.at(2)) {
-        evidence.answers[idOf(entry.at(0))] = timeOf(entry.at(1), now);
+        const std::string part = idOf(entry.at(0));
+        evidence.beginnings[part] = timeOf(entry.at(1), now);
+        if (entry.size() > wholeIndex) {
+            evidence.answers[part] = timeOf(entry.at(wholeIndex), now);
+        }
     }
     return evidence;
 }
--- a/src/quarantine/crash_suspect.h
+++ b/src/quarantine/crash_suspect.h
@@ -10,7 +10,8 @@
 struct crash_suspect
 {
     std::vector<std::string> parts; ///< Ids of the prompt parts that other requests may share, in order.
-    bool begun = false; ///< The endpoint had begun to answer, but had not come beyond the beginning.
+    bool begun = false; ///< The endpoint had begun to answer.
+    bool writing = false; ///< Its answer had come beyond the beginning; only if it had begun.
 
     friend bool operator==(const crash_suspect &, const crash_suspect &) = default;
 };
--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -16,15 +16,20 @@
 constexpr double crashesToConvictAnswered = 4;
 constexpr double crashesToConvictAgain = waitingWeight;
 
-bool anyBegun(const endpoint_crash &crash)
+bool wasBeginning(const crash_suspect &suspect)
 {
-    return std::ranges::any_of(crash.suspects, &crash_suspect::begun);
+    return suspect.begun && !suspect.writing;
+}
+
+bool cameEquallyFar(const crash_suspect &left, const crash_suspect &right)
+{
+    return left.begun == right.begun && left.writing == right.writing;
 }
 
 /** @returns whether two suspects are one request, of which another gateway may have told only some parts. */
 bool isSame(const crash_suspect &known, const crash_suspect &told)
 {
-    if (known.begun != told.begun || told.parts.size() < leastToldParts) {
+    if (!cameEquallyFar(known, told) || told.parts.size() < leastToldParts) {
         return known == told;
     }
     return std::ranges::all_of(told.parts, [&known](const std::string &part) {
@@ -46,20 +51,35 @@
 {
 }
 
+std::vector<std::string> part_quarantine::recordBeginning(std::span<const std::string> parts, time_point now)
+{
+    return noteAnswers(parts, answer_extent::beginning, now);
+}
+
 std::vector<std::string> part_quarantine::recordAnswer(std::span<const std::string> parts, time_point now)
+{
+    return noteAnswers(parts, answer_extent::whole, now);
+}
+
+std::vector<std::string> part_quarantine::noteAnswers(std::span<const std::string> parts, answer_extent extent,
+                                                      time_point now)
 {
     std::vector<std::string> released;
     for (const std::string &part : parts) {
-        if (noteAnswer(part, now, now)) {
+        if (noteAnswer(part, extent, now, now)) {
             released.push_back(part);
         }
     }
     return released;
 }
 
-bool part_quarantine::noteAnswer(const std::string &part, time_point at, time_point now)
+bool part_quarantine::noteAnswer(const std::string &part, answer_extent extent, time_point at, time_point now)
 {
-    m_answered.record(part, at, now);
+    if (extent == answer_extent::whole) {
+        m_answered.recordWhole(part, at, now);
+    } else {
+        m_answered.recordBeginning(part, at, now);
+    }
     m_firstAnswerAt = std::min(at, m_firstAnswerAt.value_or(at));
     const auto found = m_quarantined.find(part);
     if (found == m_quarantined.end()) {
@@ -67,7 +87,8 @@
     }
     // Any answer disproves that the part was never answered, which a suspicion rests on.
     const quarantined_part &entry = found->second.entry;
-    if (entry.convictions > 0 && at <= entry.since) {
+    const bool isDisproved = extent == answer_extent::whole && at > entry.since;
+    if (entry.convictions > 0 && !isDisproved) {
         return false;
     }
     m_quarantined.erase(found);
@@ -88,7 +109,9 @@
     for (const crash_suspect &suspect : crash.suspects) {
         const bool isNew = std::ranges::none_of(
             merged.suspects, [&suspect](const crash_suspect &other) { return isSame(other, suspect); });
-        if (isNew && !suspect.parts.empty() && merged.suspects.size() < maxSuspects) {
+        const auto alike = std::ranges::count_if(
+            merged.suspects, [&suspect](const crash_suspect &other) { return cameEquallyFar(other, suspect); });
+        if (isNew && !suspect.parts.empty() && alike < static_cast<std::ptrdiff_t>(maxSuspects)) {
             merged.suspects.push_back(suspect);
             ++m_version;
         }
@@ -116,18 +139,22 @@
 
 std::vector<std::string> part_quarantine::likeliest(const std::vector<std::string> &parts, std::size_t room) const
 {
-    return likeliestParts(parts, room, [this](const std::string &part) { return m_answered.lastAnswer(part); });
+    return likeliestParts(parts, room, [this](const std::string &part) { return m_answered.lastWholeAnswer(part); });
 }
 
 std::vector<quarantined_part> part_quarantine::merge(const crash_evidence &evidence, time_point now)
 {
     expire(now);
+    for (const auto &[part, at] : evidence.beginnings) {
+        noteAnswer(part, answer_extent::beginning, at, now);
+    }
     for (const auto &[part, at] : evidence.answers) {
-        noteAnswer(part, at, now);
+        noteAnswer(part, answer_extent::whole, at, now);
     }
     std::vector<quarantined_part> added;
     for (const quarantined_part &told : evidence.quarantined) {
-        const auto answered = m_answered.lastAnswer(told.part);
+        const auto answered =
+            told.convictions == 0 ? m_answered.lastAnswer(told.part) : m_answered.lastWholeAnswer(told.part);
         const auto known = m_quarantined.find(told.part);
         const bool isNews = known == m_quarantined.end() || told.convictions > known->second.entry.convictions;
         const bool isDisproved = answered && (told.convictions == 0 || *answered > told.since);
@@ -156,35 +183,70 @@
     });
 }
 
+bool part_quarantine::isCleared(const std::string &part, answer_extent extent, time_point crashedAt) const
+{
+    const auto answered =
+        extent == answer_extent::whole ? m_answered.lastWholeAnswer(part) : m_answered.lastAnswer(part);
+    return answered && *answered >= crashedAt;
+}
+
+std::set<std::string> part_quarantine::partsLostInMidAnswer(const crash_list &crashes) const
+{
+    std::set<std::string> parts;
+    for (const endpoint_crash *crash : crashes) {
+        for (const crash_suspect &suspect : crash->suspects) {
+            for (std::size_t index = 0; suspect.writing && index < suspect.parts.size(); ++index) {
+                if (!isCleared(suspect.parts[index], answer_extent::whole, crash->at)) {
+                    parts.insert(suspect.parts[index]);
+                }
+            }
+        }
+    }
+    return parts;
+}
+
+std::map<std::string, part_quarantine::part_blame> part_quarantine::blames(const endpoint_crash &crash,
+                                                                           const std::set<std::string> &midAnswer) const
+{
+    const double weightOfWaiting = std::ranges::any_of(crash.suspects, wasBeginning) ? 0 : waitingWeight;
+    std::map<std::string, part_blame> blames;
+    for (const crash_suspect &suspect : crash.suspects) {
+        const double weight = suspect.begun ? 1.0 : weightOfWaiting;
+        for (std::size_t index = 0; weight > 0 && index < suspect.parts.size(); ++index) {
+            const std::string &part = suspect.parts[index];
+            // The beginning of an answer that may have crashed an endpoint itself proves nothing.
+            const auto extent = midAnswer.contains(part) ? answer_extent::whole : answer_extent::beginning;
+            if (isCleared(part, extent, crash.at)) {
+                continue;
+            }
+            part_blame &blame = blames[part];
+            blame.weight = std::max(blame.weight, weight);
+            blame.position = std::max(blame.position, index);
+        }
+    }
+    return blames;
+}
+
 std::map<std::string, part_quarantine::part_score> part_quarantine::scores(time_point now) const
 {
-    std::vector<const endpoint_crash *> crashes;
+    crash_list crashes;
     for (const auto &[run, crash] : m_crashes) {
         if (now - crash.at >= settlingTime && !isExplained(crash)) {
             crashes.push_back(&crash);
         }
     }
     std::ranges::sort(crashes, {}, &endpoint_crash::at);
+    const std::set<std::string> midAnswer = partsLostInMidAnswer(crashes);
     std::map<std::string, part_score> scores;
     for (const endpoint_crash *crash : crashes) {
-        const bool begun = anyBegun(*crash);
-        std::map<std::string, std::size_t> positions;
-        for (const crash_suspect &suspect : crash->suspects) {
-            for (std::size_t index = 0; suspect.begun == begun && index < suspect.parts.size(); ++index) {
-                positions[suspect.parts[index]] = std::max(positions[suspect.parts[index]], index);
-            }
-        }
-        for (const auto &[part, position] : positions) {
-            const auto answered = m_answered.lastAnswer(part);
-            if (answered && *answered >= crash->at) {
-                continue;
-            }
+        for (const auto &[part, blame] : blames(*crash, midAnswer)) {
             part_score &score = scores[part];
-            score.position = std::max(score.position, position);
-            const bool countsOnce = !begun || answered.has_value();
+            score.position = std::max(score.position, blame.position);
+            score.hasBegun = isAnswered(part) || midAnswer.contains(part);
+            const bool countsOnce = blame.weight < 1 || score.hasBegun;
             const bool together = score.crashes > 0 && crash->at - score.lastCountedAt < simultaneous;
             if (!(countsOnce && together)) {
-                score.crashes += begun ? 1.0 : waitingWeight;
+                score.crashes += blame.weight;
                 score.lastCountedAt = crash->at;
             }
         }
@@ -218,7 +280,7 @@
     std::optional<std::string> worst;
     std::pair<double, std::size_t> worstRank;
     for (const auto &[part, score] : scores(now)) {
-        double needed = isAnswered(part) ? crashesToConvictAnswered : crashesToConvict;
+        double needed = score.hasBegun ? crashesToConvictAnswered : crashesToConvict;
         const auto known = m_quarantined.find(part);
         if (known != m_quarantined.end() && known->second.entry.convictions > 0) {
             needed = crashesToConvictAgain;
@@ -239,7 +301,7 @@
     for (const crash_suspect &suspect : crash.suspects) {
         const auto unanswered = std::ranges::find_if(suspect.parts.rbegin(), suspect.parts.rend(),
                                                      [this](const std::string &part) { return !isAnswered(part); });
-        if (!suspect.begun || unanswered == suspect.parts.rend()) {
+        if (!wasBeginning(suspect) || unanswered == suspect.parts.rend()) {
             continue;
         }
         if (only && *only != *unanswered) {
@@ -334,7 +396,15 @@
     for (const auto &[part, state] : m_quarantined) {
         known.quarantined.push_back(state.entry);
     }
-    known.answers = m_released;
+    const auto tell = [this, &known](const std::string &part, time_point at) {
+        known.beginnings[part] = at;
+        if (const auto whole = m_answered.lastWholeAnswer(part)) {
+            known.answers[part] = *whole;
+        }
+    };
+    for (const auto &[part, at] : m_released) {
+        tell(part, at);
+    }
     for (const auto &[run, crash] : m_crashes) {
         if (isExplained(crash)) {
             continue;
@@ -343,7 +413,7 @@
         for (const crash_suspect &suspect : crash.suspects) {
             for (const std::string &part : suspect.parts) {
                 if (const auto answered = m_answered.lastAnswer(part)) {
-                    known.answers[part] = *answered;
+                    tell(part, *answered);
                 }
             }
         }
--- a/src/quarantine/part_quarantine.h
+++ b/src/quarantine/part_quarantine.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -15,11 +16,11 @@
 /**
  * Decides which prompt parts crash the endpoints that answer them, and which requests are refused therefore.
  *
- * A crash counts against the parts of the requests that the endpoint was beginning to answer; if there are none, it
- * counts half against those that it had not begun to answer. An answer with a part clears the part of all earlier
- * crashes. A part that has been answered recently needs more crashes, and simultaneous ones count once, so that
- * failures with other causes do not convict popular prompts. A crash that a convicted part explains does not count
- * against others.
+ * A crash counts against the parts of the requests that the endpoint was answering; if it was beginning none of them,
+ * it counts half against those that it had not begun to answer. What clears a part of all earlier crashes is an answer
+ * that came further than the lost one: beyond its beginning, or to its end if the lost one had come beyond that. A part
+ * that has been answered recently needs more crashes, and simultaneous ones count once, so that failures with other
+ * causes do not convict popular prompts. A crash that a convicted part explains does not count against others.
  *
  * After its first crash, a part that was never answered is refused for a short time if no other one fits. What is known
  * is bounded and expires. After a quarantine single requests are let through: an answer ends it, a further crash
@@ -39,7 +40,7 @@
     static constexpr std::chrono::milliseconds simultaneous {250}; ///< Crashes within it may have one cause.
     static constexpr std::chrono::milliseconds settlingTime {100}; ///< Of the evidence on a crash.
     static constexpr std::size_t maxCrashes = 64;
-    static constexpr std::size_t maxSuspects = 32; ///< Of one crash.
+    static constexpr std::size_t maxSuspects = 32; ///< Of one crash that had come equally far.
     static constexpr std::size_t maxSuspectParts = 128; ///< Of one suspect.
     static constexpr std::size_t maxCrashParts = 32768; ///< Of all suspects of all crashes.
     static constexpr std::size_t maxQuarantined = 256;
@@ -47,7 +48,10 @@
     /** @param seed of the random numbers that keep the trials of several gateways apart */
     explicit part_quarantine(std::uint64_t seed);
 
-    /** A request with these parts was answered, at least beyond the beginning. @returns parts whose quarantine ends */
+    /** An answer to a request with these parts came beyond its beginning. @returns parts that are suspected no more */
+    std::vector<std::string> recordBeginning(std::span<const std::string> parts, time_point now);
+
+    /** A request with these parts was answered to the end. @returns parts whose quarantine ends */
     std::vector<std::string> recordAnswer(std::span<const std::string> parts, time_point now);
 
     /** Adds a crash, or suspects to a known one. It is judged by a later update(). */
@@ -75,12 +79,18 @@
         return m_crashes.contains(run);
     }
 
-    /** @returns whether the part was answered within the time that is remembered. */
+    /** @returns whether an answer with the part came beyond its beginning, within the time that is remembered. */
     bool isAnswered(const std::string &part) const
     {
         return m_answered.lastAnswer(part).has_value();
     }
 
+    /** @returns whether an answer with the part came to its end, within the time that is remembered. */
+    bool isWhollyAnswered(const std::string &part) const
+    {
+        return m_answered.lastWholeAnswer(part).has_value();
+    }
+
     /** @returns at most @p room of the parts, those that most likely crash endpoints; see likeliestParts(). */
     std::vector<std::string> likeliest(const std::vector<std::string> &parts, std::size_t room) const;
 
@@ -100,16 +110,37 @@
         time_point nextTrialAt {};
     };
 
+    /** How one crash counts against a part. */
+    struct part_blame
+    {
+        double weight = 0;
+        std::size_t position = 0; ///< Last position in the prompt of a suspect.
+    };
+
     struct part_score
     {
         double crashes = 0;
         std::size_t position = 0; ///< Last position in the prompt of a suspect.
+        bool hasBegun = false; ///< An answer with the part came beyond its beginning.
         time_point lastCountedAt {};
     };
 
+    using crash_list = std::vector<const endpoint_crash *>;
+
+    enum class answer_extent {
+        beginning, ///< The answer came beyond its beginning.
+        whole,
+    };
+
+    std::vector<std::string> noteAnswers(std::span<const std::string> parts, answer_extent extent, time_point now);
     /** @returns whether the answer ended a quarantine. */
-    bool noteAnswer(const std::string &part, time_point at, time_point now);
+    bool noteAnswer(const std::string &part, answer_extent extent, time_point at, time_point now);
     bool isExplained(const endpoint_crash &crash) const;
+    /** @returns whether an answer of this extent with the part has come since the crash. */
+    bool isCleared(const std::string &part, answer_extent extent, time_point crashedAt) const;
+    /** @returns the parts of answers that crashes cut, and that no answer has come to the end with since. */
+    std::set<std::string> partsLostInMidAnswer(const crash_list &crashes) const;
+    std::map<std::string, part_blame> blames(const endpoint_crash &crash, const std::set<std::string> &midAnswer) const;
     std::map<std::string, part_score> scores(time_point now) const;
     std::optional<std::string> worstPart(time_point now) const;
     std::optional<std::string> onlySuspect(const endpoint_crash &crash) const;
--- a/tests/gateway/crashing_prompt_test.cpp
+++ b/tests/gateway/crashing_prompt_test.cpp
@@ -44,6 +44,13 @@
         }
     }
 
+    void crashAfter(int events)
+    {
+        for (crashing_engine &engine : m_engines) {
+            engine.crashAfter(events);
+        }
+    }
+
     void beginEarly()
     {
         for (crashing_engine &engine : m_engines) {
@@ -134,6 +141,7 @@
     std::vector<std::string> deadly;
     int requests; ///< With a deadly part, one after the other.
     std::chrono::milliseconds pause;
+    int events = 0; ///< That an engine sends before the part ends it.
 };
 
 class crashing_prompt : public testing::TestWithParam<bad_requests_row>
@@ -144,6 +152,7 @@
 {
     crashing_engines site;
     site.setDeadly({GetParam().deadly.begin(), GetParam().deadly.end()});
+    site.crashAfter(GetParam().events);
     site.learnPopularPrompts();
     std::map<std::string, std::ptrdiff_t> arrivalsAtFifthCrash;
     for (int request = 0; request < GetParam().requests; ++request) {
@@ -163,12 +172,18 @@
     EXPECT_EQ(site.ask("system:40,own:7").status, 200);
 }
 
-INSTANTIATE_TEST_SUITE_P(rows, crashing_prompt,
-                         testing::Values(bad_requests_row {"one_part_crashes_engine_after_engine", {"bad"}, 40, 30ms},
-                                         bad_requests_row {"many_requests_crash_all_engines", {"bad"}, 100, 1ms},
-                                         bad_requests_row {"few_requests_are_forgotten", {"bad"}, 5, 600ms},
-                                         bad_requests_row {"two_parts_hide_each_other", {"bad1", "bad2"}, 20, 30ms}),
-                         [](const auto &row) { return std::string(row.param.name); });
+INSTANTIATE_TEST_SUITE_P(
+    rows, crashing_prompt,
+    testing::Values(bad_requests_row {"one_part_crashes_engine_after_engine", {"bad"}, 40, 30ms},
+                    bad_requests_row {"many_requests_crash_all_engines", {"bad"}, 100, 1ms},
+                    bad_requests_row {"few_requests_are_forgotten", {"bad"}, 5, 600ms},
+                    bad_requests_row {"two_parts_hide_each_other", {"bad1", "bad2"}, 20, 30ms},
+                    bad_requests_row {"crash_after_two_events_clears_its_part", {"bad"}, 40, 30ms, 2},
+                    bad_requests_row {"crash_after_four_events_clears_its_part", {"bad"}, 40, 30ms, 4},
+                    bad_requests_row {"crash_at_the_end_clears_its_part", {"bad"}, 40, 30ms, 5},
+                    bad_requests_row {"few_late_crashes_are_forgotten", {"bad"}, 8, 600ms, 3},
+                    bad_requests_row {"two_late_parts_hide_each_other", {"bad1", "bad2"}, 20, 30ms, 2}),
+    [](const auto &row) { return std::string(row.param.name); });
 
 struct position_row
 {
--- a/tests/gateway/quarantine_record_test.cpp
+++ b/tests/gateway/quarantine_record_test.cpp
@@ -35,7 +35,7 @@
 
     void save(const std::vector<quarantined_part> &entries, const std::map<std::string, time_point> &answers = {})
     {
-        m_record.save({{}, answers, entries});
+        m_record.save({{}, answers, entries, {}});
     }
 
     std::vector<quarantined_part> read()
--- a/tests/quarantine/part_quarantine_test.cpp
+++ b/tests/quarantine/part_quarantine_test.cpp
@@ -28,6 +28,12 @@
         quarantine.recordAnswer(prompt, now);
     }
 
+    /** An answer comes beyond its beginning. */
+    void begin(const parts &prompt)
+    {
+        quarantine.recordBeginning(prompt, now);
+    }
+
     /** Answers other prompts, so that the gateway knows what is popular. */
     void learn()
     {
@@ -59,7 +65,7 @@
 
 struct step
 {
-    enum class kind { answer, begun, waiting, pause } what;
+    enum class kind { answer, beginning, begun, writing, waiting, pause } what;
     parts prompt;
     boot_clock::duration time {0}; ///< Of a pause.
 };
@@ -85,10 +91,12 @@
     for (const step &next : GetParam().steps) {
         if (next.what == answer) {
             run.answer(next.prompt);
+        } else if (next.what == beginning) {
+            run.begin(next.prompt);
         } else if (next.what == pause) {
             run.now += next.time;
         } else {
-            run.crash({{next.prompt, next.what == begun}});
+            run.crash({{next.prompt, next.what == begun || next.what == writing, next.what == writing}});
             run.settle();
         }
     }
@@ -180,7 +188,59 @@
                        {"other"},
                        {"rare"}},
         judgement_row {
-            "suspicion_lasts_although_nothing_confirms_it", {{begun, {"rare"}}, {pause, {}, 41s}}, {}, {"rare"}}),
+            "suspicion_lasts_although_nothing_confirms_it", {{begun, {"rare"}}, {pause, {}, 41s}}, {}, {"rare"}},
+        judgement_row {"part_that_crashes_in_mid_answer_is_cleared_by_the_beginnings_of_its_answers",
+                       {{beginning, {"system", "bad"}},
+                        {writing, {"system", "bad"}},
+                        {pause, {}, 1s},
+                        {answer, {"system"}},
+                        {beginning, {"system", "bad"}},
+                        {writing, {"system", "bad"}},
+                        {pause, {}, 1s},
+                        {answer, {"system"}},
+                        {beginning, {"system", "bad"}},
+                        {writing, {"system", "bad"}},
+                        {pause, {}, 1s},
+                        {answer, {"system"}},
+                        {beginning, {"system", "bad"}},
+                        {writing, {"system", "bad"}}},
+                       {"bad"},
+                       {"system"}},
+        judgement_row {"part_that_crashes_now_sooner_now_later_is_not_recognized",
+                       {{begun, {"bad"}},
+                        {pause, {}, 1s},
+                        {beginning, {"bad"}},
+                        {writing, {"bad"}},
+                        {pause, {}, 1s},
+                        {begun, {"bad"}},
+                        {pause, {}, 1s},
+                        {beginning, {"bad"}},
+                        {writing, {"bad"}},
+                        {pause, {}, 1s},
+                        {begun, {"bad"}},
+                        {pause, {}, 1s},
+                        {beginning, {"bad"}},
+                        {writing, {"bad"}}},
+                       {"bad"},
+                       {"system"}},
+        judgement_row {"long_answers_beside_crashes_with_other_causes_are_taken_for_bad",
+                       {{writing, {"long"}},
+                        {pause, {}, 1s},
+                        {writing, {"long"}},
+                        {answer, {"long"}},
+                        {writing, {"long"}},
+                        {pause, {}, 1s},
+                        {writing, {"long"}},
+                        {answer, {"long"}},
+                        {writing, {"long"}}},
+                       {},
+                       {"long"}},
+        judgement_row {"one_lost_answer_of_an_unknown_part_is_a_suspicion", {{writing, {"rare"}}}, {}, {"rare"}},
+        judgement_row {
+            "answer_that_is_lost_three_times_is_taken_for_bad",
+            {{writing, {"rare"}}, {pause, {}, 1s}, {writing, {"rare"}}, {pause, {}, 1s}, {writing, {"rare"}}},
+            {},
+            {"rare"}}),
     [](const auto &row) { return std::string(row.param.name); });
 
 TEST(part_quarantine, doesNotTakeAllPromptsOfALostDataCentreForBad)
@@ -230,6 +290,35 @@
     EXPECT_FALSE(run.blocks({"system"}));
 }
 
+// Sound requests that had just begun at the crashed endpoints took the blame alone.
+TEST(part_quarantine, convictsAPartInMidAnswerBesideRequestsThatBegin)
+{
+    quarantine_run run;
+    run.learn();
+    for (int count = 0; count < 4; ++count) {
+        run.begin({"system", "bad"});
+        run.crash({{{"system", "bad"}, true, true}, {{"system", "own" + std::to_string(count)}, true}});
+        run.now += 1s;
+        run.answer({"system"});
+    }
+    run.settle();
+    EXPECT_TRUE(run.blocks({"system", "bad"}));
+    EXPECT_FALSE(run.blocks({"system"}));
+}
+
+TEST(part_quarantine, doesNotTakeLongAnswersOfALostDataCentreForBad)
+{
+    quarantine_run run;
+    run.learn();
+    for (int endpoint = 0; endpoint < 20; ++endpoint) {
+        run.crash({{{"long"}, true, true}, {{"rare" + std::to_string(endpoint)}, true, true}});
+        run.now += 10ms;
+    }
+    run.settle();
+    EXPECT_FALSE(run.blocks({"long"}));
+    EXPECT_FALSE(run.blocks({"rare1"}));
+}
+
 /** A run in which "bad" was convicted just now. */
 quarantine_run convictedRun()
 {
@@ -273,6 +362,20 @@
     EXPECT_TRUE(run.quarantine.evidence(run.now).quarantined.empty());
 }
 
+// The trial of a part that crashes endpoints in mid-answer ended its quarantine before it crashed the next one.
+TEST(part_quarantine, isNotEndedByTheBeginningOfAnAnswer)
+{
+    quarantine_run run = convictedRun();
+    run.now += part_quarantine::firstDuration + part_quarantine::trialSpread;
+    run.quarantine.onSend(parts {"bad"}, run.now);
+    EXPECT_TRUE(run.quarantine.recordBeginning(parts {"bad"}, run.now).empty());
+    EXPECT_TRUE(run.blocks({"bad"}));
+    run.crash({{{"bad"}, true, true}});
+    run.settle();
+    EXPECT_TRUE(run.blocks({"bad"}));
+    EXPECT_EQ(run.quarantine.evidence(run.now).quarantined.front().convictions, 2);
+}
+
 TEST(part_quarantine, expiresWhenNobodyAsks)
 {
     quarantine_run run = convictedRun();
@@ -303,7 +406,7 @@
 {
     answered_parts answered;
     for (std::size_t part = 0; part < 3 * answered_parts::maxParts; ++part) {
-        answered.record(std::to_string(part), start, start);
+        answered.recordWhole(std::to_string(part), start, start);
     }
     EXPECT_LE(answered.size(), answered_parts::maxParts);
     EXPECT_TRUE(answered.lastAnswer(std::to_string(3 * answered_parts::maxParts - 1)));
@@ -340,6 +443,31 @@
     EXPECT_EQ(convicted.front().part, "bad");
 }
 
+// Another gateway takes what it hears as what it saw itself: answers that were lost midway, and those that came to an
+// end.
+TEST(crash_evidence, tellsHowFarAnswersCame)
+{
+    quarantine_run seen;
+    seen.learn();
+    for (int count = 0; count < 4; ++count) {
+        seen.answer({"sound"});
+        seen.now += 1s;
+        seen.begin({"bad"});
+        seen.quarantine.recordCrash({{"e" + std::to_string(count), 1},
+                                     seen.now,
+                                     {{{"sound", "bad"}, true, true}, {{"sound", "other"}, true, true}}});
+    }
+    crash_evidence told = received(seen.quarantine.evidence(seen.now), seen.now);
+    std::ranges::sort(told.crashes, {}, &endpoint_crash::at);
+    EXPECT_EQ(told, seen.quarantine.evidence(seen.now));
+    quarantine_run other;
+    other.now = seen.now;
+    other.quarantine.merge(told, other.now);
+    other.settle();
+    EXPECT_TRUE(other.blocks({"bad"}));
+    EXPECT_FALSE(other.blocks({"sound"}));
+}
+
 TEST(crash_evidence, releasesASuspicionThatAnotherGatewayDisproves)
 {
     quarantine_run suspicious;
--- a/tests/standins/crashing_engine.cpp
+++ b/tests/standins/crashing_engine.cpp
@@ -91,21 +91,19 @@
     if (m_beginsEarly) {
         std::this_thread::sleep_for(prefillTime);
     }
-    if (isDeadly(prompt)) {
-        if (m_beginsEarly) {
-            connection.send(chunk(eventOf(1)));
-            std::this_thread::sleep_for(eventInterval);
-        }
-        crash();
-        connection.waitForClose();
-        return false;
-    }
-    for (int number = last.empty() ? 1 : std::stoi(last) + 1; number <= events; ++number) {
+    const int first = last.empty() ? 1 : std::stoi(last) + 1;
+    const bool crashes = isDeadly(prompt);
+    for (int number = first; number <= events && !(crashes && number - first >= m_eventsBeforeCrash); ++number) {
         if (!connection.send(chunk(eventOf(number)))) {
             return false;
         }
         std::this_thread::sleep_for(eventInterval);
     }
+    if (crashes) {
+        crash();
+        connection.waitForClose();
+        return false;
+    }
     return connection.send("0\r\n\r\n");
 }
 
--- a/tests/standins/crashing_engine.h
+++ b/tests/standins/crashing_engine.h
@@ -43,6 +43,13 @@
     void beginEarly()
     {
         m_beginsEarly = true;
+        crashAfter(1);
+    }
+
+    /** From now on, a deadly part ends the engine when this many events of the answer were sent. */
+    void crashAfter(int eventCount)
+    {
+        m_eventsBeforeCrash = eventCount;
     }
 
     /** Ends the engine while requests run, whatever they hold. */
@@ -65,6 +72,7 @@
     std::string m_address;
     std::atomic<int> m_crashes {0};
     std::atomic<bool> m_beginsEarly {false};
+    std::atomic<int> m_eventsBeforeCrash {0};
     ranked_mutex m_mutex {lock_rank::leaf};
     std::condition_variable_any m_crashed;
     bool m_down = false;
