--- a/src/quarantine/crash_evidence_codec.cpp
+++ b/src/quarantine/crash_evidence_codec.cpp
@@ -65,9 +65,9 @@
     return suspect.writing ? 2 : 0;
 }
 
-json encodeSuspect(const crash_suspect &suspect, std::vector<std::string> parts)
+json encodeSuspect(const crash_suspect &suspect, const std::vector<std::string> &parts)
 {
-    json encoded = {suspect.begun, std::move(parts)};
+    json encoded = {suspect.begun, parts};
     if (suspect.writing) {
         encoded.push_back(true); // Readers of the earlier version ignore it.
     }
@@ -126,13 +126,13 @@
         for (const crash_suspect &suspect : suspects) {
             const std::size_t share = std::max(room / untold, leastToldParts);
             --untold;
-            std::vector<std::string> parts =
+            const std::vector<std::string> parts =
                 likeliestParts(suspect.parts, share, [this](const std::string &part) { return lastWholeAnswer(part); });
             const std::size_t needed = parts.size() + untoldAnswers(parts);
             if (needed <= room && m_budget.take(needed)) {
                 room -= needed;
                 m_toldAnswers.insert(parts.begin(), parts.end());
-                told.push_back(encodeSuspect(suspect, std::move(parts)));
+                told.push_back(encodeSuspect(suspect, parts));
             }
         }
         return told;
