quarantine: counting crashes and encoding them have files of their own

The count of crashes against parts is now a function of the crashes and the answers (part_score), the encoder of crashes and its budget of parts are types in files of their own.

--- a/src/quarantine/crash_evidence_codec.cpp
+++ b/src/quarantine/crash_evidence_codec.cpp
@@ -1,10 +1,9 @@
 #include "quarantine/crash_evidence_codec.h"
 
-#include "quarantine/likeliest_parts.h"
+#include "quarantine/crash_encoder.h"
 
 #include <algorithm>
 #include <functional>
-#include <set>
 
 namespace bronzechute {
 
@@ -18,11 +17,6 @@
 constexpr std::size_t writingIndex = 2; ///< In a suspect.
 constexpr std::size_t wholeIndex = 2; ///< Of the age of the last whole answer, in the entry of an answer.
 
-std::int64_t ageOf(time_point at, time_point now)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
-}
-
 time_point timeOf(const json &age, time_point now)
 {
     const std::chrono::milliseconds limit = maxAge;
@@ -34,138 +28,11 @@
     return value.get<std::string>().substr(0, maxIdBytes);
 }
 
-/** Limits the number of parts in one message. */
-class part_budget
-{
-public:
-    bool take(std::size_t parts)
-    {
-        if (parts > m_left) {
-            return false;
-        }
-        m_left -= parts;
-        return true;
-    }
-
-    std::size_t left() const
-    {
-        return m_left;
-    }
-
-private:
-    std::size_t m_left = maxEncodedParts;
-};
-
-/** @returns 0 for the likeliest causes of a crash, which are told first. */
-int orderOfTelling(const crash_suspect &suspect)
-{
-    if (!suspect.begun) {
-        return 1;
-    }
-    return suspect.writing ? 2 : 0;
-}
-
-json encodeSuspect(const crash_suspect &suspect, const std::vector<std::string> &parts)
-{
-    json encoded = {suspect.begun, parts};
-    if (suspect.writing) {
-        encoded.push_back(true); // Readers of the earlier version ignore it.
-    }
-    return encoded;
-}
-
-/** Encodes crashes and the answers that clear their parts: without these, a receiver would blame popular parts. */
-class crash_encoder
-{
-public:
-    crash_encoder(const crash_evidence &evidence, time_point now, part_budget &budget)
-        : m_answers(evidence.answers), m_beginnings(evidence.beginnings), m_now(now), m_budget(budget)
-    {
-    }
-
-    void add(const endpoint_crash &crash)
-    {
-        if (m_budget.take(1)) {
-            m_crashes.push_back(
-                {crash.run.endpoint, crash.run.startedAtMs, ageOf(crash.at, m_now), encodeSuspects(crash.suspects)});
-        }
-    }
-
-    json takeCrashes()
-    {
-        return std::move(m_crashes);
-    }
-
-    /** @returns the answers with the parts that were told, and as many others as have room. */
-    json encodeAnswers()
-    {
-        json answers = json::array();
-        std::map<std::string, time_point> last = m_beginnings;
-        last.insert(m_answers.begin(), m_answers.end());
-        for (const auto &[part, at] : last) {
-            if (!m_toldAnswers.contains(part) && !m_budget.take(1)) {
-                continue;
-            }
-            json entry = {part, ageOf(at, m_now)};
-            if (const auto whole = lastWholeAnswer(part)) {
-                entry.push_back(ageOf(*whole, m_now));
-            }
-            answers.push_back(std::move(entry));
-        }
-        return answers;
-    }
-
-private:
-    /** Takes at most half of the budget, as older crashes must be told, too. */
-    json encodeSuspects(std::vector<crash_suspect> suspects)
-    {
-        std::ranges::stable_sort(suspects, {}, orderOfTelling);
-        std::size_t room = m_budget.left() / 2;
-        std::size_t untold = suspects.size();
-        json told = json::array();
-        for (const crash_suspect &suspect : suspects) {
-            const std::size_t share = std::max(room / untold, leastToldParts);
-            --untold;
-            const std::vector<std::string> parts =
-                likeliestParts(suspect.parts, share, [this](const std::string &part) { return lastWholeAnswer(part); });
-            const std::size_t needed = parts.size() + untoldAnswers(parts);
-            if (needed <= room && m_budget.take(needed)) {
-                room -= needed;
-                m_toldAnswers.insert(parts.begin(), parts.end());
-                told.push_back(encodeSuspect(suspect, parts));
-            }
-        }
-        return told;
-    }
-
-    std::optional<time_point> lastWholeAnswer(const std::string &part) const
-    {
-        const auto found = m_answers.find(part);
-        return found == m_answers.end() ? std::nullopt : std::optional(found->second);
-    }
-
-    /** @returns how many of the parts have an answer that is not told yet. */
-    std::size_t untoldAnswers(const std::vector<std::string> &parts) const
-    {
-        const auto count = std::ranges::count_if(parts, [this](const std::string &part) {
-            return (m_answers.contains(part) || m_beginnings.contains(part)) && !m_toldAnswers.contains(part);
-        });
-        return static_cast<std::size_t>(count);
-    }
-
-    const std::map<std::string, time_point> &m_answers;
-    const std::map<std::string, time_point> &m_beginnings;
-    const time_point m_now;
-    part_budget &m_budget;
-    json m_crashes = json::array();
-    std::set<std::string> m_toldAnswers; ///< Parts whose answers have their room in the budget.
-};
-
 } // namespace
 
 json encodeCrashEvidence(const crash_evidence &evidence, time_point now)
 {
-    part_budget budget;
+    part_budget budget(maxEncodedParts);
     json quarantined = json::array();
     for (const quarantined_part &entry : evidence.quarantined) {
         if (budget.take(1)) {
--- a/src/quarantine/part_quarantine.cpp
+++ b/src/quarantine/part_quarantine.cpp
@@ -9,18 +9,11 @@
 
 namespace {
 
-// A request that had not begun is rarely the cause.
-constexpr double waitingWeight = 0.5;
 constexpr double crashesToConvict = 2;
 // Below the number of crashes that operators accept, and more than chance explains.
 constexpr double crashesToConvictAnswered = 4;
 constexpr double crashesToConvictAgain = waitingWeight;
 
-bool wasBeginning(const crash_suspect &suspect)
-{
-    return suspect.begun && !suspect.writing;
-}
-
 bool cameEquallyFar(const crash_suspect &left, const crash_suspect &right)
 {
     return left.begun == right.begun && left.writing == right.writing;
@@ -183,75 +176,15 @@
     });
 }
 
-bool part_quarantine::isCleared(const std::string &part, answer_extent extent, time_point crashedAt) const
-{
-    const auto answered =
-        extent == answer_extent::whole ? m_answered.lastWholeAnswer(part) : m_answered.lastAnswer(part);
-    return answered && *answered >= crashedAt;
-}
-
-std::set<std::string> part_quarantine::partsLostInMidAnswer(const crash_list &crashes) const
+std::map<std::string, part_score> part_quarantine::scores(time_point now) const
 {
-    std::set<std::string> parts;
-    for (const endpoint_crash *crash : crashes) {
-        for (const crash_suspect &suspect : crash->suspects) {
-            for (std::size_t index = 0; suspect.writing && index < suspect.parts.size(); ++index) {
-                if (!isCleared(suspect.parts[index], answer_extent::whole, crash->at)) {
-                    parts.insert(suspect.parts[index]);
-                }
-            }
-        }
-    }
-    return parts;
-}
-
-std::map<std::string, part_quarantine::part_blame> part_quarantine::blames(const endpoint_crash &crash,
-                                                                           const std::set<std::string> &midAnswer) const
-{
-    const double weightOfWaiting = std::ranges::any_of(crash.suspects, wasBeginning) ? 0 : waitingWeight;
-    std::map<std::string, part_blame> blames;
-    for (const crash_suspect &suspect : crash.suspects) {
-        const double weight = suspect.begun ? 1.0 : weightOfWaiting;
-        for (std::size_t index = 0; weight > 0 && index < suspect.parts.size(); ++index) {
-            const std::string &part = suspect.parts[index];
-            // The beginning of an answer that may have crashed an endpoint itself proves nothing.
-            const auto extent = midAnswer.contains(part) ? answer_extent::whole : answer_extent::beginning;
-            if (isCleared(part, extent, crash.at)) {
-                continue;
-            }
-            part_blame &blame = blames[part];
-            blame.weight = std::max(blame.weight, weight);
-            blame.position = std::max(blame.position, index);
-        }
-    }
-    return blames;
-}
-
-std::map<std::string, part_quarantine::part_score> part_quarantine::scores(time_point now) const
-{
-    crash_list crashes;
+    std::vector<const endpoint_crash *> crashes;
     for (const auto &[run, crash] : m_crashes) {
         if (now - crash.at >= settlingTime && !isExplained(crash)) {
             crashes.push_back(&crash);
         }
     }
-    std::ranges::sort(crashes, {}, &endpoint_crash::at);
-    const std::set<std::string> midAnswer = partsLostInMidAnswer(crashes);
-    std::map<std::string, part_score> scores;
-    for (const endpoint_crash *crash : crashes) {
-        for (const auto &[part, blame] : blames(*crash, midAnswer)) {
-            part_score &score = scores[part];
-            score.position = std::max(score.position, blame.position);
-            score.hasBegun = isAnswered(part) || midAnswer.contains(part);
-            const bool countsOnce = blame.weight < 1 || score.hasBegun;
-            const bool together = score.crashes > 0 && crash->at - score.lastCountedAt < simultaneous;
-            if (!(countsOnce && together)) {
-                score.crashes += blame.weight;
-                score.lastCountedAt = crash->at;
-            }
-        }
-    }
-    return scores;
+    return scoreParts(std::move(crashes), m_answered);
 }
 
 std::vector<quarantined_part> part_quarantine::update(time_point now)
--- a/src/quarantine/part_quarantine.h
+++ b/src/quarantine/part_quarantine.h
@@ -2,11 +2,11 @@
 
 #include "quarantine/answered_parts.h"
 #include "quarantine/crash_evidence.h"
+#include "quarantine/part_score.h"
 
 #include <map>
 #include <optional>
 #include <random>
-#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -37,7 +37,6 @@
     static constexpr std::chrono::minutes crashLifetime {10};
     static constexpr std::chrono::seconds trialInterval {5}; ///< Between requests that are let through after it.
     static constexpr std::chrono::seconds trialSpread {10}; ///< Over which the gateways let their first ones through.
-    static constexpr std::chrono::milliseconds simultaneous {250}; ///< Crashes within it may have one cause.
     static constexpr std::chrono::milliseconds settlingTime {100}; ///< Of the evidence on a crash.
     static constexpr std::size_t maxCrashes = 64;
     static constexpr std::size_t maxSuspects = 32; ///< Of one crash that had come equally far.
@@ -110,23 +109,6 @@
         time_point nextTrialAt {};
     };
 
-    /** How one crash counts against a part. */
-    struct part_blame
-    {
-        double weight = 0;
-        std::size_t position = 0; ///< Last position in the prompt of a suspect.
-    };
-
-    struct part_score
-    {
-        double crashes = 0;
-        std::size_t position = 0; ///< Last position in the prompt of a suspect.
-        bool hasBegun = false; ///< An answer with the part came beyond its beginning.
-        time_point lastCountedAt {};
-    };
-
-    using crash_list = std::vector<const endpoint_crash *>;
-
     enum class answer_extent {
         beginning, ///< The answer came beyond its beginning.
         whole,
@@ -136,11 +118,6 @@
     /** @returns whether the answer ended a quarantine. */
     bool noteAnswer(const std::string &part, answer_extent extent, time_point at, time_point now);
     bool isExplained(const endpoint_crash &crash) const;
-    /** @returns whether an answer of this extent with the part has come since the crash. */
-    bool isCleared(const std::string &part, answer_extent extent, time_point crashedAt) const;
-    /** @returns the parts of answers that crashes cut, and that no answer has come to the end with since. */
-    std::set<std::string> partsLostInMidAnswer(const crash_list &crashes) const;
-    std::map<std::string, part_blame> blames(const endpoint_crash &crash, const std::set<std::string> &midAnswer) const;
     std::map<std::string, part_score> scores(time_point now) const;
     std::optional<std::string> worstPart(time_point now) const;
     std::optional<std::string> onlySuspect(const endpoint_crash &crash) const;
